--- /dev/null
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/door.py
@@ -0,0 +1,115 @@
+"""The HTTP door of an agent: requests from entries to its endpoint."""
+
+import logging
+
+import aiohttp
+from aiohttp import web
+from magnoliagrade.errors import ErrorKind, MagnoliagradeError
+from magnoliagrade.http import AnswerSink, error_response, read_request_headers
+from magnoliagrade.http import headers as names
+from magnoliagrade.observability import extract_context, inject_context, log_event
+from opentelemetry import trace
+from prometheus_client import Counter
+
+__all__ = ["make_data_app"]
+
+BODY_LIMIT_BYTES = 1024**3
+REQUESTS = Counter(
+    "magnoliagrade_agent_requests_total", "Requests from entries by result", ["result"]
+)
+_tracer = trace.get_tracer(__name__)
+_log = logging.getLogger(__name__)
+
+
+def make_data_app(node):
+    """Return the application that entries send requests to.
+
+    Parameters
+    ----------
+    node : AgentInstance
+        The agent.
+    """
+
+    async def handle(http_request):
+        context = extract_context(http_request.headers)
+        sink = AnswerSink(http_request=http_request, added_headers={names.RAN: "yes"})
+        request = None
+        with _tracer.start_as_current_span(
+            "agent.request", context=context, kind=trace.SpanKind.SERVER
+        ):
+            try:
+                request = await _read_request(node, http_request)
+                await _serve(node, request, http_request.headers, sink)
+            except MagnoliagradeError as exc:
+                return _answer_error(exc, request, sink)
+        REQUESTS.labels("whole").inc()
+        return sink.response
+
+    app = web.Application(client_max_size=BODY_LIMIT_BYTES)
+    app.router.add_route("*", "/{tail:.*}", handle)
+    return app
+
+
+async def _read_request(node, http_request):
+    return read_request_headers(
+        http_request.headers,
+        method=http_request.method,
+        path=http_request.path_qs,
+        body=await http_request.read(),
+        now=node.clock.monotonic(),
+    )
+
+
+async def _serve(node, request, headers, sink):
+    attempt = headers[names.ATTEMPT]
+    if node.is_leaving:
+        raise MagnoliagradeError(ErrorKind.SHUTTING_DOWN, "the endpoint is leaving")
+    node.attempts.begin(attempt)
+    node.credits.take(request, entry=headers[names.ENTRY])
+    started = node.clock.monotonic()
+    first_byte_s = None
+    failed = True
+    try:
+        with _tracer.start_as_current_span("endpoint.call") as span:
+            span.set_attribute("magnoliagrade.attempt", attempt)
+            inject_context(request.header_by_name)
+            resume_tokens = int(headers.get(names.RESUME_TOKENS, "0"))
+            response = await node.engine.open(
+                request, attempt=attempt, resume_tokens=resume_tokens
+            )
+            async with response:
+                await sink.start(response.status, response.headers)
+                async for part in response.content.iter_any():
+                    if first_byte_s is None:
+                        first_byte_s = node.clock.monotonic() - started
+                    await sink.write(part)
+                await sink.finish()
+        failed = False
+    except (aiohttp.ClientPayloadError, aiohttp.ServerDisconnectedError) as exc:
+        detail = f"endpoint broke off after {sink.bytes_written} bytes"
+        raise MagnoliagradeError(ErrorKind.ANSWER_BROKEN, detail) from exc
+    finally:
+        node.credits.give_back(request)
+        node.credits.limit_policy.on_completion(
+            cost=request.cost,
+            first_byte_s=first_byte_s,
+            total_s=node.clock.monotonic() - started,
+            in_flight=node.credits.in_flight,
+            failed=failed,
+        )
+
+
+def _answer_error(error, request, sink):
+    REQUESTS.labels(error.kind.value).inc()
+    request_id = request.id if request else ""
+    log_event(
+        _log,
+        "request.refused",
+        request_id=request_id,
+        code=error.kind.value,
+        detail=error.detail,
+    )
+    if sink.has_started:
+        sink.abort()
+        return sink.response
+    return error_response(error, request_id=request_id, is_internal=True)
--- /dev/null
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/group/__init__.py
@@ -0,0 +1,1 @@
+"""Expert-parallel groups: what an agent does for its rank."""
--- /dev/null
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
@@ -0,0 +1,126 @@
+"""The entry instance: everything that one entry process holds."""
+
+import logging
+
+from magnoliagrade.configuration import ConfigurationRepository
+from magnoliagrade.node import Node
+from magnoliagrade.observability import log_event
+from magnoliagrade.platform import HttpInstanceList
+from magnoliagrade.wire import Hello
+from magnoliagrade.world import Role
+
+from magnoliagrade_entry import configuration_watch  # noqa: F401
+from magnoliagrade_entry.doors import make_caller_app, make_peer_app
+from magnoliagrade_entry.handlers import entry_handlers, entry_tasks
+from magnoliagrade_entry.membership import LinkKeeper
+from magnoliagrade_entry.requests import Dispatcher, admission_policies
+from magnoliagrade_entry.routing import EndpointDirectory, PeerDirectory, Router
+from magnoliagrade_entry.status import status_routes
+
+__all__ = ["EntryInstance"]
+
+_log = logging.getLogger(__name__)
+
+
+class EntryInstance(Node):
+    """One running entry.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Checked settings.
+    clock : Clock, optional
+        Source of time; the system's by default.
+    """
+
+    __slots__ = (
+        "admission",
+        "dispatcher",
+        "endpoints",
+        "instance_list",
+        "link_keeper",
+        "peers",
+        "repository",
+        "requests_in_flight",
+        "router",
+    )
+
+    def __init__(self, *, settings, clock=None):
+        super().__init__(
+            settings=settings,
+            handlers=entry_handlers,
+            task_table=entry_tasks,
+            clock=clock,
+        )
+        self.requests_in_flight = 0
+        where = {
+            "configuration": self.configuration,
+            "data_centre": settings.data_centre,
+        }
+        self.endpoints = EndpointDirectory(**where)
+        self.peers = PeerDirectory(**where)
+        self.router = Router(
+            configuration=self.configuration,
+            endpoints=self.endpoints,
+            peers=self.peers,
+            rng=self.rng,
+        )
+        self.admission = admission_policies.get("capped")(node=self)
+        self.dispatcher = Dispatcher(node=self)
+        self.link_keeper = LinkKeeper(node=self)
+
+    async def start(self):
+        """Open every listener and start the background tasks."""
+        settings = self.settings
+        self.open_clients()
+        self.instance_list = HttpInstanceList(
+            url=settings.instances_url, session=self.session
+        )
+        self.repository = ConfigurationRepository(store=self.store)
+        limit = settings.header_limit_bytes
+        limits = {"max_line_size": limit, "max_field_size": limit}
+        await self.listen_http(
+            "data", make_peer_app(self), settings.data_address, **limits
+        )
+        await self.listen_links()
+        await self.listen_admin(status_routes(self))
+        await self.listen_http(
+            "caller", make_caller_app(self), settings.caller_address, **limits
+        )
+        self.start_tasks()
+        log_event(_log, "entry.started", **self.addresses)
+
+    async def stop(self):
+        """Leave gracefully: finish everything in flight, then close."""
+        log_event(_log, "entry.leaving", requests_in_flight=self.requests_in_flight)
+        await self.say_leaving()
+        await self.clock.sleep(self.settings.drain_lag_s)
+        await self.wait_for_requests(lambda: self.requests_in_flight)
+        await self.close()
+        log_event(_log, "entry.stopped")
+
+    def hello(self):
+        """Return the first message of each link."""
+        return Hello(
+            role=Role.ENTRY.value,
+            data_centre=self.identity.data_centre,
+            data_address=self.addresses["data"],
+            control_address=self.addresses["control"],
+        )
+
+    def on_link_up(self, link):
+        """Enter the instance on the other side of a link."""
+        self.endpoints.on_link_up(link)
+        self.peers.on_link_up(link)
+
+    def on_link_down(self, link):
+        """Remove the instance on the other side of a link."""
+        self.endpoints.on_link_down(link)
+        self.peers.on_link_down(link)
+
+    def reasons_not_ready(self):
+        """Return why this entry should get no requests; empty if ready."""
+        reasons = super().reasons_not_ready()
+        if not self.configuration.revision:
+            reasons.append("no configuration is known")
+        return reasons
--- /dev/null
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/requests/__init__.py
@@ -0,0 +1,15 @@
+"""What happens to one request: arrival, admission, attempts."""
+
+from magnoliagrade_entry.requests.admission import Admission, admission_policies
+from magnoliagrade_entry.requests.arrival import read_arrival
+from magnoliagrade_entry.requests.attempt import AttemptFailed, run_attempt
+from magnoliagrade_entry.requests.dispatch import Dispatcher
+
+__all__ = [
+    "Admission",
+    "AttemptFailed",
+    "Dispatcher",
+    "admission_policies",
+    "read_arrival",
+    "run_attempt",
+]
--- /dev/null
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/peers.py
@@ -0,0 +1,108 @@
+"""Peer entries as this entry knows them."""
+
+from magnoliagrade.world import Role
+
+__all__ = ["PeerContact", "PeerDirectory"]
+
+
+class PeerContact:
+    """One peer entry and what it last said of its data centre.
+
+    Parameters
+    ----------
+    name : str
+        Name of the peer.
+    data_centre : str
+        Its data centre.
+    data_address : str
+        `host:port` where it takes forwarded requests.
+    link : Link
+        Link to it.
+    """
+
+    __slots__ = (
+        "data_address",
+        "data_centre",
+        "is_leaving",
+        "link",
+        "name",
+        "summary",
+        "summary_at",
+    )
+
+    def __init__(self, *, name, data_centre, data_address, link):
+        self.name = name
+        self.data_centre = data_centre
+        self.data_address = data_address
+        self.link = link
+        self.is_leaving = False
+        self.summary = None
+        self.summary_at = 0.0
+
+
+class PeerDirectory:
+    """Contacts of peer entries by name.
+
+    Parameters
+    ----------
+    configuration : ConfigurationState
+        Configuration in force.
+    data_centre : str
+        This data centre.
+    """
+
+    __slots__ = ("_configuration", "_data_centre", "by_name")
+
+    def __init__(self, *, configuration, data_centre):
+        self._configuration = configuration
+        self._data_centre = data_centre
+        self.by_name = {}
+
+    def on_link_up(self, link):
+        """Enter a peer that a link came up to."""
+        hello = link.hello
+        if hello.role != Role.ENTRY.value:
+            return
+        self.by_name[link.peer_instance] = PeerContact(
+            name=link.peer_instance,
+            data_centre=hello.data_centre,
+            data_address=hello.data_address,
+            link=link,
+        )
+
+    def on_link_down(self, link):
+        """Remove the peer of a link, unless a newer link took its place."""
+        contact = self.by_name.get(link.peer_instance)
+        if contact is not None and contact.link is link:
+            del self.by_name[link.peer_instance]
+
+    def candidates(self, pool):
+        """Return peers of other data centres that could serve a pool.
+
+        Parameters
+        ----------
+        pool : Pool
+            Pool whose requests are to be forwarded.
+
+        Returns
+        -------
+        contacts : list of PeerContact
+            By name; peers whose summary says that they have no ready endpoint
+            are left out.
+        """
+        configuration = self._configuration.in_force
+        chosen = []
+        for _, peer in sorted(self.by_name.items()):
+            if peer.is_leaving or peer.data_centre == self._data_centre:
+                continue
+            if configuration.is_data_centre_out(peer.data_centre):
+                continue
+            if _has_ready_endpoint(peer, pool):
+                chosen.append(peer)
+        return chosen
+
+
+def _has_ready_endpoint(peer, pool):
+    if peer.summary is None:
+        return False
+    return any(p.pool == pool.name and p.ready_endpoints for p in peer.summary.pools)
--- /dev/null
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/policies.py
@@ -0,0 +1,74 @@
+"""Routing policies: which endpoint of a pool gets a request."""
+
+from typing import Protocol
+
+from magnoliagrade.algorithms import rendezvous_order
+from magnoliagrade.registry import Registry
+
+__all__ = ["RoutingPolicy", "routing_policies"]
+
+routing_policies = Registry(family="routing policy")
+
+
+class RoutingPolicy(Protocol):
+    """Function that picks one of several contacts.
+
+    Called with `request`, `candidates` (never empty), `pool` and `rng`; returns an
+    `EndpointContact`.
+    """
+
+    def __call__(self, *, request, candidates, pool, rng):
+        """Return the chosen contact."""
+
+
+@routing_policies.register("random")
+def choose_random(*, request, candidates, pool, rng):
+    """Pick any candidate; the plain baseline."""
+    return rng.choice(candidates)
+
+
+@routing_policies.register("least-loaded")
+def choose_least_loaded(*, request, candidates, pool, rng):
+    """Pick the candidate with the least load in its own reports."""
+    return min(
+        candidates,
+        key=lambda c: (c.endpoint.report.tokens_in_flight, c.endpoint.name),
+    )
+
+
+@routing_policies.register("prefix-affinity")
+def choose_by_prefix(*, request, candidates, pool, rng):
+    """Pick the first place in rendezvous order that is not overloaded.
+
+    Notes
+    -----
+    A candidate counts as overloaded when what this entry has in flight there
+    exceeds 1.25 times the mean (bounded load) [1]_.
+
+    References
+    ----------
+    .. [1] V. Mirrokni, M. Thorup, M. Zadimoghaddam, "Consistent hashing with
+       bounded loads", SODA 2018.
+    """
+    if not request.prefix_hash:
+        return choose_two_choices(
+            request=request, candidates=candidates, pool=pool, rng=rng
+        )
+    by_name = {c.endpoint.name: c for c in candidates}
+    mean = sum(c.in_flight_cost for c in candidates) / len(candidates)
+    bound = 1.25 * (mean + request.cost / len(candidates)) + request.cost
+    for name in rendezvous_order(request.prefix_hash, by_name):
+        if by_name[name].in_flight_cost + request.cost <= bound:
+            return by_name[name]
+    return choose_two_choices(
+        request=request, candidates=candidates, pool=pool, rng=rng
+    )
+
+
+@routing_policies.register("two-choices")
+def choose_two_choices(*, request, candidates, pool, rng):
+    """Pick the less busy of two random candidates."""
+    if len(candidates) == 1:
+        return candidates[0]
+    a, b = rng.sample(candidates, 2)
+    return a if a.in_flight_cost <= b.in_flight_cost else b
--- /dev/null
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/settings.py
@@ -0,0 +1,126 @@
+"""Settings of an entry instance."""
+
+from dataclasses import dataclass
+
+from magnoliagrade.configuration import setting
+
+__all__ = ["EntrySettings"]
+
+
+@dataclass(slots=True, kw_only=True)
+class EntrySettings:
+    """Settings of an entry instance; each field documents itself."""
+
+    name: str = setting(
+        section="instance", doc="name of the instance", env="MAGNOLIAGRADE_INSTANCE"
+    )
+    data_centre: str = setting(
+        section="instance",
+        doc="data centre that the instance stands in",
+        env="MAGNOLIAGRADE_DATA_CENTRE",
+    )
+    caller_address: str = setting(
+        section="listen",
+        doc="where callers connect",
+        address=True,
+        default="127.0.0.1:0",
+        env="MAGNOLIAGRADE_CALLER_ADDRESS",
+    )
+    data_address: str = setting(
+        section="listen",
+        doc="where peer entries forward requests",
+        address=True,
+        default="127.0.0.1:0",
+        env="MAGNOLIAGRADE_DATA_ADDRESS",
+    )
+    control_address: str = setting(
+        section="listen",
+        doc="where peer entries open links",
+        address=True,
+        default="127.0.0.1:0",
+        env="MAGNOLIAGRADE_CONTROL_ADDRESS",
+    )
+    admin_address: str = setting(
+        section="listen",
+        doc="health, readiness and metrics",
+        address=True,
+        default="127.0.0.1:0",
+        env="MAGNOLIAGRADE_ADMIN_ADDRESS",
+    )
+    store_url: str = setting(
+        section="platform",
+        doc="URL of the platform's key-value service",
+        env="MAGNOLIAGRADE_STORE_URL",
+    )
+    instances_url: str = setting(
+        section="platform",
+        doc="URL of the platform's list of instances",
+        env="MAGNOLIAGRADE_INSTANCES_URL",
+    )
+    instances_interval_s: float = setting(
+        section="platform",
+        doc="time between readings of the list of instances",
+        unit="s",
+        default=2.0,
+        low=0.05,
+        high=600,
+    )
+    body_limit_bytes: int = setting(
+        section="requests",
+        doc="largest body that a caller may send",
+        unit="bytes",
+        default=4 * 1024 * 1024,
+        low=1024,
+        high=1024**3,
+    )
+    header_limit_bytes: int = setting(
+        section="requests",
+        doc="largest header line that a caller may send",
+        unit="bytes",
+        default=16 * 1024,
+        low=1024,
+        high=1024**2,
+    )
+    body_timeout_s: float = setting(
+        section="requests",
+        doc="longest time that a caller may take to send a body",
+        unit="s",
+        default=30.0,
+        low=0.1,
+        high=3600,
+    )
+    drain_lag_s: float = setting(
+        section="shutdown",
+        doc="how long new requests are still served after SIGTERM, while the "
+        "platform's balancer lags",
+        unit="s",
+        default=1.0,
+        low=0,
+        high=600,
+    )
+    drain_limit_s: float = setting(
+        section="shutdown",
+        doc="longest wait for requests in flight",
+        unit="s",
+        default=120.0,
+        low=0,
+        high=86400,
+    )
+    log_level: str = setting(
+        section="logs",
+        doc="lowest level that is logged",
+        default="INFO",
+        choices=("DEBUG", "INFO", "WARNING", "ERROR"),
+    )
+    otlp_url: str = setting(
+        section="traces",
+        doc="where spans go by OTLP over HTTP; empty writes JSON lines",
+        default="",
+    )
+    sampling: float = setting(
+        section="traces",
+        doc="fraction of new traces that are recorded",
+        default=0.0,
+        low=0,
+        high=1,
+    )
--- /dev/null
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/status.py
@@ -0,0 +1,69 @@
+"""The status that an entry shows on its admin listener."""
+
+from aiohttp import web
+
+__all__ = ["entry_status", "status_routes"]
+
+
+def status_routes(node):
+    """Return the admin routes that show an entry's status.
+
+    Parameters
+    ----------
+    node : EntryInstance
+        The entry.
+    """
+
+    async def status(_request):
+        return web.json_response(entry_status(node))
+
+    return [web.get("/status", status)]
+
+
+def entry_status(node):
+    """Return what an entry knows, ready for JSON.
+
+    Parameters
+    ----------
+    node : EntryInstance
+        The entry.
+
+    Returns
+    -------
+    status : dict
+        Identity, configuration revision, links, endpoints and peers.
+    """
+    return {
+        "instance": node.identity.instance,
+        "incarnation": f"{node.identity.incarnation:016x}",
+        "data_centre": node.identity.data_centre,
+        "configuration_revision": node.configuration.revision,
+        "is_leaving": node.is_leaving,
+        "not_ready": node.reasons_not_ready(),
+        "requests_in_flight": node.requests_in_flight,
+        "links": sorted(node.links.by_instance),
+        "endpoints": [
+            _endpoint_row(c) for _, c in sorted(node.endpoints.by_name.items())
+        ],
+        "peers": [_peer_row(p) for _, p in sorted(node.peers.by_name.items())],
+    }
+
+
+def _endpoint_row(contact):
+    return {
+        "name": contact.endpoint.name,
+        "state": contact.endpoint.state.value,
+        "credit": contact.credit,
+        "in_flight": contact.in_flight_cost,
+        "boot_id": contact.endpoint.report.boot_id,
+        "labels": contact.endpoint.labels,
+    }
+
+
+def _peer_row(peer):
+    return {
+        "name": peer.name,
+        "data_centre": peer.data_centre,
+        "is_leaving": peer.is_leaving,
+        "has_summary": peer.summary is not None,
+    }
--- /dev/null
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
@@ -0,0 +1,80 @@
+"""Run one stand-in as a process: `python -m magnoliagrade_standins NAME`."""
+
+import asyncio
+
+import fire
+from magnoliagrade.clock import SystemClock
+from magnoliagrade.node import announce_ready, run_until_signal, start_site
+
+from magnoliagrade_standins.engine import Engine, EngineProfile, make_engine_app
+from magnoliagrade_standins.platform import (
+    ListedInstances,
+    MemoryStore,
+    make_platform_app,
+)
+from magnoliagrade_standins.service import PlainService, make_service_app
+
+LOOPBACK = "127.0.0.1:0"
+
+
+class StandIns:
+    """Stand-ins of the platform and of back ends; each runs until SIGTERM."""
+
+    def platform(self, address=LOOPBACK, lag_s=0.0):
+        """Serve the key-value service and the list of instances."""
+
+        def make():
+            clock = SystemClock()
+            listing = ListedInstances(clock=clock, lag_s=lag_s)
+            return make_platform_app(store=MemoryStore(clock=clock), listing=listing)
+
+        _serve(make, address)
+
+    def engine(self, address=LOOPBACK, name="engine", **profile):
+        """Serve a model engine; further flags are fields of its profile."""
+
+        def make():
+            engine = Engine(
+                profile=EngineProfile(**profile), clock=SystemClock(), name=name
+            )
+            app = make_engine_app(engine)
+            app.on_startup.append(_start_engine(engine))
+            return app
+
+        _serve(make, address)
+
+    def service(self, address=LOOPBACK, service_s=0.005):
+        """Serve a plain service."""
+
+        def make():
+            service = PlainService(clock=SystemClock(), service_s=service_s)
+            return make_service_app(service)
+
+        _serve(make, address)
+
+
+def _start_engine(engine):
+    async def on_startup(app):
+        # The application keeps the task referenced while it runs.
+        app["engine_task"] = asyncio.create_task(engine.run())
+
+    return on_startup
+
+
+def _serve(make, address):
+    runners = []
+
+    async def start():
+        runner, bound = await start_site(make(), address, shutdown_timeout=0.1)
+        runners.append(runner)
+        announce_ready(http=bound)
+
+    async def stop():
+        for runner in runners:
+            await runner.cleanup()
+
+    run_until_signal(start, stop)
+
+
+if __name__ == "__main__":
+    fire.Fire(StandIns, name="magnoliagrade_standins")
--- /dev/null
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/engine/server.py
@@ -0,0 +1,120 @@
+"""HTTP face of the engine stand-in; docs/PLATFORM.md gives the protocol."""
+
+import json
+
+from aiohttp import web
+from magnoliagrade.algorithms import hash64
+
+from magnoliagrade_standins.engine.engine import EngineFell, EngineRequest
+
+__all__ = ["make_engine_app"]
+
+BYTES_PER_TOKEN = 4
+DEFAULT_OUTPUT_TOKENS = 128
+PREFIX_BYTES = 256
+
+
+def make_engine_app(engine):
+    """Return the application that serves an engine.
+
+    Parameters
+    ----------
+    engine : Engine
+        A running engine.
+    """
+
+    async def complete(http_request):
+        fields = await http_request.json()
+        request = _engine_request(http_request.headers, fields)
+        engine.submit(request)
+        try:
+            if fields.get("stream"):
+                return await _stream(http_request, request)
+            return await _whole(http_request, request)
+        finally:
+            engine.cancel(request)
+
+    async def load(_request):
+        return web.json_response(engine.load_report())
+
+    async def record(_request):
+        return web.json_response(_record(engine))
+
+    async def control(http_request):
+        order = await http_request.json()
+        if order.get("restart"):
+            engine.restart()
+        if "step_scale" in order:
+            engine.step_scale = float(order["step_scale"])
+        return web.Response()
+
+    app = web.Application(client_max_size=64 * 1024 * 1024)
+    app.router.add_post("/v1/chat/completions", complete)
+    app.router.add_post("/v1/completions", complete)
+    app.router.add_get("/load", load)
+    app.router.add_get("/record", record)
+    app.router.add_post("/control", control)
+    return app
+
+
+def _engine_request(headers, fields):
+    if "messages" in fields:
+        prompt = "\0".join(json.dumps(m, sort_keys=True) for m in fields["messages"])
+    else:
+        prompt = fields["prompt"]
+    return EngineRequest(
+        id=headers.get("X-Request-Id", ""),
+        attempt=headers.get("X-Attempt-Id", ""),
+        prompt_tokens=max(1, len(prompt) // BYTES_PER_TOKEN),
+        output_tokens=fields.get("max_tokens", DEFAULT_OUTPUT_TOKENS),
+        prefix=hash64(prompt[:PREFIX_BYTES]),
+        done_tokens=int(headers.get("X-Resume-Tokens", "0")),
+        priority=int(headers.get("X-Priority", "0")),
+    )
+
+
+async def _stream(http_request, request):
+    response = web.StreamResponse(
+        headers={
+            "Content-Type": "text/event-stream",
+            "X-Request-Id": request.id,
+            "X-Attempt-Id": request.attempt,
+        }
+    )
+    await response.prepare(http_request)
+    while (text := await request.tokens.get()) is not None:
+        if isinstance(text, EngineFell):
+            http_request.transport.abort()
+            return response
+        event = {"id": request.id, "choices": [{"delta": {"content": text}}]}
+        await response.write(f"data: {json.dumps(event)}\n\n".encode())
+    await response.write(b"data: [DONE]\n\n")
+    await response.write_eof()
+    return response
+
+
+async def _whole(http_request, request):
+    parts = []
+    while (text := await request.tokens.get()) is not None:
+        if isinstance(text, EngineFell):
+            http_request.transport.abort()
+            return web.Response(status=500)
+        parts.append(text)
+    answer = {
+        "id": request.id,
+        "choices": [{"message": {"role": "assistant", "content": "".join(parts)}}],
+    }
+    headers = {"X-Request-Id": request.id, "X-Attempt-Id": request.attempt}
+    return web.json_response(answer, headers=headers)
+
+
+def _record(engine):
+    return {
+        "boot_id": engine.boot_id,
+        "falls": engine.falls,
+        "peak_load": engine.peak_load,
+        "cache_hits": engine.cache_hits,
+        "cache_lookups": engine.cache_lookups,
+        "total_tokens": engine.total_tokens,
+        "requests": engine.records,
+    }
--- /dev/null
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/harness/site.py
@@ -0,0 +1,289 @@
+"""A site of data centres made of real processes on loopback."""
+
+import asyncio
+import configparser
+import hashlib
+import os
+import tempfile
+from dataclasses import dataclass, field
+
+import aiohttp
+from magnoliagrade.clock import SystemClock
+from magnoliagrade.configuration import ConfigurationRepository
+from magnoliagrade.platform import HttpStore
+
+from magnoliagrade_standins.harness.processes import (
+    SpawnedProcess,
+    binary_command,
+    standin_command,
+)
+
+__all__ = ["CONFIGURATION", "KEY_BY_ORGANISATION", "Site", "SitePlan"]
+
+READY_TIMEOUT_S = 30.0
+POLL_S = 0.05
+KEY_BY_ORGANISATION = {f"organisation-{i}": f"key-{i}" for i in range(10)}
+
+
+def _digest(key):
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+CONFIGURATION = """
+[application swatch]
+work = model
+deadline_s = 30
+
+[application orders]
+work = service
+deadline_s = 10
+
+[pool assistants]
+endpoint_selector = work=model
+cold_limit = 600
+full_limit = 6000
+
+[pool order-desk]
+endpoint_selector = work=service
+cold_limit = 16
+full_limit = 64
+
+[route swatch]
+request_selector = application=swatch
+pool = assistants
+
+[route orders]
+request_selector = application=orders
+pool = order-desk
+""" + "".join(
+    f"\n[organisation {name}]\nkey_digests = {_digest(key)}\n"
+    for name, key in KEY_BY_ORGANISATION.items()
+)
+
+
+@dataclass(slots=True, kw_only=True)
+class SitePlan:
+    """What a site is made of.
+
+    Parameters
+    ----------
+    entries_by_data_centre : dict of str to int
+        Entry instances in each data centre.
+    engines_by_data_centre : dict of str to int
+        Model endpoints in each.
+    services_by_data_centre : dict of str to int
+        Plain-service endpoints in each.
+    configuration : str
+        INI text of the operators' configuration.
+    engine_options : dict
+        Fields of the engines' profile.
+    entry_settings : dict of str to dict
+        Additions to the entries' settings, by section.
+    agent_settings : dict of str to dict
+        Additions to the agents' settings, by section.
+    """
+
+    entries_by_data_centre: dict
+    engines_by_data_centre: dict = field(default_factory=dict)
+    services_by_data_centre: dict = field(default_factory=dict)
+    configuration: str = CONFIGURATION
+    engine_options: dict = field(default_factory=dict)
+    entry_settings: dict = field(default_factory=dict)
+    agent_settings: dict = field(default_factory=dict)
+
+
+class Site:
+    """Running processes of a plan; use as an asynchronous context manager.
+
+    Parameters
+    ----------
+    plan : SitePlan
+        What to start.
+    """
+
+    __slots__ = (
+        "_folder",
+        "agent_by_name",
+        "back_end_by_name",
+        "entry_by_name",
+        "plan",
+        "platform",
+        "repository",
+        "session",
+    )
+
+    def __init__(self, *, plan):
+        self.plan = plan
+        self.agent_by_name = {}
+        self.back_end_by_name = {}
+        self.entry_by_name = {}
+        self.platform = None
+
+    async def __aenter__(self):
+        """Start everything and wait until each entry is ready."""
+        self._folder = tempfile.TemporaryDirectory(prefix="magnoliagrade-")
+        self.session = aiohttp.ClientSession()
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__(None, None, None)
+            raise
+        return self
+
+    async def __aexit__(self, *_exc):
+        """Kill every process that still runs."""
+        await self.session.close()
+        processes = [
+            *self.entry_by_name.values(),
+            *self.agent_by_name.values(),
+            *self.back_end_by_name.values(),
+            self.platform,
+        ]
+        started = [p for p in processes if p is not None and p.process]
+        await asyncio.gather(*(p.kill() for p in started))
+        self._folder.cleanup()
+
+    @property
+    def folder(self):
+        """Return the folder of settings and logs."""
+        return self._folder.name
+
+    @property
+    def platform_url(self):
+        """Return the URL of the platform's stand-in."""
+        return f"http://{self.platform.addresses['http']}"
+
+    def caller_url(self, entry):
+        """Return the URL at which callers reach an entry."""
+        return f"http://{self.entry_by_name[entry].addresses['caller']}"
+
+    async def record(self, back_end):
+        """Return the record of a back end."""
+        address = self.back_end_by_name[back_end].addresses["http"]
+        async with self.session.get(f"http://{address}/record") as response:
+            return await response.json()
+
+    async def control_platform(self, path, body):
+        """Set faults, lag or rows of the platform's stand-in."""
+        url = f"{self.platform_url}/control/{path}"
+        async with self.session.post(url, json=body) as response:
+            response.raise_for_status()
+
+    async def list_instance(self, name, process, role, data_centre, state="live"):
+        """Enter an instance in the platform's list."""
+        row = {
+            "role": role,
+            "data_centre": data_centre,
+            "control_address": process.addresses["control"],
+            "state": state,
+        }
+        await self.control_platform(f"instances/{name}", row)
+
+    async def _start(self):
+        self.platform = self._process("platform", standin_command("platform"))
+        await self.platform.start()
+        store = HttpStore(url=self.platform_url, session=self.session)
+        self.repository = ConfigurationRepository(store=store)
+        await self.repository.apply(self.plan.configuration, author="harness")
+        await asyncio.gather(*self._back_end_starts())
+        await asyncio.gather(*self._entry_starts())
+        await self.wait_ready()
+
+    def _back_end_starts(self):
+        for data_centre, count in self.plan.engines_by_data_centre.items():
+            for i in range(count):
+                name = f"{data_centre}-model-{i}"
+                command = standin_command(
+                    "engine", name=name, **self.plan.engine_options
+                )
+                yield self._start_endpoint(name, data_centre, "model", command)
+        for data_centre, count in self.plan.services_by_data_centre.items():
+            for i in range(count):
+                name = f"{data_centre}-service-{i}"
+                command = standin_command("service")
+                yield self._start_endpoint(name, data_centre, "service", command)
+
+    async def _start_endpoint(self, name, data_centre, work, command):
+        back_end = self._process(f"{name}-back-end", command)
+        self.back_end_by_name[name] = back_end
+        await back_end.start()
+        sections = {
+            "instance": {"name": name, "data_centre": data_centre},
+            "endpoint": {
+                "url": f"http://{back_end.addresses['http']}",
+                "work": work,
+                "labels": f"work={work}",
+            },
+        }
+        path = self._write_settings(name, sections, self.plan.agent_settings)
+        command = binary_command("magnoliagrade-agent", "serve", path)
+        agent = self._process(name, command)
+        self.agent_by_name[name] = agent
+        await agent.start()
+        await self.list_instance(name, agent, "agent", data_centre)
+
+    def _entry_starts(self):
+        for data_centre, count in self.plan.entries_by_data_centre.items():
+            for i in range(count):
+                yield self._start_entry(f"{data_centre}-entry-{i}", data_centre)
+
+    async def _start_entry(self, name, data_centre):
+        sections = {
+            "instance": {"name": name, "data_centre": data_centre},
+            "platform": {
+                "store_url": self.platform_url,
+                "instances_url": f"{self.platform_url}/v1/instances",
+                "instances_interval_s": "0.2",
+            },
+        }
+        path = self._write_settings(name, sections, self.plan.entry_settings)
+        command = binary_command("magnoliagrade", "serve", path)
+        entry = self._process(name, command)
+        self.entry_by_name[name] = entry
+        await entry.start()
+        await self.list_instance(name, entry, "entry", data_centre)
+
+    async def wait_ready(self):
+        """Wait until every entry is ready and linked to what it needs."""
+        clock = SystemClock()
+        limit = clock.monotonic() + READY_TIMEOUT_S
+        for name in self.entry_by_name:
+            while not await self._is_ready(name):
+                if clock.monotonic() > limit:
+                    raise TimeoutError(f"{name} is not ready; logs in {self.folder}")
+                await clock.sleep(POLL_S)
+
+    async def _is_ready(self, name):
+        address = self.entry_by_name[name].addresses["admin"]
+        async with self.session.get(f"http://{address}/readyz") as response:
+            if response.status != 200:
+                return False
+        async with self.session.get(f"http://{address}/status") as response:
+            status = await response.json()
+        return self._is_linked(name, status)
+
+    def _is_linked(self, name, status):
+        data_centre = status["data_centre"]
+        agents = {n for n in self.agent_by_name if n.startswith(f"{data_centre}-")}
+        peers = set(self.entry_by_name) - {name}
+        if not agents | peers <= set(status["links"]):
+            return False
+        has_summaries = all(p["has_summary"] for p in status["peers"])
+        return has_summaries and all(e["credit"] for e in status["endpoints"])
+
+    def _process(self, name, command):
+        log_path = os.path.join(self.folder, f"{name}.log")
+        return SpawnedProcess(name=name, command=command, log_path=log_path)
+
+    def _write_settings(self, name, sections, additions):
+        parser = configparser.ConfigParser(interpolation=None)
+        parser.read_dict(sections)
+        for section, values in additions.items():
+            if not parser.has_section(section):
+                parser.add_section(section)
+            for key, value in values.items():
+                parser.set(section, key, str(value))
+        path = os.path.join(self.folder, f"{name}.ini")
+        with open(path, "w", encoding="utf-8") as file:
+            parser.write(file)
+        return path
--- /dev/null
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/service/__init__.py
@@ -0,0 +1,5 @@
+"""Stand-in of a plain service."""
+
+from magnoliagrade_standins.service.service import PlainService, make_service_app
+
+__all__ = ["PlainService", "make_service_app"]
--- /dev/null
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/service/service.py
@@ -0,0 +1,89 @@
+"""A plain service that records every execution."""
+
+from aiohttp import web
+
+__all__ = ["PlainService", "make_service_app"]
+
+
+class PlainService:
+    """Executions by request id, in order.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    service_s : float
+        Time that one execution takes.
+    """
+
+    __slots__ = ("_clock", "executions", "peak_in_flight", "service_s", "_in_flight")
+
+    def __init__(self, *, clock, service_s=0.005):
+        self._clock = clock
+        self.service_s = service_s
+        self.executions = []
+        self.peak_in_flight = 0
+        self._in_flight = 0
+
+    async def execute(self, request_id, attempt, method, path, body):
+        """Run one call and return its answer.
+
+        Returns
+        -------
+        answer : dict
+            Echo of the request id and the number of the execution.
+        """
+        number = len(self.executions) + 1
+        self.executions.append(
+            {
+                "id": request_id,
+                "attempt": attempt,
+                "method": method,
+                "path": path,
+                "body": body,
+                "at": self._clock.monotonic(),
+            }
+        )
+        self._in_flight += 1
+        self.peak_in_flight = max(self.peak_in_flight, self._in_flight)
+        try:
+            await self._clock.sleep(self.service_s)
+        finally:
+            self._in_flight -= 1
+        return {"id": request_id, "number": number, "path": path, "echo": body}
+
+
+def make_service_app(service):
+    """Return the application that serves a plain service.
+
+    Parameters
+    ----------
+    service : PlainService
+        The service.
+    """
+
+    async def call(request):
+        answer = await service.execute(
+            request.headers.get("X-Request-Id", ""),
+            request.headers.get("X-Attempt-Id", ""),
+            request.method,
+            request.path_qs,
+            (await request.read()).decode(errors="replace"),
+        )
+        headers = {"X-Request-Id": answer["id"]}
+        return web.json_response(answer, headers=headers)
+
+    async def record(_request):
+        return web.json_response(
+            {"executions": service.executions, "peak": service.peak_in_flight}
+        )
+
+    async def control(request):
+        service.service_s = float((await request.json())["service_s"])
+        return web.Response()
+
+    app = web.Application(client_max_size=64 * 1024 * 1024)
+    app.router.add_get("/record", record)
+    app.router.add_post("/control", control)
+    app.router.add_route("*", "/{tail:.*}", call)
+    return app
--- /dev/null
+++ b/packages/magnoliagrade/magnoliagrade/configuration/__init__.py
@@ -0,0 +1,25 @@
+"""Settings of a process and the operators' configuration."""
+
+from magnoliagrade.configuration.document import Configuration
+from magnoliagrade.configuration.ini import parse_configuration
+from magnoliagrade.configuration.problems import (
+    InvalidDocument,
+    Problem,
+)
+from magnoliagrade.configuration.repository import ConfigurationRepository
+from magnoliagrade.configuration.settings import (
+    describe_settings,
+    read_settings,
+    setting,
+)
+
+__all__ = [
+    "Configuration",
+    "ConfigurationRepository",
+    "InvalidDocument",
+    "Problem",
+    "describe_settings",
+    "parse_configuration",
+    "read_settings",
+    "setting",
+]
--- /dev/null
+++ b/packages/magnoliagrade/magnoliagrade/configuration/settings.py
@@ -0,0 +1,202 @@
+"""Settings of one process, read from INI and checked whole."""
+
+import configparser
+import dataclasses
+import os
+import re
+
+from magnoliagrade.configuration.problems import InvalidDocument, Problem
+from magnoliagrade.errors import ErrorKind
+
+__all__ = ["describe_settings", "read_settings", "setting"]
+
+ADDRESS = re.compile(r"^[0-9A-Za-z_.:-]+:\d{1,5}$")
+_MISSING = dataclasses.MISSING
+
+
+def setting(
+    *,
+    section,
+    doc,
+    default=_MISSING,
+    unit="",
+    low=None,
+    high=None,
+    choices=(),
+    address=False,
+    env="",
+):
+    """Return a dataclass field that describes one setting.
+
+    Parameters
+    ----------
+    section : str
+        Section of the INI file; the key is the field's name.
+    doc : str
+        What the setting does.
+    default : object
+        Value when the file has none; without it the setting is required.
+    unit : str
+        Unit of the value.
+    low, high : float, optional
+        Least and greatest value allowed.
+    choices : sequence of str
+        Allowed values of a text.
+    address : bool
+        Whether the value is a `host:port`.
+    env : str
+        Environment variable that overrides the file.
+    """
+    metadata = {
+        "section": section,
+        "doc": doc,
+        "unit": unit,
+        "low": low,
+        "high": high,
+        "choices": tuple(choices),
+        "address": address,
+        "env": env,
+    }
+    return dataclasses.field(default=default, metadata=metadata)
+
+
+def read_settings(cls, path, *, environ=None):
+    """Return the settings of a file.
+
+    Parameters
+    ----------
+    cls : type
+        Dataclass whose fields were made by `setting`; may define
+        `combinations`, which returns texts for impossible combinations.
+    path : str
+        INI file.
+    environ : mapping, optional
+        Environment; that of the process by default.
+
+    Returns
+    -------
+    settings : cls
+        Checked settings.
+
+    Raises
+    ------
+    InvalidDocument
+        With every problem of the file.
+    """
+    environ = os.environ if environ is None else environ
+    parser = _load(path)
+    field_by_place = {(f.metadata["section"], f.name): f for f in _fields(cls)}
+    problems = _unknown_places(parser, field_by_place, path)
+    values = {}
+    for (section, key), field in field_by_place.items():
+        text = parser.get(section, key, fallback=None)
+        text = environ.get(field.metadata["env"], text)
+        if text is None:
+            if field.default is _MISSING:
+                allowed = f"is required: {_allowed(field)}"
+                problems.append(_problem(path, section, key, allowed))
+            continue
+        try:
+            values[key] = _convert(field, text.strip())
+        except ValueError:
+            allowed = f"{text!r} is not {_allowed(field)}"
+            problems.append(_problem(path, section, key, allowed))
+    if problems:
+        raise InvalidDocument(ErrorKind.SETTINGS_INVALID, problems)
+    settings = cls(**values)
+    combinations = getattr(settings, "combinations", list)()
+    if combinations:
+        found = [_problem(path, "", "", text) for text in combinations]
+        raise InvalidDocument(ErrorKind.SETTINGS_INVALID, found)
+    return settings
+
+
+def describe_settings(cls):
+    """Return a table of all settings of a class as Markdown lines."""
+    rows = ["| section | key | default | allowed | meaning |", "|---|---|---|---|---|"]
+    for f in _fields(cls):
+        default = "required" if f.default is _MISSING else f"`{f.default}`"
+        unit = f" ({f.metadata['unit']})" if f.metadata["unit"] else ""
+        override = f"; `{f.metadata['env']}` overrides" if f.metadata["env"] else ""
+        rows.append(
+            f"| {f.metadata['section']} | {f.name} | {default} | {_allowed(f)} "
+            f"| {f.metadata['doc']}{unit}{override} |"
+        )
+    return rows
+
+
+def _fields(cls):
+    return [f for f in dataclasses.fields(cls) if "section" in f.metadata]
+
+
+def _load(path):
+    parser = configparser.ConfigParser(interpolation=None, strict=True)
+    parser.optionxform = str
+    try:
+        with open(path, encoding="utf-8") as file:
+            parser.read_file(file)
+    except (OSError, UnicodeDecodeError, configparser.Error) as exc:
+        problem = _problem(path, "", "", f"cannot be read: {exc}")
+        raise InvalidDocument(ErrorKind.SETTINGS_INVALID, [problem]) from exc
+    return parser
+
+
+def _unknown_places(parser, field_by_place, path):
+    sections = {section for section, _ in field_by_place}
+    problems = []
+    for section in parser.sections():
+        if section not in sections:
+            allowed = f"unknown section; known: {', '.join(sorted(sections))}"
+            problems.append(_problem(path, section, "", allowed))
+            continue
+        known = sorted(k for s, k in field_by_place if s == section)
+        for key in parser.options(section):
+            if key not in known:
+                allowed = f"unknown key; known: {', '.join(known)}"
+                problems.append(_problem(path, section, key, allowed))
+    return problems
+
+
+def _problem(path, section, key, allowed):
+    return Problem(file=str(path), section=section, key=key, allowed=allowed)
+
+
+def _convert(field, text):
+    meta = field.metadata
+    if field.type is bool:
+        states = configparser.ConfigParser.BOOLEAN_STATES
+        if text.lower() not in states:
+            raise ValueError(text)
+        return states[text.lower()]
+    if field.type in (int, float):
+        value = field.type(text)
+        too_low = meta["low"] is not None and value < meta["low"]
+        too_high = meta["high"] is not None and value > meta["high"]
+        if too_low or too_high or value != value:
+            raise ValueError(text)
+        return value
+    if meta["choices"] and text not in meta["choices"]:
+        raise ValueError(text)
+    if meta["address"] and not (ADDRESS.match(text) and _port(text) <= 65535):
+        raise ValueError(text)
+    return text
+
+
+def _port(text):
+    return int(text.rpartition(":")[2])
+
+
+def _allowed(field):
+    meta = field.metadata
+    if meta["choices"]:
+        return "one of " + ", ".join(meta["choices"])
+    if meta["address"]:
+        return "a host:port"
+    if field.type is bool:
+        return "true or false"
+    if field.type in (int, float):
+        kind = "a whole number" if field.type is int else "a number"
+        low = "" if meta["low"] is None else f" from {meta['low']}"
+        high = "" if meta["high"] is None else f" to {meta['high']}"
+        return f"{kind}{low}{high}"
+    return "a text"
--- /dev/null
+++ b/packages/magnoliagrade/magnoliagrade/http/answers.py
@@ -0,0 +1,101 @@
+"""Answers: the sink that an answer is written to, and error answers."""
+
+import math
+
+from aiohttp import web
+
+from magnoliagrade.errors import answer_of, problem_details
+from magnoliagrade.http.headers import CODE, RAN, end_to_end_headers
+
+__all__ = ["AnswerSink", "error_response"]
+
+
+class AnswerSink:
+    """Writes one answer to the connection that a request came from.
+
+    Parameters
+    ----------
+    http_request : aiohttp.web.Request
+        The incoming HTTP request.
+    added_headers : dict of str to str
+        Headers that this hop adds to the answer.
+    """
+
+    __slots__ = ("_http_request", "added_headers", "response", "bytes_written")
+
+    def __init__(self, *, http_request, added_headers=None):
+        self._http_request = http_request
+        self.added_headers = added_headers or {}
+        self.response = None
+        self.bytes_written = 0
+
+    @property
+    def has_started(self):
+        """Whether status and headers have been sent."""
+        return self.response is not None
+
+    async def start(self, status, headers):
+        """Send status and headers.
+
+        Parameters
+        ----------
+        status : int
+            HTTP status.
+        headers : mapping of str to str
+            Headers of the back end's answer; internal ones are stripped.
+        """
+        kept = end_to_end_headers(headers)
+        kept.update(self.added_headers)
+        length = headers.get("Content-Length")
+        response = web.StreamResponse(status=status, headers=kept)
+        if length is not None:
+            response.content_length = int(length)
+        self.response = response
+        await response.prepare(self._http_request)
+
+    async def write(self, data):
+        """Send a part of the body."""
+        self.bytes_written += len(data)
+        await self.response.write(data)
+
+    async def finish(self):
+        """End the answer cleanly."""
+        await self.response.write_eof()
+
+    def abort(self):
+        """Cut the connection, so that a broken answer never looks whole."""
+        transport = self._http_request.transport
+        if transport is not None:
+            transport.abort()
+
+
+def error_response(error, *, request_id="", is_internal=False):
+    """Return the answer to an error.
+
+    Parameters
+    ----------
+    error : MagnoliagradeError
+        What went wrong.
+    request_id : str
+        Id of the request.
+    is_internal : bool
+        Whether the receiver is an own process, which is told the code by header.
+
+    Returns
+    -------
+    response : aiohttp.web.Response
+        Problem details with the status of the error's kind.
+    """
+    answer = answer_of(error.kind)
+    headers = {"X-Request-Id": request_id} if request_id else {}
+    if error.retry_after is not None:
+        headers["Retry-After"] = str(max(1, math.ceil(error.retry_after)))
+    if is_internal:
+        headers[RAN] = answer.ran.value
+        headers[CODE] = error.kind.value
+    return web.json_response(
+        problem_details(error, request_id=request_id),
+        status=answer.status,
+        headers=headers,
+        content_type="application/problem+json",
+    )
--- /dev/null
+++ b/packages/magnoliagrade/magnoliagrade/node/__init__.py
@@ -0,0 +1,32 @@
+"""What the entry and the agent have in common as running processes."""
+
+from magnoliagrade.node.commands import (
+    EXIT_INVALID,
+    check_settings,
+    run_command_line,
+    serve_node,
+)
+from magnoliagrade.node.configuration_state import ConfigurationState
+from magnoliagrade.node.handlers import HandlerTable
+from magnoliagrade.node.links import LinkBook, run_link, send_heartbeats
+from magnoliagrade.node.node import Node
+from magnoliagrade.node.process import announce_ready, run_until_signal, start_site
+from magnoliagrade.node.tasks import Tasks, TaskTable
+
+__all__ = [
+    "EXIT_INVALID",
+    "ConfigurationState",
+    "HandlerTable",
+    "LinkBook",
+    "Node",
+    "TaskTable",
+    "Tasks",
+    "announce_ready",
+    "check_settings",
+    "run_command_line",
+    "run_link",
+    "run_until_signal",
+    "send_heartbeats",
+    "serve_node",
+    "start_site",
+]
--- /dev/null
+++ b/packages/magnoliagrade/magnoliagrade/node/commands.py
@@ -0,0 +1,71 @@
+"""What the command lines of both binaries share."""
+
+import sys
+import warnings
+
+import fire
+
+import magnoliagrade
+from magnoliagrade.configuration import InvalidDocument, read_settings
+from magnoliagrade.node.process import run_until_signal
+from magnoliagrade.observability import configure_logging
+
+__all__ = ["EXIT_INVALID", "check_settings", "run_command_line", "serve_node"]
+
+EXIT_INVALID = 2
+
+
+def run_command_line(commands, *, name):
+    """Run a class of commands with Fire.
+
+    Parameters
+    ----------
+    commands : type
+        Class whose public methods are the commands.
+    name : str
+        Name of the binary.
+    """
+    if sys.argv[1:] in (["--version"], ["version"]):
+        print(f"{name} {magnoliagrade.__version__}")
+        return
+    # Fire parses paths as Python literals first, which warns on some of them.
+    warnings.simplefilter("ignore", SyntaxWarning)
+    fire.Fire(commands, name=name)
+
+
+def serve_node(node_class, settings_class, file):
+    """Run a node until SIGTERM and exit.
+
+    Parameters
+    ----------
+    node_class : type
+        Class with `start` and `stop`.
+    settings_class : type
+        Class of its settings.
+    file : str
+        Settings in INI.
+    """
+    settings = read_settings_or_exit(settings_class, file)
+    configure_logging(
+        instance=settings.name,
+        data_centre=settings.data_centre,
+        level=settings.log_level,
+    )
+    node = node_class(settings=settings)
+    sys.exit(run_until_signal(node.start, node.stop))
+
+
+def check_settings(settings_class, file):
+    """Check a settings file and say so, or exit with its problems."""
+    read_settings_or_exit(settings_class, file)
+    print(f"{file}: ok")
+
+
+def read_settings_or_exit(settings_class, file):
+    """Return checked settings, or print every problem and exit with 2."""
+    try:
+        return read_settings(settings_class, file)
+    except InvalidDocument as exc:
+        for problem in exc.problems:
+            print(problem, file=sys.stderr)
+        sys.exit(EXIT_INVALID)
--- /dev/null
+++ b/packages/magnoliagrade/magnoliagrade/node/node.py
@@ -0,0 +1,177 @@
+"""What an entry and an agent share: identity, links, listeners, shutdown."""
+
+import asyncio
+import random
+
+import aiohttp
+
+from magnoliagrade.clock import SystemClock
+from magnoliagrade.identity import InstanceIdentity, new_incarnation
+from magnoliagrade.node.admin import make_admin_app
+from magnoliagrade.node.configuration_state import ConfigurationState
+from magnoliagrade.node.links import LinkBook, run_link
+from magnoliagrade.node.process import announce_ready, bound_address, start_site
+from magnoliagrade.node.tasks import Tasks
+from magnoliagrade.observability import configure_tracing
+from magnoliagrade.platform import HttpStore
+from magnoliagrade.wire import Leaving, Link, LinkCounters, serve_links
+
+__all__ = ["Node"]
+
+DRAIN_POLL_S = 0.05
+
+
+class Node:
+    """One running process of the system.
+
+    Parameters
+    ----------
+    settings : EntrySettings or AgentSettings
+        Checked settings.
+    handlers : HandlerTable
+        Handlers of this kind of node.
+    task_table : TaskTable
+        Background tasks of this kind of node.
+    clock : Clock, optional
+        Source of time; the system's by default.
+    """
+
+    __slots__ = (
+        "_handlers",
+        "_runners",
+        "_server",
+        "_task_table",
+        "_tracing",
+        "addresses",
+        "clock",
+        "configuration",
+        "counters",
+        "identity",
+        "is_leaving",
+        "links",
+        "rng",
+        "session",
+        "settings",
+        "store",
+        "tasks",
+    )
+
+    def __init__(self, *, settings, handlers, task_table, clock=None):
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.identity = InstanceIdentity(
+            instance=settings.name,
+            incarnation=new_incarnation(),
+            data_centre=settings.data_centre,
+        )
+        self.rng = random.Random(self.identity.incarnation)
+        self.configuration = ConfigurationState(clock=self.clock)
+        self.links = LinkBook(clock=self.clock)
+        self.counters = LinkCounters()
+        self.tasks = Tasks()
+        self.is_leaving = False
+        self.addresses = {}
+        self._handlers = handlers
+        self._task_table = task_table
+        self._runners = []
+        self._server = None
+
+    def open_clients(self):
+        """Open the tracer, the HTTP session and the store's client."""
+        settings = self.settings
+        self._tracing = configure_tracing(
+            instance=settings.name,
+            otlp_url=settings.otlp_url,
+            sampling=settings.sampling,
+        )
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            timeout=aiohttp.ClientTimeout(total=None),
+            auto_decompress=False,
+        )
+        self.store = HttpStore(url=settings.store_url, session=self.session)
+
+    async def listen_http(self, name, app, address, **runner_options):
+        """Serve an application and note its bound address under a name."""
+        runner, bound = await start_site(app, address, **runner_options)
+        self._runners.append(runner)
+        self.addresses[name] = bound
+
+    async def listen_admin(self, routes=()):
+        """Serve health, readiness and metrics."""
+        app = make_admin_app(reasons_not_ready=self.reasons_not_ready, routes=routes)
+        await self.listen_http("admin", app, self.settings.admin_address)
+
+    async def listen_links(self):
+        """Listen for links of other processes."""
+        host, _, port = self.settings.control_address.rpartition(":")
+        self._server = await serve_links(
+            host=host,
+            port=int(port),
+            make_link=self.make_link,
+            hello=self.hello,
+            handle=self.run_link,
+        )
+        self.addresses["control"] = bound_address(self._server)
+
+    def start_tasks(self):
+        """Start the background tasks and announce the bound addresses."""
+        for name, function in self._task_table.by_name.items():
+            self.tasks.start(function(self), name=name)
+        announce_ready(**self.addresses)
+
+    async def say_leaving(self):
+        """Tell every linked instance that this one takes no new work."""
+        self.is_leaving = True
+        self.links.broadcast(Leaving(reason="shutdown"))
+        await asyncio.sleep(0)
+
+    async def wait_for_requests(self, count_in_flight):
+        """Wait until nothing is in flight or the drain limit has passed.
+
+        Parameters
+        ----------
+        count_in_flight : callable
+            Returns the number of requests in flight.
+        """
+        limit = self.clock.monotonic() + self.settings.drain_limit_s
+        while count_in_flight() and self.clock.monotonic() < limit:
+            await self.clock.sleep(DRAIN_POLL_S)
+
+    async def close(self):
+        """Close listeners, links, tasks and clients."""
+        self._server.close()
+        await self.tasks.stop()
+        for link in list(self.links.by_instance.values()):
+            link.close()
+        await asyncio.gather(*(runner.cleanup() for runner in self._runners))
+        await self.session.close()
+        self._tracing.shutdown()
+
+    def make_link(self, *, reader, writer):
+        """Return a link over a new connection."""
+        return Link(
+            reader=reader,
+            writer=writer,
+            identity=self.identity,
+            revision=lambda: self.configuration.revision,
+            counters=self.counters,
+        )
+
+    async def run_link(self, link):
+        """Handle the messages of a link until it ends."""
+        await run_link(self, link, self._handlers)
+
+    def hello(self):
+        """Return the first message of each link."""
+        raise TypeError(f"{type(self).__name__} does not say hello")
+
+    def on_link_up(self, link):
+        """Note that a link has come up."""
+
+    def on_link_down(self, link):
+        """Note that a link has gone down."""
+
+    def reasons_not_ready(self):
+        """Return why this node should get no requests; empty if ready."""
+        return ["the instance is leaving"] if self.is_leaving else []
--- /dev/null
+++ b/packages/magnoliagrade/magnoliagrade/node/process.py
@@ -0,0 +1,80 @@
+"""Starting and stopping a process: listeners, signals, the ready line."""
+
+import asyncio
+import json
+import signal
+import sys
+
+import uvloop
+from aiohttp import web
+
+__all__ = ["announce_ready", "bound_address", "run_until_signal", "start_site"]
+
+
+async def start_site(app, address, **runner_options):
+    """Serve an application and return its runner and bound address.
+
+    Parameters
+    ----------
+    app : aiohttp.web.Application
+        What to serve.
+    address : str
+        `host:port`; port 0 takes a free one.
+    **runner_options
+        Options of `aiohttp.web.AppRunner`.
+
+    Returns
+    -------
+    runner : aiohttp.web.AppRunner
+        To be cleaned up when the process stops.
+    bound : str
+        `host:port` that is listened on.
+    """
+    host, _, port = address.rpartition(":")
+    runner = web.AppRunner(app, access_log=None, **runner_options)
+    await runner.setup()
+    site = web.TCPSite(runner, host, int(port), backlog=1024)
+    await site.start()
+    bound_host, bound_port = runner.addresses[0][:2]
+    return runner, f"{bound_host}:{bound_port}"
+
+
+def bound_address(server):
+    """Return the `host:port` that an asyncio server listens on."""
+    host, port = server.sockets[0].getsockname()[:2]
+    return f"{host}:{port}"
+
+
+def announce_ready(**addresses):
+    """Write one JSON line to standard output with the bound addresses."""
+    line = json.dumps({"event": "process.ready", "addresses": addresses})
+    print(line, file=sys.stdout, flush=True)
+
+
+def run_until_signal(start, stop):
+    """Run a process until SIGTERM or SIGINT and return its exit code.
+
+    Parameters
+    ----------
+    start : coroutine function
+        Starts everything.
+    stop : coroutine function
+        Shuts down gracefully.
+
+    Returns
+    -------
+    code : int
+        0 after a graceful shutdown.
+    """
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        stopping = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stopping.set)
+        await start()
+        await stopping.wait()
+        await stop()
+
+    uvloop.run(main())
+    return 0
--- /dev/null
+++ b/packages/magnoliagrade/magnoliagrade/observability/__init__.py
@@ -0,0 +1,18 @@
+"""Logs, traces and metrics."""
+
+from magnoliagrade.observability.logs import configure_logging, log_event
+from magnoliagrade.observability.metrics import serve_metrics_text
+from magnoliagrade.observability.traces import (
+    configure_tracing,
+    extract_context,
+    inject_context,
+)
+
+__all__ = [
+    "configure_logging",
+    "configure_tracing",
+    "extract_context",
+    "inject_context",
+    "log_event",
+    "serve_metrics_text",
+]
--- /dev/null
+++ b/packages/magnoliagrade/magnoliagrade/wire/__init__.py
@@ -0,0 +1,77 @@
+"""Messages between own processes: schema, codec, links."""
+
+from magnoliagrade.wire.capacity import (
+    CreditGrant,
+    CreditRequest,
+    EngineLoad,
+    OrganisationUsage,
+    UsageReport,
+)
+from magnoliagrade.wire.codec import Envelope, decode, encode
+from magnoliagrade.wire.configuration import (
+    ConfigurationChunk,
+    ConfigurationOffer,
+    ConfigurationPull,
+)
+from magnoliagrade.wire.connect import keep_linked, serve_links
+from magnoliagrade.wire.group import (
+    ArmAck,
+    ArmSwitch,
+    ExpertCounts,
+    GenerationAnswer,
+    GenerationJoin,
+    OutcomeKnown,
+    OutcomeQuery,
+    StageAck,
+    StageMap,
+    SwitchOutcome,
+)
+from magnoliagrade.wire.link import MAX_MESSAGE_BYTES, Link, LinkCounters
+from magnoliagrade.wire.membership import (
+    Heartbeat,
+    Hello,
+    InstanceRow,
+    Label,
+    Leaving,
+    PeerSummary,
+    PoolSummary,
+)
+from magnoliagrade.wire.outcome import Revoke, RevokeAnswer
+
+__all__ = [
+    "MAX_MESSAGE_BYTES",
+    "ArmAck",
+    "ArmSwitch",
+    "ConfigurationChunk",
+    "ConfigurationOffer",
+    "ConfigurationPull",
+    "CreditGrant",
+    "CreditRequest",
+    "EngineLoad",
+    "Envelope",
+    "ExpertCounts",
+    "GenerationAnswer",
+    "GenerationJoin",
+    "Heartbeat",
+    "Hello",
+    "InstanceRow",
+    "Label",
+    "Leaving",
+    "Link",
+    "LinkCounters",
+    "OrganisationUsage",
+    "OutcomeKnown",
+    "OutcomeQuery",
+    "PeerSummary",
+    "PoolSummary",
+    "Revoke",
+    "RevokeAnswer",
+    "StageAck",
+    "StageMap",
+    "SwitchOutcome",
+    "UsageReport",
+    "decode",
+    "encode",
+    "keep_linked",
+    "serve_links",
+]
--- /dev/null
+++ b/packages/magnoliagrade/magnoliagrade/wire/capacity.py
@@ -0,0 +1,60 @@
+"""Messages about credits, load and shared rates."""
+
+from dataclasses import dataclass, field
+
+from magnoliagrade.wire.message_table import message
+
+__all__ = [
+    "CreditGrant",
+    "CreditRequest",
+    "EngineLoad",
+    "OrganisationUsage",
+    "UsageReport",
+]
+
+
+@message("capacity", "creditRequest")
+class CreditRequest:
+    """An entry asks an agent for credit."""
+
+    wanted: float = 0.0
+    in_use: float = 0.0
+
+
+@message("capacity", "creditGrant")
+class CreditGrant:
+    """An agent tells an entry how much it may have in flight in all."""
+
+    amount: float = 0.0
+    lease_seconds: float = 0.0
+    engine_boot: str = ""
+    limit: float = 0.0
+
+
+@message("capacity", "loadReport")
+class EngineLoad:
+    """An agent passes on its engine's newest load report."""
+
+    boot_id: str = ""
+    running: int = 0
+    waiting: int = 0
+    tokens_in_flight: int = 0
+    cache_used: float = 0.0
+    age_seconds: float = 0.0
+
+
+@dataclass(slots=True, kw_only=True)
+class OrganisationUsage:
+    """What one organisation used at one entry."""
+
+    organisation: str = ""
+    cost: float = 0.0
+    backlog: float = 0.0
+
+
+@message("capacity", "usageReport")
+class UsageReport:
+    """An entry tells its peers what organisations used lately."""
+
+    interval_seconds: float = 0.0
+    usages: list = field(default_factory=list, metadata={"of": OrganisationUsage})
--- /dev/null
+++ b/packages/magnoliagrade/magnoliagrade/wire/connect.py
@@ -0,0 +1,112 @@
+"""Opening links: the listening side and the dialling side."""
+
+import asyncio
+import contextlib
+import logging
+
+from magnoliagrade.errors import MagnoliagradeError
+from magnoliagrade.observability.logs import log_event
+from magnoliagrade.wire.membership import PROTOCOL_VERSION, Hello
+
+__all__ = ["keep_linked", "serve_links"]
+
+BACKOFF_FIRST_S = 0.1
+BACKOFF_MAX_S = 5.0
+CONNECT_TIMEOUT_S = 2.0
+HELLO_TIMEOUT_S = 2.0
+
+_log = logging.getLogger(__name__)
+
+
+async def serve_links(*, host, port, make_link, hello, handle):
+    """Listen for links and run one task for each.
+
+    Parameters
+    ----------
+    host : str
+        Address to listen on.
+    port : int
+        Port; 0 takes a free one.
+    make_link : callable
+        Called with `reader` and `writer`, returns a `Link`.
+    hello : callable
+        Returns the `Hello` to send.
+    handle : coroutine function
+        Called with the link once both sides have said hello.
+
+    Returns
+    -------
+    server : asyncio.Server
+        The listening server.
+    """
+
+    async def on_connection(reader, writer):
+        link = make_link(reader=reader, writer=writer)
+        await _run_link(link, hello, handle)
+
+    return await asyncio.start_server(on_connection, host, port)
+
+
+async def keep_linked(*, address, make_link, hello, handle, clock, rng):
+    """Dial an address again and again until cancelled.
+
+    Parameters
+    ----------
+    address : str
+        `host:port` to dial.
+    make_link : callable
+        Called with `reader` and `writer`, returns a `Link`.
+    hello : callable
+        Returns the `Hello` to send.
+    handle : coroutine function
+        Called with each link that comes about.
+    clock : Clock
+        Source of time.
+    rng : random.Random
+        Source of jitter.
+
+    Notes
+    -----
+    The pause before the next attempt is drawn from [first, 3 x last] and capped,
+    so that many processes that lost the same peer do not come back in step.
+    """
+    host, _, port = address.rpartition(":")
+    pause = BACKOFF_FIRST_S
+    while True:
+        link = await _dial(host, int(port), make_link)
+        if link is not None and await _run_link(link, hello, handle):
+            pause = BACKOFF_FIRST_S
+        pause = min(BACKOFF_MAX_S, rng.uniform(BACKOFF_FIRST_S, pause * 3))
+        await clock.sleep(pause)
+
+
+async def _dial(host, port, make_link):
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(host, port)
+    except (OSError, TimeoutError):
+        return None
+    return make_link(reader=reader, writer=writer)
+
+
+async def _run_link(link, hello, handle):
+    """Exchange hellos and run the handler; return whether hellos were exchanged."""
+    greeted = False
+    try:
+        link.send(hello())
+        async with asyncio.timeout(HELLO_TIMEOUT_S):
+            first = await link.receive()
+        if not isinstance(first, Hello) or first.protocol_version != PROTOCOL_VERSION:
+            log_event(_log, "link.refused", peer=link.peer_instance)
+            return False
+        link.hello = first
+        greeted = True
+        await handle(link)
+    except (ConnectionError, TimeoutError, OSError):
+        pass
+    except MagnoliagradeError as exc:
+        log_event(_log, "link.broken", peer=link.peer_instance, code=exc.kind.value)
+    finally:
+        with contextlib.suppress(Exception):
+            link.close()
+    return greeted
--- /dev/null
+++ b/packages/magnoliagrade/magnoliagrade/wire/envelope.capnp
@@ -0,0 +1,22 @@
+@0xc10f6e8db2597a43;
+# The envelope of every message between own processes.
+
+using Membership = import "membership.capnp";
+using Capacity = import "capacity.capnp";
+using Outcome = import "outcome.capnp";
+using Configuration = import "configuration.capnp";
+using Group = import "group.capnp";
+
+struct Envelope {
+  instance @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+  configurationRevision @3 :UInt64;
+  union {
+    membership @4 :Membership.MembershipMessage;
+    capacity @5 :Capacity.CapacityMessage;
+    outcome @6 :Outcome.OutcomeMessage;
+    configuration @7 :Configuration.ConfigurationMessage;
+    group @8 :Group.GroupMessage;
+  }
+}
--- /dev/null
+++ b/packages/magnoliagrade/magnoliagrade/wire/group.capnp
@@ -0,0 +1,102 @@
+@0xf27ac3b86d1405e9;
+# Messages of expert-parallel groups: the switch of the expert map.
+
+struct StageMap {
+  group @0 :Text;
+  generation @1 :UInt64;
+  fence @2 :UInt64;
+  version @3 :UInt64;
+  map @4 :Data;              # packed placement
+}
+
+struct StageAck {
+  group @0 :Text;
+  generation @1 :UInt64;
+  version @2 :UInt64;
+  rank @3 :UInt32;
+  accepted @4 :Bool;
+}
+
+struct ArmSwitch {
+  group @0 :Text;
+  generation @1 :UInt64;
+  fence @2 :UInt64;
+  version @3 :UInt64;
+  step @4 :UInt64;
+}
+
+struct ArmAck {
+  group @0 :Text;
+  generation @1 :UInt64;
+  version @2 :UInt64;
+  step @3 :UInt64;
+  rank @4 :UInt32;
+  accepted @5 :Bool;
+}
+
+struct SwitchOutcome {
+  group @0 :Text;
+  generation @1 :UInt64;
+  version @2 :UInt64;
+  step @3 :UInt64;
+  rank @4 :UInt32;
+  committed @5 :Bool;
+}
+
+struct OutcomeKnown {
+  group @0 :Text;
+  generation @1 :UInt64;
+  version @2 :UInt64;
+  step @3 :UInt64;
+  rank @4 :UInt32;
+}
+
+struct OutcomeQuery {
+  group @0 :Text;
+  generation @1 :UInt64;
+  version @2 :UInt64;
+  step @3 :UInt64;
+  rank @4 :UInt32;
+}
+
+struct GenerationJoin {
+  group @0 :Text;
+  generation @1 :UInt64;
+  rank @2 :UInt32;
+  incarnation @3 :UInt64;
+}
+
+struct GenerationAnswer {
+  group @0 :Text;
+  generation @1 :UInt64;
+  rank @2 :UInt32;
+  incarnation @3 :UInt64;
+  currentVersion @4 :UInt64;
+  openVersion @5 :UInt64;
+  openStep @6 :UInt64;
+  outcome @7 :Text;          # committed, aborted or empty
+  map @8 :Data;
+}
+
+struct ExpertCounts {
+  group @0 :Text;
+  rank @1 :UInt32;
+  sequence @2 :UInt64;
+  experts @3 :UInt32;
+  counts @4 :List(Float32);  # layers x experts, row-major
+}
+
+struct GroupMessage {
+  union {
+    stage @0 :StageMap;
+    stageAck @1 :StageAck;
+    arm @2 :ArmSwitch;
+    armAck @3 :ArmAck;
+    outcome @4 :SwitchOutcome;
+    known @5 :OutcomeKnown;
+    query @6 :OutcomeQuery;
+    join @7 :GenerationJoin;
+    joinAnswer @8 :GenerationAnswer;
+    expertCounts @9 :ExpertCounts;
+  }
+}
--- /dev/null
+++ b/packages/magnoliagrade/magnoliagrade/wire/link.py
@@ -0,0 +1,144 @@
+"""Links: one TCP connection between two own processes."""
+
+import asyncio
+import struct
+
+from magnoliagrade.errors import ErrorKind, MagnoliagradeError
+from magnoliagrade.wire.codec import Envelope, decode, encode
+
+__all__ = ["MAX_MESSAGE_BYTES", "Link", "LinkCounters"]
+
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+_PREFIX = struct.Struct(">I")
+
+
+class LinkCounters:
+    """Messages and bytes that crossed the links of one process."""
+
+    __slots__ = ("bytes_in", "bytes_out", "messages_in", "messages_out")
+
+    def __init__(self):
+        self.bytes_in = 0
+        self.bytes_out = 0
+        self.messages_in = 0
+        self.messages_out = 0
+
+
+class Link:
+    """A framed connection that carries envelopes both ways.
+
+    Parameters
+    ----------
+    reader : asyncio.StreamReader
+        Incoming bytes.
+    writer : asyncio.StreamWriter
+        Outgoing bytes.
+    identity : InstanceIdentity
+        Who this process is.
+    revision : callable
+        Returns the configuration revision in force here.
+    counters : LinkCounters, optional
+        Where messages and bytes are counted.
+
+    Notes
+    -----
+    Frames are a big-endian 32-bit length and that many bytes. Instances on both
+    sides send `Hello` first.
+    """
+
+    __slots__ = (
+        "_identity",
+        "_reader",
+        "_revision",
+        "_sequence",
+        "_writer",
+        "counters",
+        "hello",
+        "last_sequence_in",
+        "peer_incarnation",
+        "peer_instance",
+        "peer_revision",
+    )
+
+    def __init__(self, *, reader, writer, identity, revision, counters=None):
+        self._reader = reader
+        self._writer = writer
+        self._identity = identity
+        self._revision = revision
+        self._sequence = 0
+        self.counters = counters or LinkCounters()
+        self.hello = None
+        self.peer_instance = ""
+        self.peer_incarnation = 0
+        self.peer_revision = 0
+        self.last_sequence_in = 0
+
+    def send(self, message):
+        """Queue a message for sending.
+
+        Parameters
+        ----------
+        message : object
+            A registered message.
+        """
+        if self._writer.is_closing():
+            return
+        self._sequence += 1
+        data = encode(
+            Envelope(
+                instance=self._identity.instance,
+                incarnation=self._identity.incarnation,
+                sequence=self._sequence,
+                configuration_revision=self._revision(),
+                message=message,
+            )
+        )
+        self._writer.write(_PREFIX.pack(len(data)) + data)
+        self.counters.messages_out += 1
+        self.counters.bytes_out += len(data) + _PREFIX.size
+
+    async def drain(self):
+        """Wait until the other side has read enough for more to be sent."""
+        await self._writer.drain()
+
+    async def receive(self):
+        """Return the next message.
+
+        Returns
+        -------
+        message : object
+            A registered message; the sender's state is noted on the link.
+
+        Raises
+        ------
+        MagnoliagradeError
+            `WIRE_INVALID` for an unreadable or oversized frame.
+        ConnectionError
+            If the connection ends.
+        """
+        try:
+            prefix = await self._reader.readexactly(_PREFIX.size)
+            (size,) = _PREFIX.unpack(prefix)
+            if size > MAX_MESSAGE_BYTES:
+                detail = f"frame of {size} bytes exceeds {MAX_MESSAGE_BYTES}"
+                raise MagnoliagradeError(ErrorKind.WIRE_INVALID, detail)
+            data = await self._reader.readexactly(size)
+        except asyncio.IncompleteReadError as exc:
+            raise ConnectionResetError("link closed by the other side") from exc
+        envelope = decode(data)
+        self.counters.messages_in += 1
+        self.counters.bytes_in += size + _PREFIX.size
+        self.peer_instance = envelope.instance
+        self.peer_incarnation = envelope.incarnation
+        self.peer_revision = envelope.configuration_revision
+        self.last_sequence_in = envelope.sequence
+        return envelope.message
+
+    @property
+    def is_closing(self):
+        """Whether the link is closed or being closed."""
+        return self._writer.is_closing()
+
+    def close(self):
+        """Close the connection."""
+        self._writer.close()
--- /dev/null
+++ b/packages/magnoliagrade/magnoliagrade/wire/membership.capnp
@@ -0,0 +1,59 @@
+@0xd8f2b1a46c0e9f31;
+# Messages about who is there and in which state.
+
+struct Label {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct Hello {
+  protocolVersion @0 :UInt16;
+  role @1 :Text;
+  dataCentre @2 :Text;
+  dataAddress @3 :Text;      # host:port of the HTTP listener for own processes
+  controlAddress @4 :Text;
+  labels @5 :List(Label);
+  group @6 :Text;
+  rank @7 :Int32 = -1;
+}
+
+struct Heartbeat {
+  echoSequence @0 :UInt64;   # sequence of the newest message seen from the other side
+}
+
+struct Leaving {
+  subject @0 :Text;          # instance that leaves; empty means the sender
+  subjectIncarnation @1 :UInt64;
+  reason @2 :Text;
+}
+
+struct InstanceRow {
+  name @0 :Text;
+  role @1 :Text;
+  dataCentre @2 :Text;
+  controlAddress @3 :Text;
+  state @4 :Text;
+}
+
+struct PeerSummary {
+  dataCentre @0 :Text;
+  pools @1 :List(PoolSummary);
+  instances @2 :List(InstanceRow);
+}
+
+struct PoolSummary {
+  pool @0 :Text;
+  freeCredits @1 :Float64;
+  waiting @2 :Float64;
+  estimatedWaitSeconds @3 :Float64;
+  readyEndpoints @4 :UInt32;
+}
+
+struct MembershipMessage {
+  union {
+    hello @0 :Hello;
+    heartbeat @1 :Heartbeat;
+    leaving @2 :Leaving;
+    peerSummary @3 :PeerSummary;
+  }
+}
--- /dev/null
+++ b/packages/magnoliagrade/magnoliagrade/world/__init__.py
@@ -0,0 +1,29 @@
+"""Objects that mirror the world: machines, zones, customers and contracts."""
+
+from magnoliagrade.world.application import Application, Pool, Work
+from magnoliagrade.world.data_centre import DataCentre
+from magnoliagrade.world.endpoint import Endpoint, EndpointState, LoadReport
+from magnoliagrade.world.group import ExpertMap, Group, Rank
+from magnoliagrade.world.instance import Instance, InstanceState, Role
+from magnoliagrade.world.organisation import Organisation
+from magnoliagrade.world.request import Request
+from magnoliagrade.world.route import Route
+
+__all__ = [
+    "Application",
+    "DataCentre",
+    "Endpoint",
+    "EndpointState",
+    "ExpertMap",
+    "Group",
+    "Instance",
+    "InstanceState",
+    "LoadReport",
+    "Organisation",
+    "Pool",
+    "Rank",
+    "Request",
+    "Role",
+    "Route",
+    "Work",
+]
--- /dev/null
+++ b/packages/magnoliagrade/magnoliagrade/world/group.py
@@ -0,0 +1,59 @@
+"""Expert-parallel groups, their ranks and expert maps."""
+
+from dataclasses import dataclass, field
+
+__all__ = ["ExpertMap", "Group", "Rank"]
+
+
+@dataclass(slots=True, kw_only=True)
+class Rank:
+    """One rank of a group and the endpoint that runs it.
+
+    Parameters
+    ----------
+    index : int
+        Position in the group, from 0.
+    endpoint : str
+        Name of the endpoint that runs it.
+    """
+
+    index: int
+    endpoint: str
+
+
+@dataclass(slots=True, kw_only=True)
+class ExpertMap:
+    """Placement of experts on ranks, per layer.
+
+    Parameters
+    ----------
+    version : int
+        Strictly increasing number within the group.
+    placement : list of list of list of int
+        `placement[layer][rank]` lists the experts that the rank holds.
+    """
+
+    version: int
+    placement: list = field(default_factory=list)
+
+
+@dataclass(slots=True, kw_only=True)
+class Group:
+    """Ranks that run in lock-step on one expert map.
+
+    Parameters
+    ----------
+    name : str
+        Name of the group.
+    rank_by_index : dict of int to Rank
+        The ranks.
+    experts : int
+        Experts in each layer.
+    layers : int
+        Layers with experts.
+    """
+
+    name: str
+    rank_by_index: dict = field(default_factory=dict)
+    experts: int = 0
+    layers: int = 0
