Put a fault proxy into the path and check the ground it stands on

Cause: the shared interfaces are to be built on by several subsystems, so what they promise has to be checked, and failures between any two processes have to be brought about on purpose.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
@@ -5,7 +5,7 @@
 from magnoliagrade.algorithms import parse_selector
 from magnoliagrade.node import Node
 from magnoliagrade.observability import log_event
-from magnoliagrade.wire import Hello, Label
+from magnoliagrade.wire import Label
 from magnoliagrade.world import LoadReport, Role
 
 from magnoliagrade_agent.attempts import AttemptBook
@@ -32,6 +32,8 @@
 
     __slots__ = ("attempts", "credits", "engine", "pool", "report")
 
+    role = Role.AGENT
+
     def __init__(self, *, settings, clock=None):
         super().__init__(
             settings=settings,
@@ -67,16 +69,12 @@
 
     def hello(self):
         """Return the first message of each link."""
+        hello = super().hello()
         labels = self.settings.label_by_name()
-        return Hello(
-            role=Role.AGENT.value,
-            data_centre=self.identity.data_centre,
-            data_address=self.addresses["data"],
-            control_address=self.addresses["control"],
-            labels=[Label(name=k, value=v) for k, v in sorted(labels.items())],
-            group=self.settings.group,
-            rank=self.settings.rank,
-        )
+        hello.labels = [Label(name=k, value=v) for k, v in sorted(labels.items())]
+        hello.group = self.settings.group
+        hello.rank = self.settings.rank
+        return hello
 
     def apply_pool(self):
         """Take the limits of the first pool that selects this endpoint."""
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/settings.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/settings.py
@@ -43,6 +43,22 @@
         default="127.0.0.1:0",
         env="MAGNOLIAGRADE_ADMIN_ADDRESS",
     )
+    advertised_data_address: str = setting(
+        section="listen",
+        doc="where others reach the data listener; empty means where it listens",
+        default="",
+    )
+    advertised_control_address: str = setting(
+        section="listen",
+        doc="where others reach the control listener; empty means where it listens",
+        default="",
+    )
+    source_address: str = setting(
+        section="listen",
+        doc="local address of outgoing connections; empty leaves it to the system",
+        default="",
+        env="MAGNOLIAGRADE_SOURCE_ADDRESS",
+    )
     store_url: str = setting(
         section="platform",
         doc="URL of the platform's key-value service; only group members use it",
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
@@ -6,7 +6,6 @@
 from magnoliagrade.node import Node
 from magnoliagrade.observability import log_event
 from magnoliagrade.platform import HttpInstanceList
-from magnoliagrade.wire import Hello
 from magnoliagrade.world import Role
 
 from magnoliagrade_entry import configuration_watch  # noqa: F401
@@ -45,6 +44,8 @@
         "router",
     )
 
+    role = Role.ENTRY
+
     def __init__(self, *, settings, clock=None):
         super().__init__(
             settings=settings,
@@ -99,15 +100,6 @@
         await self.close()
         log_event(_log, "entry.stopped")
 
-    def hello(self):
-        """Return the first message of each link."""
-        return Hello(
-            role=Role.ENTRY.value,
-            data_centre=self.identity.data_centre,
-            data_address=self.addresses["data"],
-            control_address=self.addresses["control"],
-        )
-
     def on_link_up(self, link):
         """Enter the instance on the other side of a link."""
         self.endpoints.on_link_up(link)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/membership.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/membership.py
@@ -72,6 +72,7 @@
             handle=node.run_link,
             clock=node.clock,
             rng=random.Random(f"{node.identity.incarnation} {address}"),
+            source=node.settings.source_address,
         )
 
 
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
@@ -12,6 +12,7 @@
     MemoryStore,
     make_platform_app,
 )
+from magnoliagrade_standins.proxy import FaultProxy, make_proxy_app
 from magnoliagrade_standins.service import PlainService, make_service_app
 
 LOOPBACK = "127.0.0.1:0"
@@ -43,6 +44,10 @@
 
         _serve(make, address)
 
+    def proxy(self, address=LOOPBACK):
+        """Serve a fault-injecting TCP proxy."""
+        _serve(lambda: make_proxy_app(FaultProxy(clock=SystemClock())), address)
+
     def service(self, address=LOOPBACK, service_s=0.005):
         """Serve a plain service."""
 
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/harness/__init__.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/harness/__init__.py
@@ -1,6 +1,24 @@
 """Real processes for system tests and trials."""
 
-from magnoliagrade_standins.harness.processes import ProcessFailed, SpawnedProcess
+from magnoliagrade_standins.harness.configurations import (
+    CONFIGURATION,
+    KEY_BY_ORGANISATION,
+)
+from magnoliagrade_standins.harness.processes import (
+    ProcessFailed,
+    SpawnedProcess,
+    binary_command,
+    standin_command,
+)
 from magnoliagrade_standins.harness.site import Site, SitePlan
 
-__all__ = ["ProcessFailed", "Site", "SitePlan", "SpawnedProcess"]
+__all__ = [
+    "CONFIGURATION",
+    "KEY_BY_ORGANISATION",
+    "ProcessFailed",
+    "Site",
+    "SitePlan",
+    "SpawnedProcess",
+    "binary_command",
+    "standin_command",
+]
--- /dev/null
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/platform/tests/test_store.py
@@ -0,0 +1,68 @@
+import asyncio
+
+from magnoliagrade.clock import ManualClock
+from magnoliagrade.platform import StoreConflict, StoreUnavailable
+
+from magnoliagrade_standins.platform import MemoryStore, StoreFaults
+
+P = {"purpose": "test"}
+
+
+def test_compare_and_swap():
+    async def main():
+        store = MemoryStore(clock=ManualClock())
+        first = await store.put("k", b"1", expected_revision=0, **P)
+        assert await _conflicts(store.put("k", b"2", expected_revision=0, **P))
+        await store.put("k", b"2", expected_revision=first, **P)
+        assert (await store.get("k", **P)).value == b"2"
+
+    asyncio.run(main())
+
+
+def test_lapsed_lease_drops_its_keys():
+    async def main():
+        clock = ManualClock()
+        store = MemoryStore(clock=clock)
+        lease = await store.grant_lease(5, **P)
+        await store.put("k", b"1", expected_revision=0, lease=lease, **P)
+        await clock.advance(4)
+        await store.renew_lease(lease, **P)
+        await clock.advance(4)
+        assert await store.get("k", **P) is not None
+        await clock.advance(2)
+        assert await store.get("k", **P) is None
+        assert await _conflicts(store.renew_lease(lease, **P))
+
+    asyncio.run(main())
+
+
+def test_lost_answer_has_taken_effect():
+    async def main():
+        store = MemoryStore(clock=ManualClock())
+        store.set_faults(StoreFaults(lose_write_answers=1))
+        try:
+            await store.put("k", b"1", expected_revision=0, **P)
+        except StoreUnavailable as exc:
+            assert exc.maybe_applied
+        assert (await store.get("k", **P)).value == b"1"
+
+    asyncio.run(main())
+
+
+def test_watch_returns_newer_value():
+    async def main():
+        store = MemoryStore(clock=ManualClock())
+        watch = asyncio.create_task(store.watch("k", after_revision=0, wait_s=30, **P))
+        await asyncio.sleep(0)
+        await store.put("k", b"1", expected_revision=0, **P)
+        assert (await watch).value == b"1"
+
+    asyncio.run(main())
+
+
+async def _conflicts(call):
+    try:
+        await call
+    except StoreConflict:
+        return True
+    return False
--- /dev/null
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/proxy/__init__.py
@@ -0,0 +1,6 @@
+"""Stand-in of a faulty network: a TCP proxy with rules."""
+
+from magnoliagrade_standins.proxy.proxy import FaultProxy, Flow, Rule
+from magnoliagrade_standins.proxy.server import make_proxy_app
+
+__all__ = ["FaultProxy", "Flow", "Rule", "make_proxy_app"]
--- a/packages/magnoliagrade/magnoliagrade/configuration/document.py
+++ b/packages/magnoliagrade/magnoliagrade/configuration/document.py
@@ -28,6 +28,8 @@
         Organisations.
     endpoint_labels_by_name : dict of str to dict
         Operators' labels on endpoints, which override those of their settings.
+    group_by_name : dict of str to Group
+        Expert-parallel groups.
     """
 
     revision: int = 0
@@ -37,6 +39,7 @@
     application_by_name: dict = field(default_factory=dict)
     organisation_by_name: dict = field(default_factory=dict)
     endpoint_labels_by_name: dict = field(default_factory=dict)
+    group_by_name: dict = field(default_factory=dict)
     _organisation_by_digest: dict = field(default_factory=dict)
 
     def __post_init__(self):
--- a/packages/magnoliagrade/magnoliagrade/configuration/ini.py
+++ b/packages/magnoliagrade/magnoliagrade/configuration/ini.py
@@ -10,6 +10,7 @@
 from magnoliagrade.world import (
     Application,
     DataCentre,
+    Group,
     Organisation,
     Pool,
     Route,
@@ -28,7 +29,7 @@
     ----------
     text : str
         INI with sections `[KIND NAME]`, where KIND is one of `data_centre`,
-        `pool`, `route`, `application`, `organisation` and `endpoint`.
+        `pool`, `route`, `application`, `organisation`, `endpoint` and `group`.
     revision : int
         Revision of the result.
     file : str
@@ -245,6 +246,23 @@
     configuration.endpoint_labels_by_name[name] = fields.labels()
 
 
+def _read_group(configuration, name, fields):
+    frozen = fields.text("frozen", "false", choices=("true", "false"))
+    configuration.group_by_name[name] = Group(
+        name=name,
+        ranks=fields.number("ranks", 1, low=1, high=4096, kind=int),
+        experts=fields.number("experts", 1, low=1, high=65536, kind=int),
+        layers=fields.number("layers", 1, low=1, high=4096, kind=int),
+        slots_per_rank=fields.number("slots_per_rank", 1, low=1, high=65536, kind=int),
+        rebalancing=fields.text("rebalancing", "static"),
+        is_frozen=frozen == "true",
+        pinned_version=fields.number(
+            "pinned_version", 0, low=0, high=2**63 - 1, kind=int
+        ),
+        options=fields.options("option."),
+    )
+
+
 _READER_BY_KIND = {
     "data_centre": _read_data_centre,
     "pool": _read_pool,
@@ -252,6 +270,7 @@
     "application": _read_application,
     "organisation": _read_organisation,
     "endpoint": _read_endpoint,
+    "group": _read_group,
 }
 
 
--- a/packages/magnoliagrade/magnoliagrade/node/node.py
+++ b/packages/magnoliagrade/magnoliagrade/node/node.py
@@ -14,7 +14,7 @@
 from magnoliagrade.node.tasks import Tasks
 from magnoliagrade.observability import configure_tracing
 from magnoliagrade.platform import HttpStore
-from magnoliagrade.wire import Leaving, Link, LinkCounters, serve_links
+from magnoliagrade.wire import Hello, Leaving, Link, LinkCounters, serve_links
 
 __all__ = ["Node"]
 
@@ -56,6 +56,8 @@
         "tasks",
     )
 
+    role = None
+
     def __init__(self, *, settings, handlers, task_table, clock=None):
         self.settings = settings
         self.clock = clock or SystemClock()
@@ -84,8 +86,9 @@
             otlp_url=settings.otlp_url,
             sampling=settings.sampling,
         )
+        source = (settings.source_address, 0) if settings.source_address else None
         self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0),
+            connector=aiohttp.TCPConnector(limit=0, local_addr=source),
             timeout=aiohttp.ClientTimeout(total=None),
             auto_decompress=False,
         )
@@ -164,7 +167,15 @@
 
     def hello(self):
         """Return the first message of each link."""
-        raise TypeError(f"{type(self).__name__} does not say hello")
+        settings = self.settings
+        return Hello(
+            role=self.role.value,
+            data_centre=self.identity.data_centre,
+            data_address=settings.advertised_data_address or self.addresses["data"],
+            control_address=(
+                settings.advertised_control_address or self.addresses["control"]
+            ),
+        )
 
     def on_link_up(self, link):
         """Note that a link has come up."""
--- a/packages/magnoliagrade/magnoliagrade/wire/connect.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/connect.py
@@ -42,12 +42,14 @@
 
     async def on_connection(reader, writer):
         link = make_link(reader=reader, writer=writer)
-        await _run_link(link, hello, handle)
+        # The stream protocol logs a cancelled connection task as an error.
+        with contextlib.suppress(asyncio.CancelledError):
+            await _run_link(link, hello, handle)
 
     return await asyncio.start_server(on_connection, host, port)
 
 
-async def keep_linked(*, address, make_link, hello, handle, clock, rng):
+async def keep_linked(*, address, make_link, hello, handle, clock, rng, source=""):
     """Dial an address again and again until cancelled.
 
     Parameters
@@ -64,6 +66,8 @@
         Source of time.
     rng : random.Random
         Source of jitter.
+    source : str
+        Local address to dial from; empty leaves it to the system.
 
     Notes
     -----
@@ -73,17 +77,19 @@
     host, _, port = address.rpartition(":")
     pause = BACKOFF_FIRST_S
     while True:
-        link = await _dial(host, int(port), make_link)
+        link = await _dial(host, int(port), make_link, source)
         if link is not None and await _run_link(link, hello, handle):
             pause = BACKOFF_FIRST_S
         pause = min(BACKOFF_MAX_S, rng.uniform(BACKOFF_FIRST_S, pause * 3))
         await clock.sleep(pause)
 
 
-async def _dial(host, port, make_link):
+async def _dial(host, port, make_link, source):
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            reader, writer = await asyncio.open_connection(host, port)
+            reader, writer = await asyncio.open_connection(
+                host, port, local_addr=(source, 0) if source else None
+            )
     except (OSError, TimeoutError):
         return None
     return make_link(reader=reader, writer=writer)
--- a/packages/magnoliagrade/magnoliagrade/world/group.py
+++ b/packages/magnoliagrade/magnoliagrade/world/group.py
@@ -45,15 +45,30 @@
     ----------
     name : str
         Name of the group.
-    rank_by_index : dict of int to Rank
-        The ranks.
+    ranks : int
+        Number of ranks.
     experts : int
         Experts in each layer.
     layers : int
         Layers with experts.
+    slots_per_rank : int
+        Experts of one layer that a rank's memory holds.
+    rebalancing : str
+        Name of the rebalancing policy.
+    is_frozen : bool
+        Whether operators have stopped rebalancing.
+    pinned_version : int
+        Map version that operators have pinned; 0 for none.
+    options : dict of str to str
+        Options of the policy, by dotted name.
     """
 
     name: str
-    rank_by_index: dict = field(default_factory=dict)
+    ranks: int = 0
     experts: int = 0
     layers: int = 0
+    slots_per_rank: int = 0
+    rebalancing: str = "static"
+    is_frozen: bool = False
+    pinned_version: int = 0
+    options: dict = field(default_factory=dict)
--- /dev/null
+++ b/tests/test_faults_on_the_path.py
@@ -0,0 +1,39 @@
+"""The path behind the fault proxy: a cut endpoint, a peer data centre."""
+
+import asyncio
+
+from magnoliagrade_standins.harness import Site, SitePlan
+
+PLAN = SitePlan(
+    entries_by_data_centre={"kamloops": 1, "kelowna": 1},
+    services_by_data_centre={"kamloops": 1, "kelowna": 1},
+    has_proxy=True,
+)
+HEADERS = {"Authorization": "Bearer key-0"}
+
+
+def test_order_goes_to_other_data_centre_when_own_agents_are_cut():
+    asyncio.run(_order_with_own_agent_cut())
+
+
+async def _order_with_own_agent_cut():
+    async with Site(plan=PLAN) as site:
+        await site.set_rules(
+            {
+                "source": site.source_of("kamloops-entry-0"),
+                "target": "kamloops-service-0",
+                "flow": "cut",
+            }
+        )
+        url = site.caller_url("kamloops-entry-0")
+        answer = await _order(site, url)
+        own = await site.record("kamloops-service-0")
+        other = await site.record("kelowna-service-0")
+        assert own["executions"] == []
+        assert [e["id"] for e in other["executions"]] == [answer["id"]]
+
+
+async def _order(site, url):
+    async with site.session.post(f"{url}/orders/reorder", headers=HEADERS) as response:
+        assert response.status == 200, await response.text()
+        return await response.json()
