Add a registry of trials with checks and figures

Cause: several matters need experiments with real processes; each should be one command with a seed, and its verdict should come from the stand-ins' records.

--- a/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
@@ -1,6 +1,7 @@
 """Run one stand-in as a process: `python -m magnoliagrade_standins NAME`."""
 
 import asyncio
+import sys
 
 import fire
 from magnoliagrade.clock import SystemClock
@@ -14,6 +15,7 @@
 )
 from magnoliagrade_standins.proxy import FaultProxy, make_proxy_app
 from magnoliagrade_standins.service import PlainService, make_service_app
+from magnoliagrade_standins.trials import run_trial
 
 LOOPBACK = "127.0.0.1:0"
 
@@ -48,6 +50,11 @@
         """Serve a fault-injecting TCP proxy."""
         _serve(lambda: make_proxy_app(FaultProxy(clock=SystemClock())), address)
 
+    def trial(self, name, seed=1, json=False, **options):
+        """Run a trial; exit code 1 if one of its checks failed."""
+        if not run_trial(name, seed=seed, as_json=json, **options).passed:
+            sys.exit(1)
+
     def service(self, address=LOOPBACK, service_s=0.005):
         """Serve a plain service."""
 
--- /dev/null
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/trials/registry.py
@@ -0,0 +1,102 @@
+"""The registry of trials and what a trial returns."""
+
+import asyncio
+import importlib
+import json
+from dataclasses import asdict, dataclass, field
+
+from magnoliagrade.registry import Registry
+
+__all__ = ["Check", "TrialResult", "run_trial", "trials"]
+
+trials = Registry(family="trial")
+
+# Modules that register trials when they are imported.
+TRIAL_MODULES = ()
+
+
+@dataclass(slots=True, kw_only=True)
+class Check:
+    """One statement that a trial checked against the stand-ins' records.
+
+    Parameters
+    ----------
+    name : str
+        What must hold.
+    passed : bool
+        Whether it held.
+    detail : str
+        What was seen.
+    """
+
+    name: str
+    passed: bool
+    detail: str = ""
+
+
+@dataclass(slots=True, kw_only=True)
+class TrialResult:
+    """What one trial found.
+
+    Parameters
+    ----------
+    trial : str
+        Name of the trial.
+    seed : int
+        Seed that it ran with.
+    checks : list of Check
+        What was checked.
+    figures : dict of str to float
+        What was measured, units in the names.
+    """
+
+    trial: str
+    seed: int
+    checks: list = field(default_factory=list)
+    figures: dict = field(default_factory=dict)
+
+    def check(self, name, passed, detail=""):
+        """Add a check."""
+        self.checks.append(Check(name=name, passed=bool(passed), detail=str(detail)))
+
+    @property
+    def passed(self):
+        """Whether every check passed."""
+        return all(c.passed for c in self.checks)
+
+    def lines(self):
+        """Return the result as lines for people."""
+        rows = [f"trial {self.trial}, seed {self.seed}"]
+        rows += [
+            f"  {'pass' if c.passed else 'FAIL'}  {c.name}  {c.detail}".rstrip()
+            for c in self.checks
+        ]
+        rows += [f"  {name} = {value:g}" for name, value in self.figures.items()]
+        return rows
+
+
+def run_trial(name, *, seed, as_json=False, **options):
+    """Run a trial, print what it found and return it.
+
+    Parameters
+    ----------
+    name : str
+        Registered name.
+    seed : int
+        Seed of everything random in the trial.
+    as_json : bool
+        Whether to print JSON instead of lines for people.
+    **options
+        Passed on to the trial.
+
+    Returns
+    -------
+    result : TrialResult
+        What was found.
+    """
+    for module in TRIAL_MODULES:
+        importlib.import_module(module)
+    result = asyncio.run(trials.get(name)(seed=seed, **options))
+    text = json.dumps(asdict(result)) if as_json else "\n".join(result.lines())
+    print(text)
+    return result
