Grow the limit on evidence and grant credit in turn

Cause: the agent always allowed the cold limit, took whatever fitted into it, and lost sight of work that ran on after a caller had gone; entries sent without credit.

Change: limit policy "evidence" behind the registry (baselines fixed-cold and fixed-full). The warm limit counts only while an unbroken chain of answers and a load report made during it prove the engine's boot; unanswered work stays within the cold limit; abandoned work and that of an earlier agent is held until a later report clears it; nothing is admitted before a report of this agent's own time. Entries ask for the credit of each waiting request, agents grant asks whole and in turn, and a weighted fair queue per pool decides who gets credit that arrives. Outlier ejection of at most a third of a pool. Peers get free credits, waiting and estimated wait.

--- /dev/null
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/grants.py
@@ -0,0 +1,173 @@
+"""Credit that entries ask for and that is reserved for them."""
+
+from collections import OrderedDict, deque
+from dataclasses import dataclass
+
+__all__ = ["Grant", "GrantBook"]
+
+CREDIT_LEASE_S = 2.0
+MAX_ASKS_PER_ENTRY = 1024
+
+
+@dataclass(slots=True, kw_only=True)
+class Grant:
+    """Credit that is reserved for one entry until it is used or lapses.
+
+    Parameters
+    ----------
+    entry : str
+        Name of the entry.
+    amount : float
+        Cost that the entry may send.
+    until : float
+        Monotonic time at which the reservation lapses.
+    """
+
+    entry: str
+    amount: float
+    until: float
+
+
+class GrantBook:
+    """Asks of entries and the credit reserved for them.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+
+    Notes
+    -----
+    Each ask is granted whole or not yet, so that no entry ends up with less than
+    its request needs. Entries with asks take turns; an ask that does not fit holds
+    back those behind it, so that a large one comes up in the end. A grant is used
+    by the entry's next requests; what it does not use it returns, and what is lost
+    lapses with the lease. O(1) for each ask and grant.
+
+    Examples
+    --------
+    >>> from magnoliagrade.clock import ManualClock
+    >>> book = GrantBook(clock=ManualClock())
+    >>> book.ask("a", 200)
+    >>> book.ask("a", 200)
+    >>> book.ask("b", 200)
+    >>> [(g.entry, g.amount) for g in book.distribute(450)]
+    [('a', 200), ('b', 200)]
+    >>> book.reserved
+    400.0
+    """
+
+    __slots__ = ("_asks_by_entry", "_clock", "_grants", "_reserved_by_entry")
+
+    def __init__(self, *, clock):
+        self._clock = clock
+        self._asks_by_entry = OrderedDict()
+        self._grants = deque()
+        self._reserved_by_entry = {}
+
+    @property
+    def reserved(self):
+        """Return the credit that is granted and neither used nor lapsed."""
+        self._drop_lapsed()
+        return float(sum(self._reserved_by_entry.values()))
+
+    @property
+    def asked(self):
+        """Return the cost that entries ask for and have not been granted."""
+        return float(sum(sum(asks) for asks in self._asks_by_entry.values()))
+
+    def reserved_for(self, entry):
+        """Return the credit that is reserved for an entry."""
+        self._drop_lapsed()
+        return self._reserved_by_entry.get(entry, 0.0)
+
+    def ask(self, entry, amount):
+        """Note that an entry asks for credit for one request."""
+        asks = self._asks_by_entry.setdefault(entry, deque())
+        if len(asks) < MAX_ASKS_PER_ENTRY:
+            asks.append(amount)
+
+    def withdraw(self, entry, amount):
+        """Take back an ask of an entry, or credit that it does not use."""
+        asks = self._asks_by_entry.get(entry, deque())
+        if amount in asks:
+            asks.remove(amount)
+            self._drop_if_empty(entry)
+            return
+        self.use(entry, amount)
+
+    def forget_asks(self, entry):
+        """Drop the asks of an entry whose link is gone; its grants lapse."""
+        self._asks_by_entry.pop(entry, None)
+
+    def use(self, entry, amount):
+        """Turn reserved credit into work; return how much there was of it."""
+        self._drop_lapsed()
+        used = min(amount, self._reserved_by_entry.get(entry, 0.0))
+        left = used
+        for grant in self._grants:
+            if grant.entry == entry and left > 0:
+                taken = min(left, grant.amount)
+                grant.amount -= taken
+                left -= taken
+        self._reduce(entry, used)
+        return used
+
+    def void(self):
+        """Take every reservation back at once."""
+        self._grants.clear()
+        self._reserved_by_entry.clear()
+
+    def distribute(self, free, *, is_idle=False):
+        """Grant asks in turn for as long as they fit.
+
+        Parameters
+        ----------
+        free : float
+            Cost that is neither in flight nor reserved.
+        is_idle : bool
+            Whether the endpoint has nothing to do; an ask beyond its limit is
+            granted alone then.
+
+        Returns
+        -------
+        grants : list of Grant
+            New reservations.
+        """
+        granted = []
+        while self._asks_by_entry:
+            entry, asks = next(iter(self._asks_by_entry.items()))
+            fits = asks[0] <= free or (is_idle and not granted and free > 0)
+            if not fits:
+                break
+            amount = asks.popleft()
+            free -= amount
+            granted.append(self._reserve(entry, amount))
+            self._asks_by_entry.move_to_end(entry)
+            self._drop_if_empty(entry)
+        return granted
+
+    def _reserve(self, entry, amount):
+        until = self._clock.monotonic() + CREDIT_LEASE_S
+        self._grants.append(Grant(entry=entry, amount=amount, until=until))
+        reserved = self._reserved_by_entry.get(entry, 0.0)
+        self._reserved_by_entry[entry] = reserved + amount
+        return Grant(entry=entry, amount=amount, until=until)
+
+    def _drop_lapsed(self):
+        now = self._clock.monotonic()
+        while self._grants and (
+            self._grants[0].until <= now or not self._grants[0].amount
+        ):
+            grant = self._grants.popleft()
+            self._reduce(grant.entry, grant.amount)
+
+    def _reduce(self, entry, amount):
+        left = self._reserved_by_entry.get(entry, 0.0) - amount
+        self._reserved_by_entry.pop(entry, None)
+        if left > 0:
+            self._reserved_by_entry[entry] = left
+
+    def _drop_if_empty(self, entry):
+        if not self._asks_by_entry.get(entry, True):
+            del self._asks_by_entry[entry]
--- /dev/null
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/tests/test_evidence.py
@@ -0,0 +1,78 @@
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from magnoliagrade_agent.capacity import Completion, EvidenceLimit
+
+
+def _completion(at=0.0, *, tokens=100, token_s=0.005, first=0.02, used=True):
+    return Completion(
+        tokens=tokens, first_byte_s=first, token_s=token_s, was_in_use=used, at=at
+    )
+
+
+def _policy(**options):
+    policy = EvidenceLimit()
+    policy.configure(cold_limit=600, full_limit=6000, options=options)
+    return policy
+
+
+def test_limit_grows_only_while_it_is_in_use():
+    policy = _policy()
+    policy.on_completion(_completion(used=False))
+    assert policy.limit == 600
+    policy.on_completion(_completion())
+    assert policy.limit == 600 + 100 / 4
+
+
+def test_option_sets_the_tokens_to_the_full_limit():
+    policy = _policy(**{"option.limit.tokens_to_full": "1000"})
+    for _ in range(10):
+        policy.on_completion(_completion())
+    assert policy.limit == 6000
+
+
+def test_departing_latency_shrinks_once_a_second():
+    policy = _policy()
+    for i in range(400):
+        policy.on_completion(_completion(i))
+    assert policy.limit == 6000
+    for i in range(20):
+        policy.on_completion(_completion(500 + i / 100, token_s=0.05))
+    assert policy.limit == 0.7 * 6000
+    assert policy.on_completion(_completion(600, token_s=0.05)) == "latency"
+
+
+def test_first_tokens_far_off_their_trend_mean_cold():
+    policy = _policy()
+    for i in range(400):
+        policy.on_completion(_completion(i))
+    reasons = [policy.on_completion(_completion(401, first=2.0)) for _ in range(3)]
+    assert reasons[-1] == "first-token-far-off" and policy.limit == 600
+
+
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(0, 3),
+            st.integers(1, 500),
+            st.floats(0.001, 1.0),
+            st.floats(0.001, 5.0),
+        ),
+        max_size=80,
+    )
+)
+def test_limit_stays_within_bounds_and_below_the_evidence(steps):
+    policy = _policy()
+    shown = 0
+    for i, (kind, tokens, token_s, first) in enumerate(steps):
+        if kind == 3:
+            policy.on_cold()
+            shown = 0
+            assert policy.limit == 600
+            continue
+        shown += tokens
+        policy.on_completion(
+            _completion(i, tokens=tokens, token_s=token_s, first=first, used=kind)
+        )
+        assert 600 <= policy.limit <= min(6000, 600 + shown / 4 + 1e-6)
--- /dev/null
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/tests/test_grants.py
@@ -0,0 +1,77 @@
+import asyncio
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from magnoliagrade.clock import ManualClock
+
+from magnoliagrade_agent.capacity.grants import CREDIT_LEASE_S, GrantBook
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["ask", "withdraw", "use", "wait", "limit", "forget"]),
+        st.integers(0, 6),
+        st.sampled_from([50, 100, 200, 300]),
+    ),
+    max_size=60,
+)
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(STEPS)
+def test_grants_never_exceed_what_was_free(steps):
+    asyncio.run(_grant(steps))
+
+
+async def _grant(steps):
+    clock = ManualClock()
+    book = GrantBook(clock=clock)
+    limit = 600.0
+    live = []  # the oracle's own list of (entry, amount left, lapses at)
+    for action, entry, amount in steps:
+        if action == "ask":
+            book.ask(entry, amount)
+        elif action == "withdraw":
+            book.withdraw(entry, amount)
+        elif action == "use":
+            book.use(entry, amount)
+        elif action == "wait":
+            await clock.advance(amount / 200)
+        elif action == "limit":
+            limit = amount * 2.0
+        else:
+            book.forget_asks(entry)
+        reserved = book.reserved
+        grants = book.distribute(limit - reserved, is_idle=not reserved)
+        live += [(g.amount, g.until) for g in grants]
+        live = [(a, until) for a, until in live if until > clock.monotonic()]
+        assert book.reserved <= sum(a for a, _ in live)
+        granted = sum(g.amount for g in grants)
+        is_alone = len(grants) == 1 and reserved == 0
+        assert not grants or granted <= limit - reserved or is_alone
+
+
+def test_seven_entries_take_turns_at_a_limit_of_one_request():
+    book = GrantBook(clock=ManualClock())
+    for _ in range(3):
+        for entry in range(7):
+            book.ask(entry, 200)
+    served = []
+    while grants := book.distribute(200 - book.reserved):
+        served += [g.entry for g in grants]
+        for grant in grants:
+            book.use(grant.entry, grant.amount)
+    assert served == list(range(7)) * 3
+
+
+def test_lost_grant_lapses_with_its_lease():
+    async def main():
+        clock = ManualClock()
+        book = GrantBook(clock=clock)
+        book.ask("a", 200)
+        book.distribute(200)
+        await clock.advance(CREDIT_LEASE_S - 0.01)
+        assert book.reserved == 200
+        await clock.advance(0.02)
+        assert book.reserved == 0
+
+    asyncio.run(main())
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/door.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/door.py
@@ -65,38 +65,37 @@
     if node.is_leaving:
         raise MagnoliagradeError(ErrorKind.SHUTTING_DOWN, "the endpoint is leaving")
     node.attempts.begin(attempt)
-    node.credits.take(request, entry=headers[names.ENTRY])
-    started = node.clock.monotonic()
-    first_byte_s = None
-    failed = True
-    try:
-        with _tracer.start_as_current_span("endpoint.call") as span:
-            span.set_attribute("magnoliagrade.attempt", attempt)
-            inject_context(request.header_by_name)
-            resume_tokens = int(headers.get(names.RESUME_TOKENS, "0"))
-            response = await node.engine.open(
-                request, attempt=attempt, resume_tokens=resume_tokens
-            )
-            async with response:
-                await sink.start(response.status, response.headers)
-                async for part in response.content.iter_any():
-                    if first_byte_s is None:
-                        first_byte_s = node.clock.monotonic() - started
-                    await sink.write(part)
-                await sink.finish()
-        failed = False
-    except (aiohttp.ClientPayloadError, aiohttp.ServerDisconnectedError) as exc:
-        detail = f"endpoint broke off after {sink.bytes_written} bytes"
-        raise MagnoliagradeError(ErrorKind.ANSWER_BROKEN, detail) from exc
-    finally:
-        node.credits.give_back(request)
-        node.credits.limit_policy.on_completion(
-            cost=request.cost,
-            first_byte_s=first_byte_s,
-            total_s=node.clock.monotonic() - started,
-            in_flight=node.credits.in_flight,
-            failed=failed,
+    work = await node.credits.admit(request, entry=headers[names.ENTRY])
+    with node.credits.following(work):
+        try:
+            await _exchange(node, request, work, headers, sink)
+        except aiohttp.ClientConnectionResetError:
+            # The entry has gone; the endpoint may go on for a moment.
+            raise
+        except (aiohttp.ClientPayloadError, aiohttp.ClientConnectionError) as exc:
+            detail = f"endpoint broke off after {sink.bytes_written} bytes"
+            raise MagnoliagradeError(ErrorKind.ANSWER_BROKEN, detail) from exc
+
+
+async def _exchange(node, request, work, headers, sink):
+    attempt = headers[names.ATTEMPT]
+    with _tracer.start_as_current_span("endpoint.call") as span:
+        span.set_attribute("magnoliagrade.attempt", attempt)
+        span.set_attribute("magnoliagrade.limit", node.credits.limit)
+        inject_context(request.header_by_name)
+        resume_tokens = int(headers.get(names.RESUME_TOKENS, "0"))
+        response = await node.engine.open(
+            request, attempt=attempt, resume_tokens=resume_tokens
         )
+        async with response:
+            node.credits.confirm(work)
+            work.has_failed = response.status >= 500
+            await sink.start(response.status, response.headers)
+            async for part in response.content.iter_any():
+                node.credits.note_part(work, part)
+                await sink.write(part)
+            await sink.finish()
+    work.is_whole = True
 
 
 def _answer_error(error, request, sink):
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
@@ -6,16 +6,19 @@
 from magnoliagrade.node import Node
 from magnoliagrade.observability import log_event
 from magnoliagrade.wire import Label
-from magnoliagrade.world import LoadReport, Role
+from magnoliagrade.world import Role, Work
 
 from magnoliagrade_agent.attempts import AttemptBook
 from magnoliagrade_agent.capacity import CreditBook, limit_policies
 from magnoliagrade_agent.door import make_data_app
 from magnoliagrade_agent.engine import EngineClient
 from magnoliagrade_agent.handlers import agent_handlers, agent_tasks
+from magnoliagrade_agent.load_watch import LoadWatch, send_grants
 
 __all__ = ["AgentInstance"]
 
+DEFAULT_LIMIT_POLICY = "evidence"
+LIMIT_POLICY_OPTION = "option.limit.policy"
 _log = logging.getLogger(__name__)
 
 
@@ -30,7 +33,7 @@
         Source of time; the system's by default.
     """
 
-    __slots__ = ("attempts", "credits", "engine", "pool", "report")
+    __slots__ = ("attempts", "credits", "engine", "load_watch", "pool")
 
     role = Role.AGENT
 
@@ -43,9 +46,12 @@
         )
         self.attempts = AttemptBook()
         self.credits = CreditBook(
-            limit_policy=limit_policies.get("fixed-cold")(), clock=self.clock
+            limit_policy=limit_policies.get(DEFAULT_LIMIT_POLICY)(),
+            clock=self.clock,
+            has_reports=settings.work == Work.MODEL.value,
         )
-        self.report = LoadReport()
+        self.credits.on_free = lambda: send_grants(self)
+        self.load_watch = LoadWatch()
         self.pool = None
 
     async def start(self):
@@ -84,7 +90,28 @@
         for _, pool in sorted(configuration.pool_by_name.items()):
             if parse_selector(pool.endpoint_selector).matches(labels):
                 self.pool = pool
-                self.credits.limit_policy.configure(
-                    cold_limit=pool.cold_limit, full_limit=pool.full_limit
-                )
+                self._configure_limit(pool)
                 return
+
+    def on_link_up(self, link):
+        """Tell an entry what the endpoint bears."""
+        self.credits.grants.forget_asks(link.peer_instance)
+        self.load_watch.send_to(self, link)
+
+    def on_link_down(self, link):
+        """Forget what an entry asked for; its credit lapses with the lease."""
+        if link.peer_instance not in self.links.by_instance:
+            self.credits.grants.forget_asks(link.peer_instance)
+
+    def _configure_limit(self, pool):
+        name = pool.options.get(LIMIT_POLICY_OPTION, DEFAULT_LIMIT_POLICY)
+        make = limit_policies.get(name)
+        if name != self.load_watch.limit_policy_name:
+            self.credits.limit_policy = make()
+            self.load_watch.limit_policy_name = name
+        self.credits.limit_policy.configure(
+            cold_limit=pool.cold_limit,
+            full_limit=pool.full_limit,
+            options=pool.options,
+        )
+        self.load_watch.send_changes(self)
--- /dev/null
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/credit_watch.py
@@ -0,0 +1,32 @@
+"""Credit and load that agents tell, and the queues that wait for it."""
+
+from magnoliagrade.wire import CreditGrant, EngineLoad
+
+from magnoliagrade_entry.handlers import entry_handlers, entry_tasks
+from magnoliagrade_entry.routing.router import TICK_S
+
+__all__ = ["tick_queues"]
+
+
+@entry_handlers.on(CreditGrant)
+async def on_credit_grant(node, link, message):
+    """Use credit that an agent granted."""
+    contact = node.endpoints.by_name.get(link.peer_instance)
+    if contact is None or contact.link is not link:
+        return
+    contact.note_load(limit=message.limit, held=message.held)
+    node.router.on_grant(contact, message.amount)
+
+
+@entry_handlers.on(EngineLoad)
+async def on_engine_load(node, link, message):
+    """Note an endpoint's load and limit."""
+    node.endpoints.on_load(link.peer_instance, message)
+
+
+@entry_tasks.register("queues")
+async def tick_queues(node):
+    """Refuse and move requests whose wait has become too long."""
+    while True:
+        await node.clock.sleep(TICK_S)
+        node.router.tick()
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/handlers.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/handlers.py
@@ -3,13 +3,11 @@
 from magnoliagrade.node import HandlerTable, TaskTable, send_heartbeats
 from magnoliagrade.wire import (
     ConfigurationPull,
-    CreditGrant,
-    EngineLoad,
     Heartbeat,
     Leaving,
     PeerSummary,
 )
-from magnoliagrade.world import EndpointState, LoadReport
+from magnoliagrade.world import EndpointState
 
 __all__ = ["entry_handlers", "entry_tasks"]
 
@@ -36,33 +34,6 @@
         peer.is_leaving = True
 
 
-@entry_handlers.on(CreditGrant)
-async def on_credit_grant(node, link, message):
-    """Note how much may be in flight at an endpoint."""
-    contact = node.endpoints.by_name.get(link.peer_instance)
-    if contact is not None:
-        contact.credit = message.amount
-        contact.credit_until = node.clock.monotonic() + message.lease_seconds
-
-
-@entry_handlers.on(EngineLoad)
-async def on_engine_load(node, link, message):
-    """Note an engine's load."""
-    contact = node.endpoints.by_name.get(link.peer_instance)
-    if contact is None:
-        return
-    contact.endpoint.report = LoadReport(
-        boot_id=message.boot_id,
-        running=message.running,
-        waiting=message.waiting,
-        tokens_in_flight=message.tokens_in_flight,
-        cache_used=message.cache_used,
-        age_s=message.age_seconds,
-    )
-    contact.report_at = node.clock.monotonic()
-    contact.sent_since_report = 0.0
-
-
 @entry_handlers.on(PeerSummary)
 async def on_peer_summary(node, link, message):
     """Note what a peer's data centre could take."""
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
@@ -8,7 +8,7 @@
 from magnoliagrade.platform import HttpInstanceList
 from magnoliagrade.world import Role
 
-from magnoliagrade_entry import configuration_watch  # noqa: F401
+from magnoliagrade_entry import configuration_watch, credit_watch  # noqa: F401
 from magnoliagrade_entry.doors import make_caller_app, make_peer_app
 from magnoliagrade_entry.handlers import entry_handlers, entry_tasks
 from magnoliagrade_entry.membership import LinkKeeper
@@ -58,13 +58,15 @@
             "configuration": self.configuration,
             "data_centre": settings.data_centre,
         }
-        self.endpoints = EndpointDirectory(**where)
+        self.endpoints = EndpointDirectory(clock=self.clock, **where)
         self.peers = PeerDirectory(**where)
         self.router = Router(
             configuration=self.configuration,
             endpoints=self.endpoints,
             peers=self.peers,
             rng=self.rng,
+            clock=self.clock,
+            data_centre=settings.data_centre,
         )
         self.admission = admission_policies.get("capped")(node=self)
         self.dispatcher = Dispatcher(node=self)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/membership.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/membership.py
@@ -6,12 +6,13 @@
 
 from magnoliagrade.errors import MagnoliagradeError
 from magnoliagrade.observability import log_event
-from magnoliagrade.wire import PeerSummary, PoolSummary, keep_linked
+from magnoliagrade.wire import PeerSummary, keep_linked
 from magnoliagrade.world import InstanceState, Role
 
 from magnoliagrade_entry.handlers import entry_tasks
+from magnoliagrade_entry.routing import summarise_pools
 
-__all__ = ["LinkKeeper", "summarise_pools"]
+__all__ = ["LinkKeeper"]
 
 SUMMARY_INTERVAL_S = 1.0
 _log = logging.getLogger(__name__)
@@ -101,32 +102,6 @@
         await asyncio.sleep(0)
 
 
-def summarise_pools(node):
-    """Return the summary of each pool in this data centre.
-
-    Parameters
-    ----------
-    node : EntryInstance
-        The entry.
-
-    Returns
-    -------
-    pools : list of PoolSummary
-        By name of pool.
-    """
-    rows = []
-    for name, pool in sorted(node.configuration.in_force.pool_by_name.items()):
-        contacts = node.endpoints.candidates(pool)
-        rows.append(
-            PoolSummary(
-                pool=name,
-                ready_endpoints=len(contacts),
-                free_credits=sum(c.free_credit for c in contacts),
-            )
-        )
-    return rows
-
-
 def is_listed_leaving(instances, name):
     """Return whether a list says that an instance is leaving."""
     return any(i.name == name and i.state is InstanceState.LEAVING for i in instances)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/requests/dispatch.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/requests/dispatch.py
@@ -82,7 +82,7 @@
             raise
         finally:
             if placement.endpoint:
-                placement.endpoint.end(request)
+                placement.endpoint.end(request, result)
             ATTEMPTS.labels(request.application, result).inc()
             log_event(
                 _log,
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/routing/__init__.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/__init__.py
@@ -3,7 +3,10 @@
 from magnoliagrade_entry.routing.endpoints import EndpointContact, EndpointDirectory
 from magnoliagrade_entry.routing.peers import PeerContact, PeerDirectory
 from magnoliagrade_entry.routing.policies import RoutingPolicy, routing_policies
+from magnoliagrade_entry.routing.pool_queue import PoolQueue
 from magnoliagrade_entry.routing.router import Placement, Router
+from magnoliagrade_entry.routing.summary import summarise_pools
+from magnoliagrade_entry.routing.tickets import Ticket
 
 __all__ = [
     "EndpointContact",
@@ -11,7 +14,10 @@
     "PeerContact",
     "PeerDirectory",
     "Placement",
+    "PoolQueue",
     "Router",
     "RoutingPolicy",
+    "Ticket",
     "routing_policies",
+    "summarise_pools",
 ]
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/routing/endpoints.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/endpoints.py
@@ -1,7 +1,12 @@
 """Endpoints of this data centre as the entry knows them."""
 
+from collections import OrderedDict
+
 from magnoliagrade.algorithms import parse_selector
-from magnoliagrade.world import Endpoint, EndpointState, Role
+from magnoliagrade.wire import CreditRequest
+from magnoliagrade.world import Endpoint, EndpointState, LoadReport, Role
+
+from magnoliagrade_entry.routing.outliers import EndpointHealth
 
 __all__ = ["EndpointContact", "EndpointDirectory"]
 
@@ -15,44 +20,142 @@
         The endpoint.
     link : Link
         Link to its agent.
+    clock : Clock
+        Source of time.
+
+    Notes
+    -----
+    What the agent says of its load is old by the time it is used. The entry adds
+    what it was granted since, and takes off what has ended of its own.
     """
 
     __slots__ = (
-        "credit",
-        "credit_until",
+        "_asking_by_cost",
+        "_clock",
+        "_started_at_by_id",
+        "asked_by_others",
+        "asked_cost",
         "endpoint",
+        "health",
+        "held",
         "in_flight_cost",
         "in_flight_count",
+        "limit",
         "link",
         "report_at",
-        "sent_since_report",
     )
 
-    def __init__(self, *, endpoint, link):
+    def __init__(self, *, endpoint, link, clock):
         self.endpoint = endpoint
         self.link = link
-        self.credit = 0.0
-        self.credit_until = 0.0
+        self.limit = 0.0
+        self.held = 0.0
+        self.asked_by_others = 0.0
+        self.asked_cost = 0.0
         self.in_flight_cost = 0.0
         self.in_flight_count = 0
         self.report_at = 0.0
-        self.sent_since_report = 0.0
+        self.health = EndpointHealth(clock=clock)
+        self._clock = clock
+        self._asking_by_cost = {}
+        self._started_at_by_id = {}
 
     @property
     def free_credit(self):
-        """Return the granted cost that is not in flight."""
-        return self.credit - self.in_flight_cost
+        """Return the cost that the endpoint could probably take now."""
+        return max(0.0, self.limit - self.held)
+
+    @property
+    def room(self):
+        """Return the free credit that no request of this entry waits for."""
+        return self.limit - self.held - self.asked_cost
+
+    @property
+    def load(self):
+        """Return what is held and waited for as a fraction of the limit."""
+        return (self.held + self.asked_cost) / max(self.limit, 1.0)
+
+    def ask(self, ticket):
+        """Ask the agent for the credit of a waiting request."""
+        cost = ticket.request.cost
+        self._asking_by_cost.setdefault(cost, OrderedDict())[ticket] = True
+        self.asked_cost += cost
+        ticket.contact = self
+        ticket.asked_at = self._clock.monotonic()
+        self.link.send(CreditRequest(wanted=cost))
+
+    def withdraw(self, ticket):
+        """Take back what was asked for a request."""
+        if self._forget(ticket):
+            self.link.send(CreditRequest(returned=ticket.request.cost))
+
+    def take_ask(self, amount):
+        """Return the request that asked for a granted amount, or None.
+
+        Notes
+        -----
+        There is none if the ask was withdrawn while the grant was on its way; the
+        agent has taken the credit back by then.
+        """
+        tickets = self._asking_by_cost.get(amount)
+        if not tickets:
+            return None
+        ticket = next(iter(tickets))
+        self._forget(ticket)
+        return ticket
+
+    def asking(self):
+        """Return the requests that wait for credit of this endpoint."""
+        return [t for tickets in self._asking_by_cost.values() for t in tickets]
+
+    def return_credit(self, amount):
+        """Give granted credit back that nothing uses."""
+        if amount > 0:
+            self.held = max(0.0, self.held - amount)
+            self.link.send(CreditRequest(returned=amount))
+
+    def note_load(self, *, limit, held, asked=None):
+        """Take what the agent says of its limit and load."""
+        self.limit = limit
+        self.held = held
+        if asked is not None:
+            self.asked_by_others = max(0.0, asked - self.asked_cost)
+        self.report_at = self._clock.monotonic()
 
     def begin(self, request):
         """Count a request as in flight."""
         self.in_flight_cost += request.cost
         self.in_flight_count += 1
-        self.sent_since_report += request.cost
+        self._started_at_by_id[request.id] = self._clock.monotonic()
+
+    def end(self, request, result="whole"):
+        """Count a request as no longer in flight.
 
-    def end(self, request):
-        """Count a request as no longer in flight."""
+        Parameters
+        ----------
+        request : Request
+            The request.
+        result : str
+            `whole`, or the code of the attempt's failure.
+        """
         self.in_flight_cost -= request.cost
         self.in_flight_count -= 1
+        self.held = max(0.0, self.held - request.cost)
+        now = self._clock.monotonic()
+        started = self._started_at_by_id.pop(request.id, now)
+        tokens = max(1, request.output_tokens)
+        self.health.note(result, (now - started) / tokens)
+
+    def _forget(self, ticket):
+        tickets = self._asking_by_cost.get(ticket.request.cost, {})
+        if ticket not in tickets:
+            return False
+        del tickets[ticket]
+        if not tickets:
+            del self._asking_by_cost[ticket.request.cost]
+        self.asked_cost -= ticket.request.cost
+        ticket.contact = None
+        return True
 
 
 class EndpointDirectory:
@@ -64,20 +167,25 @@
         Configuration in force, for operators' labels.
     data_centre : str
         This data centre.
+    clock : Clock
+        Source of time.
     """
 
-    __slots__ = ("_configuration", "_data_centre", "by_name")
+    __slots__ = ("_clock", "_configuration", "_data_centre", "by_name", "on_gone")
 
-    def __init__(self, *, configuration, data_centre):
+    def __init__(self, *, configuration, data_centre, clock):
         self._configuration = configuration
         self._data_centre = data_centre
+        self._clock = clock
         self.by_name = {}
+        self.on_gone = None
 
     def on_link_up(self, link):
         """Enter the endpoint of an agent that a link came up to."""
         hello = link.hello
         if hello.role != Role.AGENT.value:
             return
+        self._remove(link.peer_instance)
         self.by_name[link.peer_instance] = EndpointContact(
             endpoint=Endpoint(
                 name=link.peer_instance,
@@ -88,13 +196,29 @@
                 group=hello.group,
             ),
             link=link,
+            clock=self._clock,
         )
 
     def on_link_down(self, link):
         """Remove the endpoint of a link, unless a newer link took its place."""
         contact = self.by_name.get(link.peer_instance)
         if contact is not None and contact.link is link:
-            del self.by_name[link.peer_instance]
+            self._remove(link.peer_instance)
+
+    def on_load(self, name, message):
+        """Take an agent's message about its endpoint's load."""
+        contact = self.by_name.get(name)
+        if contact is None:
+            return
+        contact.endpoint.report = LoadReport(
+            boot_id=message.boot_id,
+            running=message.running,
+            waiting=message.waiting,
+            tokens_in_flight=message.tokens_in_flight,
+            cache_used=message.cache_used,
+            age_s=message.age_seconds,
+        )
+        contact.note_load(limit=message.limit, held=message.held, asked=message.asked)
 
     def candidates(self, pool):
         """Return the contacts that may be given new work of a pool.
@@ -122,6 +246,11 @@
                 chosen.append(contact)
         return chosen
 
+    def _remove(self, name):
+        contact = self.by_name.pop(name, None)
+        if contact is not None and self.on_gone is not None:
+            self.on_gone(contact)
+
     def _is_data_centre_selected(self, pool):
         data_centre = self._configuration.in_force.data_centre_by_name.get(
             self._data_centre
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/routing/policies.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/policies.py
@@ -7,6 +7,8 @@
 
 __all__ = ["RoutingPolicy", "routing_policies"]
 
+LOAD_BOUND = 1.25
+
 routing_policies = Registry(family="routing policy")
 
 
@@ -29,7 +31,7 @@
 
 @routing_policies.register("least-loaded")
 def choose_least_loaded(*, request, candidates, pool, rng):
-    """Pick the candidate with the least load in its own reports."""
+    """Pick the candidate with the least load in its own reports; a baseline."""
     return min(
         candidates,
         key=lambda c: (c.endpoint.report.tokens_in_flight, c.endpoint.name),
@@ -42,33 +44,35 @@
 
     Notes
     -----
-    A candidate counts as overloaded when what this entry has in flight there
-    exceeds 1.25 times the mean (bounded load) [1]_.
+    A place has room for the request, or its load as a fraction of its limit is at
+    most 1.25 times the mean (bounded load [1]_). Loads are what agents last said,
+    corrected by what this entry was granted, sent and saw end since.
 
     References
     ----------
     .. [1] V. Mirrokni, M. Thorup, M. Zadimoghaddam, "Consistent hashing with
        bounded loads", SODA 2018.
     """
-    if not request.prefix_hash:
+    if not request.prefix_hash or len(candidates) == 1:
         return choose_two_choices(
             request=request, candidates=candidates, pool=pool, rng=rng
         )
     by_name = {c.endpoint.name: c for c in candidates}
-    mean = sum(c.in_flight_cost for c in candidates) / len(candidates)
-    bound = 1.25 * (mean + request.cost / len(candidates)) + request.cost
-    for name in rendezvous_order(request.prefix_hash, by_name):
-        if by_name[name].in_flight_cost + request.cost <= bound:
-            return by_name[name]
-    return choose_two_choices(
-        request=request, candidates=candidates, pool=pool, rng=rng
-    )
+    order = [by_name[n] for n in rendezvous_order(request.prefix_hash, by_name)]
+    for contact in order:
+        if contact.room >= request.cost:
+            return contact
+    bound = LOAD_BOUND * sum(c.load for c in candidates) / len(candidates)
+    for contact in order:
+        if contact.load <= bound:
+            return contact
+    return order[0]
 
 
 @routing_policies.register("two-choices")
 def choose_two_choices(*, request, candidates, pool, rng):
-    """Pick the less busy of two random candidates."""
+    """Pick the less loaded of two random candidates."""
     if len(candidates) == 1:
         return candidates[0]
     a, b = rng.sample(candidates, 2)
-    return a if a.in_flight_cost <= b.in_flight_cost else b
+    return a if a.load <= b.load else b
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/routing/router.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/router.py
@@ -1,15 +1,33 @@
 """Placement of a request: pool, data centre, endpoint."""
 
+import asyncio
+import logging
 from dataclasses import dataclass
 
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
+from magnoliagrade.observability import log_event
+from prometheus_client import Counter
 
+from magnoliagrade_entry.routing.data_centres import RemoteOffers
 from magnoliagrade_entry.routing.endpoints import EndpointContact
+from magnoliagrade_entry.routing.outliers import without_outliers
 from magnoliagrade_entry.routing.peers import PeerContact
 from magnoliagrade_entry.routing.policies import routing_policies
+from magnoliagrade_entry.routing.pool_queue import PoolQueue
 
 __all__ = ["Placement", "Router"]
 
+TICK_S = 0.05
+PATIENCE_S = 0.25
+HEADS_SPILLED = 8
+
+PLACEMENTS = Counter(
+    "magnoliagrade_placements_total",
+    "Placements by pool and reason",
+    ["pool", "reason"],
+)
+_log = logging.getLogger(__name__)
+
 
 @dataclass(slots=True, kw_only=True)
 class Placement:
@@ -55,18 +73,34 @@
         Peer entries.
     rng : random.Random
         Source of randomness.
+    clock : Clock
+        Source of time.
+    data_centre : str
+        This data centre.
     """
 
-    __slots__ = ("_configuration", "_endpoints", "_peers", "_rng")
+    __slots__ = (
+        "_clock",
+        "_configuration",
+        "_endpoints",
+        "_offers",
+        "_rng",
+        "queue_by_pool",
+    )
 
-    def __init__(self, *, configuration, endpoints, peers, rng):
+    def __init__(self, *, configuration, endpoints, peers, rng, clock, data_centre):
         self._configuration = configuration
         self._endpoints = endpoints
-        self._peers = peers
         self._rng = rng
+        self._clock = clock
+        self._offers = RemoteOffers(
+            peers=peers, clock=clock, rng=rng, data_centre=data_centre
+        )
+        self.queue_by_pool = {}
+        endpoints.on_gone = self._on_gone
 
     async def place(self, request, *, excluded=frozenset()):
-        """Return where the next attempt of a request goes.
+        """Return where the next attempt of a request goes, once there is room.
 
         Parameters
         ----------
@@ -79,24 +113,186 @@
         ------
         MagnoliagradeError
             `NO_ROUTE` if no pool serves the request, `NOT_RUN` if nothing in its
-            pool may take it now.
+            pool takes work, `DEADLINE_NOT_RUN` or `OVERLOADED` if the wait for
+            credit would be too long.
+        """
+        pool = self._pool_of(request)
+        queue = self._queue_of(pool)
+        excluded = frozenset(excluded)
+        candidates = self._candidates(pool, excluded)
+        peer = self._offers.choose(
+            request,
+            pool,
+            excluded=excluded,
+            local_wait_s=self._local_wait_s(request, queue, candidates),
+        )
+        if peer is not None:
+            return self._placed(pool, Placement(peer=peer, reason="remote"))
+        if not candidates:
+            detail = f"pool {pool.name!r} has no endpoint that takes work"
+            raise MagnoliagradeError(ErrorKind.NOT_RUN, detail, retry_after=1)
+        weight = self._weight_of(request.organisation)
+        ticket = queue.enter(request, weight=weight, excluded=excluded)
+        self._bind(ticket, pool, queue, candidates)
+        try:
+            return self._placed(pool, await ticket.future)
+        except asyncio.CancelledError:
+            self._return_unused(ticket)
+            raise
+        finally:
+            queue.leave(ticket, is_served=False)
+
+    def on_grant(self, contact, amount):
+        """Place what credit of an endpoint allows.
+
+        Parameters
+        ----------
+        contact : EndpointContact
+            Endpoint whose agent granted it.
+        amount : float
+            The amount that one request asked for.
         """
+        asker = contact.take_ask(amount)
+        if asker is None:
+            return
+        queue = self.queue_by_pool[asker.pool]
+        queue.unbind(asker)
+        pool = self._configuration.in_force.pool_by_name.get(asker.pool)
+        if pool is None or contact not in self._endpoints.candidates(pool):
+            contact.return_credit(amount)
+            return
+        chosen = queue.next_for(contact, amount, asker=asker)
+        contact.return_credit(amount - chosen.request.cost)
+        queue.leave(chosen, is_served=True)
+        chosen.settle(Placement(endpoint=contact, reason=pool.routing))
+        self._bind_more(pool, queue)
+
+    def tick(self):
+        """Move and refuse requests whose wait has become too long."""
+        for pool_name, queue in list(self.queue_by_pool.items()):
+            queue.estimate.tick(has_waiting=len(queue) > 0)
+            if not len(queue):
+                continue
+            queue.refuse_late()
+            pool = self._configuration.in_force.pool_by_name.get(pool_name)
+            if pool is None:
+                continue
+            self._unbind_stuck(pool)
+            self._spill(pool, queue)
+            self._bind_more(pool, queue)
+
+    def _pool_of(self, request):
         pool = self._configuration.in_force.pool_of(request.labels)
         if pool is None:
             detail = f"no route for application {request.application!r}"
             raise MagnoliagradeError(ErrorKind.NO_ROUTE, detail)
-        local = self._endpoints.candidates(pool)
-        local = [c for c in local if c.endpoint.name not in excluded]
-        if local:
-            choose = routing_policies.get(pool.routing)
-            contact = choose(
-                request=request, candidates=local, pool=pool, rng=self._rng
+        return pool
+
+    def _queue_of(self, pool):
+        queue = self.queue_by_pool.get(pool.name)
+        if queue is None:
+            queue = PoolQueue(pool=pool.name, clock=self._clock)
+            self.queue_by_pool[pool.name] = queue
+        return queue
+
+    def _candidates(self, pool, excluded):
+        contacts = self._endpoints.candidates(pool)
+        kept = without_outliers(contacts, on_ejected=_log_ejection)
+        self._queue_of(pool).estimate.take_token_times(kept)
+        return [c for c in kept if c.endpoint.name not in excluded]
+
+    def _weight_of(self, organisation):
+        found = self._configuration.in_force.organisation_by_name.get(organisation)
+        return found.share if found else 1.0
+
+    def _local_wait_s(self, request, queue, candidates):
+        if not candidates:
+            return float("inf")
+        free = sum(c.free_credit for c in candidates)
+        if free - queue.cost >= request.cost:
+            return 0.0
+        weight = self._weight_of(request.organisation)
+        return queue.wait_of(request.organisation, weight, request.cost)
+
+    def _bind(self, ticket, pool, queue, candidates):
+        open_ones = [c for c in candidates if _may_ask(c, ticket)]
+        if not open_ones:
+            return
+        choose = routing_policies.get(pool.routing)
+        contact = choose(
+            request=ticket.request, candidates=open_ones, pool=pool, rng=self._rng
+        )
+        queue.bind(ticket, contact)
+
+    def _bind_more(self, pool, queue):
+        while True:
+            bound = 0
+            for ticket in queue.unbound():
+                candidates = self._candidates(pool, ticket.excluded)
+                self._bind(ticket, pool, queue, candidates)
+                bound += ticket.contact is not None
+            if not bound:
+                return
+
+    def _unbind_stuck(self, pool):
+        now = self._clock.monotonic()
+        eligible = self._candidates(pool, frozenset())
+        for contact in list(self._endpoints.by_name.values()):
+            for ticket in contact.asking():
+                if ticket.pool != pool.name:
+                    continue
+                is_late = now - ticket.asked_at > PATIENCE_S
+                has_better = any(
+                    c.room >= ticket.request.cost for c in eligible if c is not contact
+                )
+                if contact not in eligible or (is_late and has_better):
+                    self.queue_by_pool[pool.name].unbind(ticket)
+
+    def _spill(self, pool, queue):
+        for ticket in queue.waiting(HEADS_SPILLED):
+            peer = self._offers.choose(
+                ticket.request,
+                pool,
+                excluded=ticket.excluded,
+                local_wait_s=queue.wait_s,
             )
-            return Placement(endpoint=contact, reason=pool.routing)
-        if not request.forwarded_from:
-            peers = self._peers.candidates(pool)
-            peers = [p for p in peers if p.name not in excluded]
-            if peers:
-                return Placement(peer=self._rng.choice(peers), reason="no-local")
-        detail = f"pool {pool.name!r} has no endpoint that takes work"
-        raise MagnoliagradeError(ErrorKind.NOT_RUN, detail, retry_after=1)
+            if peer is None:
+                continue
+            queue.leave(ticket, is_served=False)
+            ticket.settle(Placement(peer=peer, reason="remote"))
+
+    @staticmethod
+    def _return_unused(ticket):
+        future = ticket.future
+        if future.cancelled() or not future.done() or future.exception():
+            return
+        placement = future.result()
+        if placement.endpoint is not None:
+            placement.endpoint.return_credit(ticket.request.cost)
+
+    def _placed(self, pool, placement):
+        PLACEMENTS.labels(pool.name, placement.reason).inc()
+        return placement
+
+    def _on_gone(self, contact):
+        for ticket in contact.asking():
+            self.queue_by_pool[ticket.pool].unbind(ticket)
+
+
+def _may_ask(contact, ticket):
+    # Asking for more than the whole limit would only move the queue to the agent.
+    return not contact.asked_cost or (
+        contact.asked_cost + ticket.request.cost <= contact.limit
+    )
+
+
+def _log_ejection(contact, reason):
+    health = contact.health
+    log_event(
+        _log,
+        "endpoint.ejected",
+        endpoint=contact.endpoint.name,
+        reason=reason,
+        token_s=health.token_s,
+        failures=health.failures,
+    )
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/status.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/status.py
@@ -53,7 +53,11 @@
     return {
         "name": contact.endpoint.name,
         "state": contact.endpoint.state.value,
-        "credit": contact.credit,
+        "limit": contact.limit,
+        "held": contact.held,
+        "asked": contact.asked_cost,
+        "token_s": contact.health.token_s,
+        "is_ejected": contact.health.is_out(),
         "in_flight": contact.in_flight_cost,
         "boot_id": contact.endpoint.report.boot_id,
         "labels": contact.endpoint.labels,
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/harness/site.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/harness/site.py
@@ -302,7 +302,7 @@
         if not agents | peers <= set(status["links"]):
             return False
         has_summaries = all(p["has_summary"] for p in status["peers"])
-        return has_summaries and all(e["credit"] for e in status["endpoints"])
+        return has_summaries and all(e["limit"] for e in status["endpoints"])
 
     async def _start_proxy(self):
         self.proxy = self._process("proxy", standin_command("proxy"))
--- a/packages/magnoliagrade/magnoliagrade/algorithms/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/algorithms/__init__.py
@@ -1,6 +1,14 @@
 """Plain algorithms over plain data."""
 
+from magnoliagrade.algorithms.fair_queue import FairQueue, QueueItem
 from magnoliagrade.algorithms.hashing import hash64, rendezvous_order
 from magnoliagrade.algorithms.selectors import Selector, parse_selector
 
-__all__ = ["Selector", "hash64", "parse_selector", "rendezvous_order"]
+__all__ = [
+    "FairQueue",
+    "QueueItem",
+    "Selector",
+    "hash64",
+    "parse_selector",
+    "rendezvous_order",
+]
--- a/packages/magnoliagrade/magnoliagrade/wire/capacity.capnp
+++ b/packages/magnoliagrade/magnoliagrade/wire/capacity.capnp
@@ -2,15 +2,17 @@
 # Messages about credits, load and shared rates.
 
 struct CreditRequest {
-  wanted @0 :Float64;        # cost the entry could use now
+  wanted @0 :Float64;        # cost of one more request that waits for credit
   inUse @1 :Float64;
+  returned @2 :Float64;      # an ask that is withdrawn, or credit that is not used
 }
 
 struct CreditGrant {
-  amount @0 :Float64;        # total the entry may hold in flight, not a difference
+  amount @0 :Float64;        # added to what was granted before
   leaseSeconds @1 :Float64;
   engineBoot @2 :Text;
   limit @3 :Float64;
+  held @4 :Float64;          # cost in flight or granted, of all entries
 }
 
 struct LoadReport {
@@ -20,6 +22,9 @@
   tokensInFlight @3 :UInt64;
   cacheUsed @4 :Float64;
   ageSeconds @5 :Float64;
+  limit @6 :Float64;
+  held @7 :Float64;          # cost in flight or granted, of all entries
+  asked @8 :Float64;         # cost that entries wait for
 }
 
 struct OrganisationUsage {
--- a/packages/magnoliagrade/magnoliagrade/wire/capacity.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/capacity.py
@@ -15,25 +15,27 @@
 
 @message("capacity", "creditRequest")
 class CreditRequest:
-    """An entry asks an agent for credit."""
+    """An entry asks an agent for credit for one request, or returns some."""
 
     wanted: float = 0.0
     in_use: float = 0.0
+    returned: float = 0.0
 
 
 @message("capacity", "creditGrant")
 class CreditGrant:
-    """An agent tells an entry how much it may have in flight in all."""
+    """An agent grants an entry the credit of one ask."""
 
     amount: float = 0.0
     lease_seconds: float = 0.0
     engine_boot: str = ""
     limit: float = 0.0
+    held: float = 0.0
 
 
 @message("capacity", "loadReport")
 class EngineLoad:
-    """An agent passes on its engine's newest load report."""
+    """An agent passes on its endpoint's load and limit."""
 
     boot_id: str = ""
     running: int = 0
@@ -41,6 +43,9 @@
     tokens_in_flight: int = 0
     cache_used: float = 0.0
     age_seconds: float = 0.0
+    limit: float = 0.0
+    held: float = 0.0
+    asked: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True)
