Link to few remote entries, and let the first notice of leaving win

Cause: every entry linked to every other one, so links and heartbeats grew with the fleet: 390 entries would hold 389 peer links each. A leaving instance was known only to those that it told itself, and a row of the lagging list said nothing.

Change: an entry dials the agents and entries of its own data centre and, chosen by rendezvous hashing, one to four entries of each other one, passing over peers that do not answer. Two instances that dial each other keep the same link of the two. Links that carried a message lately send no heartbeat. Notices of leaving name the incarnation, come from the instance, a peer or the list, and are passed on inside the data centre; agents refuse new work themselves once they know that they, or their data centre, are out. An entry whose reading of the list fails asks a peer. Any message shows a newer configuration, not only heartbeats.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/door.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/door.py
@@ -62,8 +62,9 @@
 
 async def _serve(node, request, headers, sink):
     attempt = headers[names.ATTEMPT]
-    if node.is_leaving:
-        raise MagnoliagradeError(ErrorKind.SHUTTING_DOWN, "the endpoint is leaving")
+    reason = node.reason_to_refuse()
+    if reason:
+        raise MagnoliagradeError(ErrorKind.SHUTTING_DOWN, reason)
     node.attempts.begin(attempt)
     node.credits.take(request, entry=headers[names.ENTRY])
     started = node.clock.monotonic()
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/handlers.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/handlers.py
@@ -9,7 +9,6 @@
 from magnoliagrade.observability import log_event
 from magnoliagrade.wire import (
     ConfigurationOffer,
-    ConfigurationPull,
     CreditGrant,
     CreditRequest,
     EngineLoad,
@@ -32,15 +31,21 @@
 
 @agent_handlers.on(Heartbeat)
 async def on_heartbeat(node, link, message):
-    """Ask a sender that is ahead for its configuration."""
-    if link.peer_revision > node.configuration.revision:
-        link.send(ConfigurationPull(known_revision=node.configuration.revision))
+    """Nothing to do: any message shows that the other side is alive."""
 
 
 @agent_handlers.on(Leaving)
 async def on_leaving(node, link, message):
-    """Note that an entry leaves; its link ends when it has drained."""
-    log_event(_log, "entry.leaving", peer=link.peer_instance)
+    """Refuse new work if the notice is about this endpoint."""
+    if message.subject == node.identity.instance:
+        if message.subject_incarnation == node.identity.incarnation:
+            node.is_listed_leaving = True
+    log_event(
+        _log,
+        "instance.leaving",
+        subject=message.subject or link.peer_instance,
+        source=link.peer_instance,
+    )
 
 
 @agent_handlers.on(ConfigurationOffer)
@@ -49,7 +54,7 @@
     try:
         stored = decode_stored(message.root)
         if node.configuration.offer(stored, source=link.peer_instance):
-            node.apply_pool()
+            node.apply_configuration()
     except InvalidDocument as exc:
         log_event(_log, "configuration.invalid", detail=exc.detail)
 
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
@@ -30,7 +30,15 @@
         Source of time; the system's by default.
     """
 
-    __slots__ = ("attempts", "credits", "engine", "pool", "report")
+    __slots__ = (
+        "_was_refusing",
+        "attempts",
+        "credits",
+        "engine",
+        "is_listed_leaving",
+        "pool",
+        "report",
+    )
 
     role = Role.AGENT
 
@@ -46,6 +54,8 @@
             limit_policy=limit_policies.get("fixed-cold")(), clock=self.clock
         )
         self.report = LoadReport()
+        self.is_listed_leaving = False
+        self._was_refusing = False
         self.pool = None
 
     async def start(self):
@@ -76,11 +86,46 @@
         hello.rank = self.settings.rank
         return hello
 
-    def apply_pool(self):
-        """Take the limits of the first pool that selects this endpoint."""
-        configuration = self.configuration.in_force
+    def reason_to_refuse(self):
+        """Return why new work is refused, or an empty text.
+
+        Returns
+        -------
+        reason : str
+            Says which of shutdown, the platform's list and the operators' labels
+            takes this endpoint out.
+        """
+        if self.is_leaving:
+            return "the endpoint is leaving"
+        if self.is_listed_leaving:
+            return "the platform lists the endpoint as leaving"
+        if self.configuration.in_force.is_data_centre_out(self.identity.data_centre):
+            return f"data centre {self.identity.data_centre!r} is out"
+        if self.labels().get("state") == "draining":
+            return "the endpoint is draining"
+        return ""
+
+    def reasons_not_ready(self):
+        """Return why this agent should get no requests; empty if ready."""
+        reason = self.reason_to_refuse()
+        return [reason] if reason else []
+
+    def labels(self):
+        """Return the endpoint's labels with the operators' on top."""
         own = self.settings.label_by_name()
-        labels = configuration.labels_of(self.identity.instance, own)
+        return self.configuration.in_force.labels_of(self.identity.instance, own)
+
+    def apply_configuration(self):
+        """Take a new configuration: limits, and a cold start after coming back."""
+        is_refusing = bool(self.reason_to_refuse())
+        if self._was_refusing and not is_refusing:
+            self.credits.limit_policy.on_cold()
+        self._was_refusing = is_refusing
+        self._apply_pool()
+
+    def _apply_pool(self):
+        configuration = self.configuration.in_force
+        labels = self.labels()
         for _, pool in sorted(configuration.pool_by_name.items()):
             if parse_selector(pool.endpoint_selector).matches(labels):
                 self.pool = pool
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/handlers.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/handlers.py
@@ -2,14 +2,11 @@
 
 from magnoliagrade.node import HandlerTable, TaskTable, send_heartbeats
 from magnoliagrade.wire import (
-    ConfigurationPull,
     CreditGrant,
     EngineLoad,
     Heartbeat,
-    Leaving,
-    PeerSummary,
 )
-from magnoliagrade.world import EndpointState, LoadReport
+from magnoliagrade.world import LoadReport
 
 __all__ = ["entry_handlers", "entry_tasks"]
 
@@ -20,20 +17,7 @@
 
 @entry_handlers.on(Heartbeat)
 async def on_heartbeat(node, link, message):
-    """Ask a sender that is ahead for its configuration."""
-    if link.peer_revision > node.configuration.revision:
-        link.send(ConfigurationPull(known_revision=node.configuration.revision))
-
-
-@entry_handlers.on(Leaving)
-async def on_leaving(node, link, message):
-    """Stop giving new work to an instance that leaves."""
-    contact = node.endpoints.by_name.get(link.peer_instance)
-    if contact is not None:
-        contact.endpoint.state = EndpointState.LEAVING
-    peer = node.peers.by_name.get(link.peer_instance)
-    if peer is not None:
-        peer.is_leaving = True
+    """Nothing to do: any message shows that the other side is alive."""
 
 
 @entry_handlers.on(CreditGrant)
@@ -61,12 +45,3 @@
     )
     contact.report_at = node.clock.monotonic()
     contact.sent_since_report = 0.0
-
-
-@entry_handlers.on(PeerSummary)
-async def on_peer_summary(node, link, message):
-    """Note what a peer's data centre could take."""
-    peer = node.peers.by_name.get(link.peer_instance)
-    if peer is not None:
-        peer.summary = message
-        peer.summary_at = node.clock.monotonic()
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
@@ -11,7 +11,8 @@
 from magnoliagrade_entry import configuration_watch  # noqa: F401
 from magnoliagrade_entry.doors import make_caller_app, make_peer_app
 from magnoliagrade_entry.handlers import entry_handlers, entry_tasks
-from magnoliagrade_entry.membership import LinkKeeper
+from magnoliagrade_entry.membership import Departures, KnownInstances, LinkKeeper
+from magnoliagrade_entry.membership.messages import note_listed_departures
 from magnoliagrade_entry.requests import Dispatcher, admission_policies
 from magnoliagrade_entry.routing import EndpointDirectory, PeerDirectory, Router
 from magnoliagrade_entry.status import status_routes
@@ -34,9 +35,11 @@
 
     __slots__ = (
         "admission",
+        "departures",
         "dispatcher",
         "endpoints",
         "instance_list",
+        "known",
         "link_keeper",
         "peers",
         "repository",
@@ -58,6 +61,9 @@
             "configuration": self.configuration,
             "data_centre": settings.data_centre,
         }
+        self.departures = Departures()
+        self.known = KnownInstances(clock=self.clock)
+        where["departures"] = self.departures
         self.endpoints = EndpointDirectory(**where)
         self.peers = PeerDirectory(**where)
         self.router = Router(
@@ -110,9 +116,26 @@
         self.endpoints.on_link_down(link)
         self.peers.on_link_down(link)
 
+    def take_instances(self, instances, *, age_s=0.0):
+        """Take a list of instances, unless a newer one is known.
+
+        Parameters
+        ----------
+        instances : list of Instance
+            The list.
+        age_s : float
+            Seconds since it was read from the platform.
+        """
+        if self.known.update(instances, age_s=age_s):
+            note_listed_departures(self, instances)
+            self.link_keeper.update()
+
     def reasons_not_ready(self):
         """Return why this entry should get no requests; empty if ready."""
         reasons = super().reasons_not_ready()
+        data_centre = self.identity.data_centre
+        if self.configuration.in_force.is_data_centre_out(data_centre):
+            reasons.append(f"data centre {data_centre!r} is out")
         if not self.configuration.revision:
             reasons.append("no configuration is known")
         return reasons
--- /dev/null
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/membership/keeper.py
@@ -0,0 +1,103 @@
+"""The links that an entry keeps open."""
+
+import random
+
+from magnoliagrade.wire import keep_linked
+from magnoliagrade.world import Role
+
+from magnoliagrade_entry.membership.selection import select_links
+
+__all__ = ["LinkKeeper"]
+
+UNREACHABLE_FOR_S = 10.0
+FAILURES_UNTIL_UNREACHABLE = 2
+
+
+class LinkKeeper:
+    """Keeps a dialling task for each instance that this entry links to.
+
+    Parameters
+    ----------
+    node : EntryInstance
+        The entry.
+    """
+
+    __slots__ = (
+        "_address_by_name",
+        "_failures_by_name",
+        "_node",
+        "_task_by_name",
+        "_unreachable_until",
+    )
+
+    def __init__(self, *, node):
+        self._node = node
+        self._task_by_name = {}
+        self._address_by_name = {}
+        self._failures_by_name = {}
+        self._unreachable_until = {}
+
+    def update(self):
+        """Start and stop dialling tasks so that they fit what is known now."""
+        node = self._node
+        chosen = select_links(
+            node.known.by_name.values(),
+            name=node.identity.instance,
+            data_centre=node.identity.data_centre,
+            unreachable=self._unreachable(),
+        )
+        address_by_name = {i.name: i.control_address for i in chosen}
+        for name in list(self._task_by_name):
+            address = address_by_name.get(name)
+            if address == self._address_by_name[name]:
+                continue
+            # A link that stands is left alone: the list may be wrong.
+            if address is None and name in node.links.by_instance:
+                continue
+            self._task_by_name.pop(name).cancel()
+        for name, address in address_by_name.items():
+            if name not in self._task_by_name:
+                self._start(name, address)
+
+    def dialled(self):
+        """Return the names of the instances that are being dialled, in order."""
+        return sorted(self._task_by_name)
+
+    def _start(self, name, address):
+        self._address_by_name[name] = address
+        self._task_by_name[name] = self._node.tasks.start(
+            self._keep(name, address), name=f"link {name}"
+        )
+
+    async def _keep(self, name, address):
+        node = self._node
+        await keep_linked(
+            address=address,
+            expected=name,
+            make_link=node.make_link,
+            hello=node.hello,
+            handle=node.run_link,
+            clock=node.clock,
+            rng=random.Random(f"{node.identity.incarnation} {address}"),
+            source=node.settings.source_address,
+            may_dial=lambda: name not in node.links.by_instance,
+            on_result=lambda linked: self._note_result(name, linked),
+        )
+
+    def _note_result(self, name, linked):
+        if linked:
+            self._failures_by_name.pop(name, None)
+            self._unreachable_until.pop(name, None)
+            return
+        failures = self._failures_by_name.get(name, 0) + 1
+        self._failures_by_name[name] = failures
+        known = self._node.known.by_name.get(name)
+        is_peer = known is not None and known.role is Role.ENTRY
+        if is_peer and failures >= FAILURES_UNTIL_UNREACHABLE:
+            now = self._node.clock.monotonic()
+            self._unreachable_until[name] = now + UNREACHABLE_FOR_S
+            self.update()
+
+    def _unreachable(self):
+        now = self._node.clock.monotonic()
+        return {n for n, until in self._unreachable_until.items() if until > now}
--- /dev/null
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/membership/messages.py
@@ -0,0 +1,43 @@
+"""Messages about leaving instances."""
+
+import logging
+
+from magnoliagrade.observability import log_event
+from magnoliagrade.wire import Leaving
+
+from magnoliagrade_entry.handlers import entry_handlers
+from magnoliagrade_entry.membership.departures import notice_of, spread_notice
+
+__all__ = ["note_listed_departures"]
+
+_log = logging.getLogger(__name__)
+
+
+@entry_handlers.on(Leaving)
+async def on_leaving(node, link, message):
+    """Stop giving new work to an instance that leaves, and pass it on."""
+    name = message.subject or link.peer_instance
+    incarnation = message.subject_incarnation or link.peer_incarnation
+    if not node.departures.note_leaving(name, incarnation):
+        return
+    log_event(_log, "instance.leaving", subject=name, source=link.peer_instance)
+    notice = notice_of(name, incarnation, reason=message.reason)
+    spread_notice(node, notice, origin=link.peer_instance)
+
+
+def note_listed_departures(node, instances):
+    """Take the leaving rows of a list and tell the peers and the instance.
+
+    Parameters
+    ----------
+    node : EntryInstance
+        The entry.
+    instances : list of Instance
+        The list.
+    """
+    linked = {n: k.peer_incarnation for n, k in node.links.by_instance.items()}
+    for name in node.departures.note_listed(instances, linked):
+        log_event(_log, "instance.leaving", subject=name, source="platform")
+        notice = notice_of(name, linked[name], reason="listed as leaving")
+        spread_notice(node, notice, origin=name)
+        node.links.by_instance[name].send(notice)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/routing/__init__.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/__init__.py
@@ -4,6 +4,7 @@
 from magnoliagrade_entry.routing.peers import PeerContact, PeerDirectory
 from magnoliagrade_entry.routing.policies import RoutingPolicy, routing_policies
 from magnoliagrade_entry.routing.router import Placement, Router
+from magnoliagrade_entry.routing.summary import summarise_pools
 
 __all__ = [
     "EndpointContact",
@@ -14,4 +15,5 @@
     "Router",
     "RoutingPolicy",
     "routing_policies",
+    "summarise_pools",
 ]
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/routing/endpoints.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/endpoints.py
@@ -64,11 +64,14 @@
         Configuration in force, for operators' labels.
     data_centre : str
         This data centre.
+    departures : Departures
+        Instances that are leaving.
     """
 
-    __slots__ = ("_configuration", "_data_centre", "by_name")
+    __slots__ = ("_configuration", "_data_centre", "_departures", "by_name")
 
-    def __init__(self, *, configuration, data_centre):
+    def __init__(self, *, configuration, data_centre, departures):
+        self._departures = departures
         self._configuration = configuration
         self._data_centre = data_centre
         self.by_name = {}
@@ -130,8 +133,10 @@
         labels = {"name": self._data_centre, **labels}
         return parse_selector(pool.data_centre_selector).matches(labels)
 
-    @staticmethod
-    def _may_take_work(contact, labels):
-        if contact.endpoint.state is not EndpointState.READY:
+    def _may_take_work(self, contact, labels):
+        endpoint = contact.endpoint
+        if endpoint.state is not EndpointState.READY:
+            return False
+        if self._departures.is_leaving(endpoint.name, endpoint.incarnation):
             return False
         return labels.get("state") != "draining"
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/routing/peers.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/peers.py
@@ -23,7 +23,6 @@
     __slots__ = (
         "data_address",
         "data_centre",
-        "is_leaving",
         "link",
         "name",
         "summary",
@@ -35,7 +34,6 @@
         self.data_centre = data_centre
         self.data_address = data_address
         self.link = link
-        self.is_leaving = False
         self.summary = None
         self.summary_at = 0.0
 
@@ -49,11 +47,14 @@
         Configuration in force.
     data_centre : str
         This data centre.
+    departures : Departures
+        Instances that are leaving.
     """
 
-    __slots__ = ("_configuration", "_data_centre", "by_name")
+    __slots__ = ("_configuration", "_data_centre", "_departures", "by_name")
 
-    def __init__(self, *, configuration, data_centre):
+    def __init__(self, *, configuration, data_centre, departures):
+        self._departures = departures
         self._configuration = configuration
         self._data_centre = data_centre
         self.by_name = {}
@@ -93,7 +94,9 @@
         configuration = self._configuration.in_force
         chosen = []
         for _, peer in sorted(self.by_name.items()):
-            if peer.is_leaving or peer.data_centre == self._data_centre:
+            if peer.data_centre == self._data_centre:
+                continue
+            if self._departures.is_leaving(peer.name, peer.link.peer_incarnation):
                 continue
             if configuration.is_data_centre_out(peer.data_centre):
                 continue
--- /dev/null
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/summary.py
@@ -0,0 +1,57 @@
+"""What this data centre could take, as peers are told."""
+
+from magnoliagrade.wire import PeerSummary, PoolSummary
+from magnoliagrade.world import Role
+
+from magnoliagrade_entry.handlers import entry_handlers, entry_tasks
+
+__all__ = ["summarise_pools"]
+
+SUMMARY_INTERVAL_S = 2.0
+
+
+@entry_tasks.register("peer-summary")
+async def send_peer_summaries(node):
+    """Tell the peers of other data centres what this one could take."""
+    while True:
+        pools = summarise_pools(node)
+        summary = PeerSummary(data_centre=node.identity.data_centre, pools=pools)
+        for link in node.links.of_role(Role.ENTRY):
+            if link.hello.data_centre != node.identity.data_centre:
+                link.send(summary)
+        await node.clock.sleep(SUMMARY_INTERVAL_S * node.rng.uniform(0.9, 1.1))
+
+
+@entry_handlers.on(PeerSummary)
+async def on_peer_summary(node, link, message):
+    """Note what a peer's data centre could take."""
+    peer = node.peers.by_name.get(link.peer_instance)
+    if peer is not None:
+        peer.summary = message
+        peer.summary_at = node.clock.monotonic()
+
+
+def summarise_pools(node):
+    """Return the summary of each pool in this data centre.
+
+    Parameters
+    ----------
+    node : EntryInstance
+        The entry.
+
+    Returns
+    -------
+    pools : list of PoolSummary
+        By name of pool.
+    """
+    rows = []
+    for name, pool in sorted(node.configuration.in_force.pool_by_name.items()):
+        contacts = node.endpoints.candidates(pool)
+        rows.append(
+            PoolSummary(
+                pool=name,
+                ready_endpoints=len(contacts),
+                free_credits=sum(c.free_credit for c in contacts),
+            )
+        )
+    return rows
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/status.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/status.py
@@ -64,6 +64,5 @@
     return {
         "name": peer.name,
         "data_centre": peer.data_centre,
-        "is_leaving": peer.is_leaving,
         "has_summary": peer.summary is not None,
     }
--- a/packages/magnoliagrade/magnoliagrade/node/links.py
+++ b/packages/magnoliagrade/magnoliagrade/node/links.py
@@ -1,6 +1,5 @@
 """The links that a node holds and what runs on each."""
 
-import asyncio
 import logging
 
 from magnoliagrade.observability.logs import log_event
@@ -8,8 +7,10 @@
 
 __all__ = ["LinkBook", "run_link", "send_heartbeats"]
 
-HEARTBEAT_INTERVAL_S = 1.0
-SILENCE_LIMIT_S = 3.0
+HEARTBEAT_INTERVAL_S = 1.5
+# The longest time between two messages of a healthy link.
+HEARTBEAT_GAP_S = 2 * HEARTBEAT_INTERVAL_S
+SILENCE_LIMIT_S = 6.0
 
 _log = logging.getLogger(__name__)
 
@@ -21,22 +22,54 @@
     ----------
     clock : Clock
         Source of time.
+    own_name : str
+        Name of this instance.
     """
 
-    __slots__ = ("_clock", "_heard_by_link", "by_instance")
+    __slots__ = ("_clock", "_heard_by_link", "_own_name", "by_instance")
 
-    def __init__(self, *, clock):
+    def __init__(self, *, clock, own_name):
         self._clock = clock
+        self._own_name = own_name
         self.by_instance = {}
         self._heard_by_link = {}
 
     def add(self, link):
-        """Enter a link; an older one of the same instance is closed."""
+        """Enter a link and close the one that it replaces, or the other way.
+
+        Parameters
+        ----------
+        link : Link
+            A link whose sides have said hello.
+
+        Returns
+        -------
+        is_kept : bool
+            Whether the new link is the one to keep.
+
+        Notes
+        -----
+        Two instances that dial each other at the same time must keep the same one
+        of the two links: that dialled by the instance whose name sorts first.
+        """
         older = self.by_instance.get(link.peer_instance)
+        if older is not None and self._is_preferred(older, link):
+            link.close()
+            return False
         if older is not None:
             older.close()
         self.by_instance[link.peer_instance] = link
         self._heard_by_link[link] = self._clock.monotonic()
+        return True
+
+    def _is_preferred(self, older, newer):
+        if older.is_closing or older.peer_incarnation != newer.peer_incarnation:
+            return False
+        if older.is_dialled == newer.is_dialled:
+            return False
+        if self.silent_for(older) > HEARTBEAT_GAP_S:
+            return False
+        return older.is_dialled == (self._own_name < older.peer_instance)
 
     def remove(self, link):
         """Remove a link; a newer one of the same instance stays."""
@@ -81,13 +114,16 @@
     handlers : HandlerTable
         Handlers of this kind of node.
     """
-    node.links.add(link)
+    if not node.links.add(link):
+        return
     log_event(_log, "link.up", peer=link.peer_instance, role=link.hello.role)
     try:
         node.on_link_up(link)
         while True:
             message = await link.receive()
             node.links.note_heard(link)
+            if link.peer_revision > node.configuration.revision:
+                node.on_peer_ahead(link)
             await handlers.handle(node, link, message)
     finally:
         node.links.remove(link)
@@ -96,12 +132,17 @@
 
 
 async def send_heartbeats(node):
-    """Send a heartbeat on every link and close those that fell silent.
+    """Send a heartbeat on every idle link and close those that fell silent.
 
     Parameters
     ----------
     node : object
         Entry or agent with a `links` book and a `clock`.
+
+    Notes
+    -----
+    Any message shows that its sender is alive, so a link that carried one lately
+    needs no heartbeat.
     """
     while True:
         await node.clock.sleep(HEARTBEAT_INTERVAL_S)
@@ -110,5 +151,6 @@
                 log_event(_log, "link.silent", peer=link.peer_instance)
                 link.close()
                 continue
-            link.send(Heartbeat(echo_sequence=link.last_sequence_in))
-        await asyncio.sleep(0)
+            if not link.take_has_sent():
+                link.send(Heartbeat(echo_sequence=link.last_sequence_in))
+                link.take_has_sent()
--- a/packages/magnoliagrade/magnoliagrade/node/node.py
+++ b/packages/magnoliagrade/magnoliagrade/node/node.py
@@ -14,7 +14,14 @@
 from magnoliagrade.node.tasks import Tasks
 from magnoliagrade.observability import configure_tracing
 from magnoliagrade.platform import HttpStore
-from magnoliagrade.wire import Hello, Leaving, Link, LinkCounters, serve_links
+from magnoliagrade.wire import (
+    ConfigurationPull,
+    Hello,
+    Leaving,
+    Link,
+    LinkCounters,
+    serve_links,
+)
 
 __all__ = ["Node"]
 
@@ -68,7 +75,7 @@
         )
         self.rng = random.Random(self.identity.incarnation)
         self.configuration = ConfigurationState(clock=self.clock)
-        self.links = LinkBook(clock=self.clock)
+        self.links = LinkBook(clock=self.clock, own_name=settings.name)
         self.counters = LinkCounters()
         self.tasks = Tasks()
         self.is_leaving = False
@@ -151,7 +158,7 @@
         await self.session.close()
         self._tracing.shutdown()
 
-    def make_link(self, *, reader, writer):
+    def make_link(self, *, reader, writer, is_dialled=False):
         """Return a link over a new connection."""
         return Link(
             reader=reader,
@@ -159,6 +166,7 @@
             identity=self.identity,
             revision=lambda: self.configuration.revision,
             counters=self.counters,
+            is_dialled=is_dialled,
         )
 
     async def run_link(self, link):
@@ -177,6 +185,10 @@
             ),
         )
 
+    def on_peer_ahead(self, link):
+        """Ask the other side of a link for its newer configuration."""
+        link.send(ConfigurationPull(known_revision=self.configuration.revision))
+
     def on_link_up(self, link):
         """Note that a link has come up."""
 
--- /dev/null
+++ b/packages/magnoliagrade/magnoliagrade/node/tests/test_links.py
@@ -0,0 +1,45 @@
+from magnoliagrade.clock import ManualClock
+from magnoliagrade.node import LinkBook
+
+
+class FakeLink:
+    def __init__(self, *, is_dialled, incarnation=1):
+        self.peer_instance = "b"
+        self.peer_incarnation = incarnation
+        self.is_dialled = is_dialled
+        self.is_closing = False
+
+    def close(self):
+        self.is_closing = True
+
+
+def test_both_sides_keep_the_same_of_two_links():
+    for own, keeps_dialled in (("a", True), ("c", False)):
+        for first_dialled in (True, False):
+            book = LinkBook(clock=ManualClock(), own_name=own)
+            first = FakeLink(is_dialled=first_dialled)
+            second = FakeLink(is_dialled=not first_dialled)
+            book.add(first)
+            book.add(second)
+            kept = book.by_instance["b"]
+            assert kept.is_dialled is keeps_dialled
+            assert not kept.is_closing
+            assert {first.is_closing, second.is_closing} == {True, False}
+
+
+def test_newer_link_of_the_same_side_or_of_a_new_incarnation_wins():
+    book = LinkBook(clock=ManualClock(), own_name="a")
+    first = FakeLink(is_dialled=True)
+    book.add(first)
+    again = FakeLink(is_dialled=True)
+    assert book.add(again) and first.is_closing
+    restarted = FakeLink(is_dialled=False, incarnation=2)
+    assert book.add(restarted) and again.is_closing
+
+
+def test_silent_link_gives_way():
+    clock = ManualClock()
+    book = LinkBook(clock=clock, own_name="a")
+    book.add(FakeLink(is_dialled=True))
+    clock._time += 4.0
+    assert book.add(FakeLink(is_dialled=False))
--- a/packages/magnoliagrade/magnoliagrade/wire/connect.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/connect.py
@@ -49,7 +49,19 @@
     return await asyncio.start_server(on_connection, host, port)
 
 
-async def keep_linked(*, address, make_link, hello, handle, clock, rng, source=""):
+async def keep_linked(
+    *,
+    address,
+    make_link,
+    hello,
+    handle,
+    clock,
+    rng,
+    source="",
+    expected="",
+    may_dial=lambda: True,
+    on_result=lambda linked: None,
+):
     """Dial an address again and again until cancelled.
 
     Parameters
@@ -57,7 +69,7 @@
     address : str
         `host:port` to dial.
     make_link : callable
-        Called with `reader` and `writer`, returns a `Link`.
+        Called with `reader`, `writer` and `is_dialled`, returns a `Link`.
     hello : callable
         Returns the `Hello` to send.
     handle : coroutine function
@@ -68,18 +80,34 @@
         Source of jitter.
     source : str
         Local address to dial from; empty leaves it to the system.
+    expected : str
+        Instance that should answer; another one is refused. Empty allows any.
+    may_dial : callable
+        Returns whether a link is wanted now.
+    on_result : callable
+        Told after each attempt whether hellos were exchanged.
 
     Notes
     -----
     The pause before the next attempt is drawn from [first, 3 x last] and capped,
-    so that many processes that lost the same peer do not come back in step.
+    so that many processes that lost the same peer do not come back in step [1]_.
+
+    References
+    ----------
+    .. [1] M. Brooker, "Exponential backoff and jitter", 2015 (decorrelated
+       jitter).
     """
     host, _, port = address.rpartition(":")
     pause = BACKOFF_FIRST_S
     while True:
-        link = await _dial(host, int(port), make_link, source)
-        if link is not None and await _run_link(link, hello, handle):
-            pause = BACKOFF_FIRST_S
+        if may_dial():
+            link = await _dial(host, int(port), make_link, source)
+            linked = link is not None and await _run_link(
+                link, hello, handle, expected=expected
+            )
+            on_result(linked)
+            if linked:
+                pause = BACKOFF_FIRST_S
         pause = min(BACKOFF_MAX_S, rng.uniform(BACKOFF_FIRST_S, pause * 3))
         await clock.sleep(pause)
 
@@ -92,17 +120,17 @@
             )
     except (OSError, TimeoutError):
         return None
-    return make_link(reader=reader, writer=writer)
+    return make_link(reader=reader, writer=writer, is_dialled=True)
 
 
-async def _run_link(link, hello, handle):
+async def _run_link(link, hello, handle, *, expected=""):
     """Exchange hellos and run the handler; return whether hellos were exchanged."""
     greeted = False
     try:
         link.send(hello())
         async with asyncio.timeout(HELLO_TIMEOUT_S):
             first = await link.receive()
-        if not isinstance(first, Hello) or first.protocol_version != PROTOCOL_VERSION:
+        if not _is_acceptable(first, link.peer_instance, expected):
             log_event(_log, "link.refused", peer=link.peer_instance)
             return False
         link.hello = first
@@ -116,3 +144,9 @@
         with contextlib.suppress(Exception):
             link.close()
     return greeted
+
+
+def _is_acceptable(first, peer_instance, expected):
+    if not isinstance(first, Hello) or first.protocol_version != PROTOCOL_VERSION:
+        return False
+    return expected in ("", peer_instance)
--- a/packages/magnoliagrade/magnoliagrade/wire/link.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/link.py
@@ -9,6 +9,7 @@
 __all__ = ["MAX_MESSAGE_BYTES", "Link", "LinkCounters"]
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 _PREFIX = struct.Struct(">I")
 
 
@@ -39,6 +40,8 @@
         Returns the configuration revision in force here.
     counters : LinkCounters, optional
         Where messages and bytes are counted.
+    is_dialled : bool
+        Whether this side opened the connection.
 
     Notes
     -----
@@ -53,14 +56,18 @@
         "_sequence",
         "_writer",
         "counters",
+        "has_sent",
         "hello",
+        "is_dialled",
         "last_sequence_in",
         "peer_incarnation",
         "peer_instance",
         "peer_revision",
     )
 
-    def __init__(self, *, reader, writer, identity, revision, counters=None):
+    def __init__(
+        self, *, reader, writer, identity, revision, counters=None, is_dialled=False
+    ):
         self._reader = reader
         self._writer = writer
         self._identity = identity
@@ -68,6 +75,8 @@
         self._sequence = 0
         self.counters = counters or LinkCounters()
         self.hello = None
+        self.is_dialled = is_dialled
+        self.has_sent = False
         self.peer_instance = ""
         self.peer_incarnation = 0
         self.peer_revision = 0
@@ -83,6 +92,11 @@
         """
         if self._writer.is_closing():
             return
+        if self._writer.transport.get_write_buffer_size() > MAX_BUFFERED_BYTES:
+            # The other side does not read; a new link starts from scratch.
+            self._writer.transport.abort()
+            return
+        self.has_sent = True
         self._sequence += 1
         data = encode(
             Envelope(
@@ -134,6 +148,12 @@
         self.last_sequence_in = envelope.sequence
         return envelope.message
 
+    def take_has_sent(self):
+        """Return whether anything was sent since this was last asked."""
+        has_sent = self.has_sent
+        self.has_sent = False
+        return has_sent
+
     @property
     def is_closing(self):
         """Whether the link is closed or being closed."""
--- a/packages/magnoliagrade/magnoliagrade/wire/membership.capnp
+++ b/packages/magnoliagrade/magnoliagrade/wire/membership.capnp
@@ -49,11 +49,22 @@
   readyEndpoints @4 :UInt32;
 }
 
+struct InstanceRowsPull {
+  ageSeconds @0 :Float64;    # age of the sender's own list
+}
+
+struct InstanceRows {
+  ageSeconds @0 :Float64;    # since the list was read from the platform
+  rows @1 :List(InstanceRow);
+}
+
 struct MembershipMessage {
   union {
     hello @0 :Hello;
     heartbeat @1 :Heartbeat;
     leaving @2 :Leaving;
     peerSummary @3 :PeerSummary;
+    instanceRows @4 :InstanceRows;
+    instanceRowsPull @5 :InstanceRowsPull;
   }
 }
--- a/packages/magnoliagrade/magnoliagrade/wire/membership.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/membership.py
@@ -8,6 +8,8 @@
     "Heartbeat",
     "Hello",
     "InstanceRow",
+    "InstanceRows",
+    "InstanceRowsPull",
     "Label",
     "Leaving",
     "PeerSummary",
@@ -84,3 +86,18 @@
     data_centre: str = ""
     pools: list = field(default_factory=list, metadata={"of": PoolSummary})
     instances: list = field(default_factory=list, metadata={"of": InstanceRow})
+
+
+@message("membership", "instanceRowsPull")
+class InstanceRowsPull:
+    """An entry whose list is old asks a peer for a newer one."""
+
+    age_seconds: float = 0.0
+
+
+@message("membership", "instanceRows")
+class InstanceRows:
+    """The platform's list as an entry knows it, with its age."""
+
+    age_seconds: float = 0.0
+    rows: list = field(default_factory=list, metadata={"of": InstanceRow})
