Check that leaving endpoints and data centres get no new work

Cause: the target is no new work 3 s after an endpoint or a data centre leaves, whatever source says so first; nothing showed it with real processes.

Change: four system tests behind the fault proxy, judged by the services' own records: an agent that shuts down while the list lags 30 s; an endpoint that only the platform's list names; a data centre taken out while one entry alone reaches the store, which then goes down; an entry cut off from the platform and all peers, whose agents must refuse on their own.

--- a/packages/magnoliagrade-standins/magnoliagrade_standins/harness/__init__.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/harness/__init__.py
@@ -1,5 +1,10 @@
 """Real processes for system tests and trials."""
 
+from magnoliagrade_standins.harness.calls import (
+    CallOutcome,
+    call_service,
+    call_until,
+)
 from magnoliagrade_standins.harness.configurations import (
     CONFIGURATION,
     KEY_BY_ORGANISATION,
@@ -14,11 +19,14 @@
 
 __all__ = [
     "CONFIGURATION",
+    "CallOutcome",
     "KEY_BY_ORGANISATION",
     "ProcessFailed",
     "Site",
     "SitePlan",
     "SpawnedProcess",
     "binary_command",
+    "call_service",
+    "call_until",
     "standin_command",
 ]
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,131 @@
+"""No new work for an endpoint or a data centre that leaves."""
+
+import asyncio
+
+from magnoliagrade.clock import SystemClock
+from magnoliagrade_standins.harness import (
+    CONFIGURATION,
+    Site,
+    SitePlan,
+    call_until,
+)
+
+NO_NEW_WORK_AFTER_S = 3.0
+OUT = "\n[data_centre {name}]\nlabels = state=out\n"
+
+
+def _plan():
+    return SitePlan(
+        entries_by_data_centre={"kamloops": 2, "kelowna": 1},
+        services_by_data_centre={"kamloops": 2, "kelowna": 1},
+        has_proxy=True,
+    )
+
+
+async def _executions_after(site, name, at):
+    record = await site.record(name)
+    return [e for e in record["executions"] if e["at"] > at]
+
+
+def test_agent_that_shuts_down_gets_no_new_work_while_the_list_lags():
+    async def main():
+        clock = SystemClock()
+        async with Site(plan=_plan()) as site:
+            await site.control_platform("lag", {"lag_s": 30.0})
+            calls = asyncio.create_task(
+                call_until(
+                    site, clock, clock.monotonic() + 3, entries=list(site.entry_by_name)
+                )
+            )
+            await clock.sleep(1)
+            left_at = clock.monotonic()
+            assert await site.agent_by_name["kamloops-service-0"].stop() == 0
+            outcomes = await calls
+            assert [o for o in outcomes if not o.is_whole] == []
+            late = left_at + NO_NEW_WORK_AFTER_S
+            assert await _executions_after(site, "kamloops-service-0", late) == []
+            assert await _executions_after(site, "kamloops-service-1", left_at)
+
+    asyncio.run(main())
+
+
+def test_listed_as_leaving_by_the_platform_only():
+    async def main():
+        clock = SystemClock()
+        async with Site(plan=_plan()) as site:
+            agent = site.agent_by_name["kamloops-service-0"]
+            await site.list_instance(
+                "kamloops-service-0", agent, "agent", "kamloops", state="leaving"
+            )
+            left_at = clock.monotonic()
+            until = left_at + NO_NEW_WORK_AFTER_S + 1
+            outcomes = await call_until(
+                site, clock, until, entries=list(site.entry_by_name)
+            )
+            assert [o for o in outcomes if not o.is_whole] == []
+            late = left_at + NO_NEW_WORK_AFTER_S
+            assert await _executions_after(site, "kamloops-service-0", late) == []
+
+    asyncio.run(main())
+
+
+def test_data_centre_out_while_only_one_entry_reaches_the_store():
+    async def main():
+        clock = SystemClock()
+        async with Site(plan=_plan()) as site:
+            await site.set_rules(
+                {"target": "platform", "flow": "cut"},
+                {
+                    "source": site.source_of("kelowna-entry-0"),
+                    "target": "platform",
+                    "flow": "pass",
+                },
+            )
+            # The watches that the cut ended must not be what spreads the change.
+            await clock.sleep(0.5)
+            text = CONFIGURATION + OUT.format(name="kamloops")
+            await site.repository.apply(text, author="operator")
+            out_at = clock.monotonic()
+            # kelowna's entry has its answer; then the store goes down for all.
+            await clock.sleep(0.5)
+            await site.control_platform("faults", {"is_down": True})
+            until = out_at + NO_NEW_WORK_AFTER_S + 1
+            outcomes = await call_until(
+                site, clock, until, entries=list(site.entry_by_name)
+            )
+            assert [o for o in outcomes if not o.is_whole] == []
+            late = out_at + NO_NEW_WORK_AFTER_S
+            for name in ("kamloops-service-0", "kamloops-service-1"):
+                assert await _executions_after(site, name, late) == []
+            assert await _executions_after(site, "kelowna-service-0", late)
+
+    asyncio.run(main())
+
+
+def test_entry_cut_off_from_platform_and_peers_stops_at_the_agents():
+    async def main():
+        clock = SystemClock()
+        async with Site(plan=_plan()) as site:
+            cut_off = site.source_of("kamloops-entry-0")
+            await site.set_rules(
+                {"source": cut_off, "target": "platform", "flow": "cut"},
+                {"source": cut_off, "target": "kamloops-entry", "flow": "cut"},
+                {"source": cut_off, "target": "kelowna-entry", "flow": "cut"},
+                {"target": "kamloops-entry-0/control", "flow": "cut"},
+            )
+            text = CONFIGURATION + OUT.format(name="kamloops")
+            await site.repository.apply(text, author="operator")
+            out_at = clock.monotonic()
+            until = out_at + NO_NEW_WORK_AFTER_S + 1
+            outcomes = await call_until(
+                site, clock, until, entries=["kamloops-entry-0"], rate_per_s=20
+            )
+            late = out_at + NO_NEW_WORK_AFTER_S
+            ran = 0
+            for name in ("kamloops-service-0", "kamloops-service-1"):
+                assert await _executions_after(site, name, late) == []
+                ran += len((await site.record(name))["executions"])
+            assert ran == len([o for o in outcomes if o.is_whole])
+            assert {o.ran for o in outcomes if not o.is_whole} <= {"no"}
+
+    asyncio.run(main())
