Add the load tool

Cause: nothing put a steady load on the system and judged each answer. Change: python -m magnoliagrade_standins load sends Poisson arrivals at a set rate (seeded; organisations and prompt heads by Zipf; streams, completions, orders, lookups), judges each answer (whole, own, in time) and, from the services' own records, each order (lost, doubled, run though refused). HDR histograms, JSON and a plot. run_load is a plain coroutine for trials.

--- a/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
@@ -1,12 +1,14 @@
 """Run one stand-in as a process: `python -m magnoliagrade_standins NAME`."""
 
 import asyncio
+import sys
 
 import fire
 from magnoliagrade.clock import SystemClock
 from magnoliagrade.node import announce_ready, run_until_signal, start_site
 
 from magnoliagrade_standins.engine import Engine, EngineProfile, make_engine_app
+from magnoliagrade_standins.load import load_command
 from magnoliagrade_standins.platform import (
     ListedInstances,
     MemoryStore,
@@ -44,6 +46,11 @@
 
         _serve(make, address)
 
+    def load(self, urls, records="", json_path="", plot_path="", **plan):
+        """Put a load on entries; further flags are fields of its plan."""
+        paths = {"json_path": json_path, "plot_path": plot_path}
+        sys.exit(load_command(urls, records=records, **paths, **plan))
+
     def proxy(self, address=LOOPBACK):
         """Serve a fault-injecting TCP proxy."""
         _serve(lambda: make_proxy_app(FaultProxy(clock=SystemClock())), address)
--- /dev/null
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/load/__init__.py
@@ -0,0 +1,32 @@
+"""Load tool: open-loop callers, a verdict on each answer, latency histograms."""
+
+from magnoliagrade_standins.load.arrivals import Arrival, make_arrivals
+from magnoliagrade_standins.load.caller import Outcome, send_arrival
+from magnoliagrade_standins.load.command import (
+    fetch_executions,
+    load_command,
+    print_progress,
+)
+from magnoliagrade_standins.load.plan import LoadPlan
+from magnoliagrade_standins.load.plot import plot_report
+from magnoliagrade_standins.load.report import LoadReport, summarise
+from magnoliagrade_standins.load.run import Progress, run_load
+from magnoliagrade_standins.load.verdicts import OrderVerdicts, judge_orders
+
+__all__ = [
+    "Arrival",
+    "LoadPlan",
+    "LoadReport",
+    "OrderVerdicts",
+    "Outcome",
+    "Progress",
+    "fetch_executions",
+    "judge_orders",
+    "load_command",
+    "make_arrivals",
+    "plot_report",
+    "print_progress",
+    "run_load",
+    "send_arrival",
+    "summarise",
+]
--- /dev/null
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/load/report.py
@@ -0,0 +1,183 @@
+"""The report of a load: counts, histograms, text and JSON."""
+
+from collections import Counter
+from dataclasses import asdict, dataclass, field
+
+from hdrh.histogram import HdrHistogram
+
+from magnoliagrade_standins.load.arrivals import Kind
+
+__all__ = ["LoadReport", "summarise"]
+
+HIGHEST_US = 600 * 1_000_000
+SIGNIFICANT_DIGITS = 3
+US_PER_S = 1_000_000
+PERCENTILES = (50, 95, 99)
+
+
+@dataclass(slots=True, kw_only=True)
+class LoadReport:
+    """Counts and latencies of a load.
+
+    Parameters
+    ----------
+    duration_s : float
+        Time during which requests arrived.
+    sent, whole, good, foreign : int
+        Requests sent; answered whole; answered whole, own and in time; with parts
+        of another request's answer.
+    good_tokens : int
+        Tokens of good answers.
+    count_by_code : dict of str to int
+        Refusals and broken answers by what the caller was told.
+    histogram_by_name : dict of str to HdrHistogram
+        `first token`, `between tokens` and `total` of whole answers, in
+        microseconds.
+    good_by_organisation : dict of str to tuple of int
+        Good answers and requests sent.
+    orders : OrderVerdicts or None
+        Verdicts on orders, if records were at hand.
+    """
+
+    duration_s: float
+    sent: int = 0
+    whole: int = 0
+    good: int = 0
+    foreign: int = 0
+    good_tokens: int = 0
+    count_by_code: dict = field(default_factory=dict)
+    histogram_by_name: dict = field(default_factory=dict)
+    good_by_organisation: dict = field(default_factory=dict)
+    orders: object = None
+
+    @property
+    def goodput_per_s(self):
+        """Good answers a second."""
+        return self.good / self.duration_s
+
+    def percentile_s(self, name, percentile):
+        """Return a percentile of a histogram in seconds; None if it is empty.
+
+        Parameters
+        ----------
+        name : str
+            Name of the histogram.
+        percentile : float
+            From 0 to 100.
+        """
+        histogram = self.histogram_by_name[name]
+        if not histogram.get_total_count():
+            return None
+        return histogram.get_value_at_percentile(percentile) / US_PER_S
+
+    def as_dict(self):
+        """Return the report ready for JSON."""
+        return {
+            "duration_s": self.duration_s,
+            "sent": self.sent,
+            "whole": self.whole,
+            "good": self.good,
+            "foreign": self.foreign,
+            "goodput_per_s": self.goodput_per_s,
+            "good_tokens_per_s": self.good_tokens / self.duration_s,
+            "count_by_code": self.count_by_code,
+            "latency_s": {
+                name: {str(p): self.percentile_s(name, p) for p in PERCENTILES}
+                for name in self.histogram_by_name
+            },
+            "good_by_organisation": self.good_by_organisation,
+            "orders": asdict(self.orders) if self.orders else None,
+        }
+
+    def as_text(self):
+        """Return the report for people."""
+        lines = [
+            f"requests sent      {self.sent} in {self.duration_s:g} s",
+            f"goodput            {self.goodput_per_s:.1f}/s whole, own and in time "
+            f"({_percent(self.good, self.sent)} of those sent), "
+            f"{self.good_tokens / self.duration_s:.0f} tokens/s",
+            f"foreign answers    {self.foreign}",
+        ]
+        lines += [self._latency_line(name) for name in self.histogram_by_name]
+        lines.append(f"refused or broken  {_counts(self.count_by_code)}")
+        if self.orders:
+            lines.append(_orders_line(self.orders))
+        return "\n".join(lines)
+
+    def _latency_line(self, name):
+        values = [self.percentile_s(name, p) for p in PERCENTILES]
+        shown = ["none" if v is None else f"{1000 * v:.1f} ms" for v in values]
+        marks = "/".join(str(p) for p in PERCENTILES)
+        return f"{name:<18} {' / '.join(shown)} at {marks} %"
+
+
+def summarise(outcomes, *, duration_s, orders=None):
+    """Return the report on outcomes.
+
+    Parameters
+    ----------
+    outcomes : list of Outcome
+        Outcomes of a load.
+    duration_s : float
+        Time during which requests arrived.
+    orders : OrderVerdicts, optional
+        Verdicts on orders.
+    """
+    report = LoadReport(
+        duration_s=duration_s,
+        sent=len(outcomes),
+        whole=sum(o.is_whole for o in outcomes),
+        good=sum(o.is_good for o in outcomes),
+        foreign=sum(not o.is_own for o in outcomes),
+        good_tokens=sum(o.tokens for o in outcomes if o.is_good),
+        count_by_code=dict(Counter(_code(o) for o in outcomes if not o.is_good)),
+        good_by_organisation=_by_organisation(outcomes),
+        orders=orders,
+    )
+    whole = [o for o in outcomes if o.is_whole]
+    streams = [o for o in whole if o.arrival.kind is Kind.STREAM]
+    report.histogram_by_name = {
+        "first token": _histogram(o.first_token_s for o in streams),
+        "between tokens": _histogram(gap for o in streams for gap in o.gaps_s),
+        "total": _histogram(o.total_s for o in whole),
+    }
+    return report
+
+
+def _code(outcome):
+    if outcome.code:
+        return outcome.code
+    if not outcome.is_own:
+        return "foreign"
+    return "late" if outcome.is_whole else "cut-short"
+
+
+def _by_organisation(outcomes):
+    sent = Counter(o.arrival.organisation for o in outcomes)
+    good = Counter(o.arrival.organisation for o in outcomes if o.is_good)
+    return {name: (good[name], count) for name, count in sorted(sent.items())}
+
+
+def _histogram(values_s):
+    histogram = HdrHistogram(1, HIGHEST_US, SIGNIFICANT_DIGITS)
+    for value in values_s:
+        histogram.record_value(max(1, round(value * US_PER_S)))
+    return histogram
+
+
+def _percent(part, whole):
+    return f"{100 * part / whole:.1f} %" if whole else "none"
+
+
+def _counts(count_by_code):
+    shown = [f"{code} {count}" for code, count in sorted(count_by_code.items())]
+    return ", ".join(shown) or "none"
+
+
+def _orders_line(orders):
+    return (
+        f"orders             {orders.orders} sent, {orders.executed} executed, "
+        f"{len(orders.lost)} lost, {len(orders.doubled)} doubled, "
+        f"{len(orders.ran_though_refused)} run though refused, "
+        f"{orders.unknown} left unknown"
+    )
--- /dev/null
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/load/run.py
@@ -0,0 +1,110 @@
+"""Running a load: requests go out when they are due, whatever the answers do."""
+
+import asyncio
+from dataclasses import dataclass
+
+import aiohttp
+from magnoliagrade.clock import SystemClock
+
+from magnoliagrade_standins.load.arrivals import make_arrivals
+from magnoliagrade_standins.load.caller import send_arrival
+
+__all__ = ["Progress", "run_load"]
+
+PROGRESS_INTERVAL_S = 1.0
+
+
+@dataclass(slots=True, kw_only=True)
+class Progress:
+    """How far a running load is.
+
+    Parameters
+    ----------
+    elapsed_s : float
+        Time since its start.
+    sent, good, refused, failed : int
+        Requests sent; answered whole, own and in time; refused with a code;
+        anything else.
+    """
+
+    elapsed_s: float = 0.0
+    sent: int = 0
+    good: int = 0
+    refused: int = 0
+    failed: int = 0
+
+    @property
+    def in_flight(self):
+        """Requests without an outcome."""
+        return self.sent - self.good - self.refused - self.failed
+
+    def note(self, outcome):
+        """Count an outcome."""
+        if outcome.is_good:
+            self.good += 1
+        elif outcome.status > 200:
+            self.refused += 1
+        else:
+            self.failed += 1
+
+
+async def run_load(plan, *, on_progress=None, clock=None, session=None):
+    """Send a plan's load and return the outcome of every arrival.
+
+    Parameters
+    ----------
+    plan : LoadPlan
+        What to send.
+    on_progress : callable, optional
+        Called with a `Progress` each second and at the end.
+    clock : Clock, optional
+        Source of time; the system's by default.
+    session : aiohttp.ClientSession, optional
+        Session to use; a new one without a limit on connections by default.
+
+    Returns
+    -------
+    outcomes : list of Outcome
+        In order of arrival.
+    """
+    clock = clock or SystemClock()
+    if session is None:
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(connector=connector) as own:
+            return await _run(plan, on_progress, clock, own)
+    return await _run(plan, on_progress, clock, session)
+
+
+async def _run(plan, on_progress, clock, session):
+    progress = Progress()
+    start = clock.monotonic()
+    tasks = []
+    async with asyncio.TaskGroup() as group:
+        reporter = group.create_task(_report(progress, on_progress, clock, start))
+        for arrival in make_arrivals(plan):
+            due = start + arrival.at_s
+            await clock.sleep(max(0.0, due - clock.monotonic()))
+            progress.sent += 1
+            sending = _send(arrival, plan, session, clock, due, progress)
+            tasks.append(group.create_task(sending))
+        await asyncio.gather(*tasks)
+        reporter.cancel()
+    if on_progress:
+        progress.elapsed_s = clock.monotonic() - start
+        on_progress(progress)
+    return [task.result() for task in tasks]
+
+
+async def _send(arrival, plan, session, clock, due, progress):
+    outcome = await send_arrival(
+        arrival, plan=plan, session=session, clock=clock, due=due
+    )
+    progress.note(outcome)
+    return outcome
+
+
+async def _report(progress, on_progress, clock, start):
+    while on_progress:
+        await clock.sleep(PROGRESS_INTERVAL_S)
+        progress.elapsed_s = clock.monotonic() - start
+        on_progress(progress)
