--- a/packages/magnoliagrade-standins/magnoliagrade_standins/harness/processes.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/harness/processes.py
@@ -64,6 +64,8 @@
             stdout=asyncio.subprocess.PIPE,
             stderr=self._log,
             env={**os.environ, **self.environ},
+            # Ctrl-C reaches only the starter, which stops the others in order.
+            start_new_session=True,
         )
         try:
             async with asyncio.timeout(READY_TIMEOUT_S):
