--- a/packages/magnoliagrade-agent/magnoliagrade_agent/load_watch.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/load_watch.py
@@ -124,7 +124,9 @@
 
 
 def send_grants(node):
-    """Grant what is free to the entries that ask for it."""
+    """Grant what is free to the entries that ask for it, unless leaving."""
+    if node.reason_to_refuse():
+        return
     for grant in node.credits.distribute():
         link = node.links.by_instance.get(grant.entry)
         if link is None:
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/routing/data_centres.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/data_centres.py
@@ -5,7 +5,7 @@
 __all__ = ["RemoteOffers"]
 
 HOP_S = 0.005
-SUMMARY_MAX_AGE_S = 5.0
+SUMMARY_MAX_AGE_S = 6.0
 WAIT_MARGIN_S = 0.05
 WAIT_RATIO = 1.25
 
