--- a/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/credits.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/credits.py
@@ -17,6 +17,7 @@
 CONFIRM_S = 0.1
 PACE_POLL_S = 0.005
 PACE_LIMIT_S = 1.0
+FRESH_S = 2.0
 REFUSED_RETRY_S = 1.0
 BREAKING_KINDS = (
     ErrorKind.ANSWER_BROKEN,
@@ -63,6 +64,7 @@
         "_followed",
         "_has_reports",
         "_is_known",
+        "_reported_at",
         "_started_at",
         "continuity",
         "grants",
@@ -78,6 +80,7 @@
         self._has_reports = has_reports
         self._is_known = not has_reports
         self._started_at = clock.monotonic()
+        self._reported_at = float("-inf")
         self._followed = {}
         self.in_flight = 0.0
         self.continuity = BootContinuity(has_reports=has_reports)
@@ -99,6 +102,11 @@
             return self.limit_policy.limit
         return min(self.limit_policy.limit, self.limit_policy.cold_limit)
 
+    @property
+    def known_limit(self):
+        """Return what the endpoint bears once its boot is proven, for entries."""
+        return self.limit_policy.limit if self._is_known else 0.0
+
     @property
     def held(self):
         """Return the cost in flight and the residue."""
@@ -120,8 +128,12 @@
     def distribute(self):
         """Grant what is free to entries that ask; return the new grants."""
         self.residue.lapse()
-        is_idle = not self.held and not self.grants.reserved and self.limit > 0
-        return self.grants.distribute(self.free, is_idle=is_idle)
+        if not self._is_known:
+            return []
+        self.grants.drop_beyond(self.limit_policy.limit)
+        is_idle = not self.held and not self.grants.reserved
+        lone_limit = self._lone_limit() if is_idle else 0.0
+        return self.grants.distribute(self.free, lone_limit=lone_limit)
 
     async def admit(self, request, *, entry):
         """Take a request into flight, or refuse it.
@@ -145,9 +157,9 @@
 
         Notes
         -----
-        A request that costs more than the whole limit runs alone. The wait for the
-        endpoint to begin its answers to others is a matter of milliseconds and
-        ends after a second.
+        A request between the cold limit and the warm one runs alone while the boot
+        is not proven. The wait for the endpoint to begin its answers to others takes
+        milliseconds and ends after a second.
         """
         waits_until = self._clock.monotonic() + PACE_LIMIT_S
         while True:
@@ -197,6 +209,7 @@
         """
         now = self._clock.monotonic()
         snapshot_at = asked_at - report.age_s
+        self._reported_at = snapshot_at
         if self.continuity.on_report(report.boot_id, snapshot_at=snapshot_at):
             self.drop_to_cold("boot-changed")
         if not self._is_known and snapshot_at >= self._started_at:
@@ -223,7 +236,7 @@
     def _check_room(self, request, entry):
         if not self._is_known:
             self._refuse("unknown", "the endpoint's load is not known yet")
-        if not self.held and request.cost > self.limit:
+        if not self.held and self.limit < request.cost <= self._lone_limit():
             return
         own = min(request.cost, self.grants.reserved_for(entry))
         others = self.grants.reserved - own if own < request.cost else 0.0
@@ -232,6 +245,12 @@
             detail = f"cost {request.cost} would make {would_be} of {self.limit}"
             self._refuse("limit", detail)
 
+    def _lone_limit(self):
+        is_fresh = self._clock.monotonic() - self._reported_at <= FRESH_S
+        if self._has_reports and not is_fresh:
+            return self.limit
+        return self.limit_policy.limit
+
     def _refuse(self, reason, detail):
         REFUSALS.labels(reason).inc()
         raise MagnoliagradeError(ErrorKind.NOT_RUN, detail, retry_after=REFUSED_RETRY_S)
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/evidence.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/evidence.py
@@ -4,7 +4,8 @@
 
 __all__ = ["EvidenceLimit", "LatencyTrend"]
 
-TOKENS_PER_UNIT = 4.0
+TOKENS_PER_UNIT = 1.5
+MIN_GROWTH_SCALE = 0.125
 GROWTH_RATIO = 1.6
 SHRINK_RATIO = 2.5
 SHRINK_FACTOR = 0.7
@@ -84,9 +85,12 @@
     -----
     Growth is linear in the tokens that an endpoint has generated while its limit
     was in use: `tokens_to_full` of them lead from the cold to the full limit. A
-    pool sets it by `option.limit.tokens_to_full`; by default it is four times the
-    distance between the two. Latency per token beyond 2.5 times its own trend
-    shrinks the limit by a factor of 0.7, once a second at most; a first token
+    pool sets it by `option.limit.tokens_to_full`; by default it is 1.5 times the
+    distance between the two. An endpoint that turns cold above its cold limit may
+    have been given too much: it grows half as fast afterwards, down to an eighth,
+    and twice as fast again each time it has reached the full limit. Latency per
+    token beyond 2.5 times its own trend shrinks the limit by a factor of 0.7, once
+    a second at most; a first token
     eight times off its trend three times in a row means a cold endpoint.
     """
 
@@ -95,6 +99,7 @@
         "_first_byte",
         "_full_limit",
         "_growth",
+        "_growth_scale",
         "_shrunk_at",
         "_token",
         "cold_limit",
@@ -106,6 +111,7 @@
         self.limit = 1.0
         self._full_limit = 1.0
         self._growth = 1.0 / TOKENS_PER_UNIT
+        self._growth_scale = 1.0
         self._first_byte = LatencyTrend()
         self._token = LatencyTrend()
         self._far_off = 0
@@ -124,6 +130,8 @@
 
     def on_cold(self):
         """Drop to the cold limit at once."""
+        if self.limit > self.cold_limit:
+            self._growth_scale = max(MIN_GROWTH_SCALE, 0.5 * self._growth_scale)
         self.limit = self.cold_limit
         self._far_off = 0
         self._first_byte.forget_recent()
@@ -152,7 +160,10 @@
     def _grow(self, tokens):
         if self.limit >= self._full_limit:
             return ""
-        self.limit = min(self._full_limit, self.limit + self._growth * tokens)
+        growth = self._growth * self._growth_scale
+        self.limit = min(self._full_limit, self.limit + growth * tokens)
+        if self.limit == self._full_limit:
+            self._growth_scale = min(1.0, 2 * self._growth_scale)
         return "evidence"
 
     def _shrink(self, at):
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/grants.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/grants.py
@@ -118,16 +118,16 @@
         self._grants.clear()
         self._reserved_by_entry.clear()
 
-    def distribute(self, free, *, is_idle=False):
+    def distribute(self, free, *, lone_limit=0.0):
         """Grant asks in turn for as long as they fit.
 
         Parameters
         ----------
         free : float
             Cost that is neither in flight nor reserved.
-        is_idle : bool
-            Whether the endpoint has nothing to do; an ask beyond its limit is
-            granted alone then.
+        lone_limit : float
+            Cost that one request may have that runs alone; 0 if the endpoint has
+            anything else to do.
 
         Returns
         -------
@@ -137,8 +137,8 @@
         granted = []
         while self._asks_by_entry:
             entry, asks = next(iter(self._asks_by_entry.items()))
-            fits = asks[0] <= free or (is_idle and not granted and free > 0)
-            if not fits:
+            is_alone = asks[0] <= lone_limit and not granted
+            if asks[0] > free and not is_alone:
                 break
             amount = asks.popleft()
             free -= amount
@@ -147,6 +147,15 @@
             self._drop_if_empty(entry)
         return granted
 
+    def drop_beyond(self, limit):
+        """Drop asks that exceed a limit; entries ask elsewhere when they learn it."""
+        for entry, asks in list(self._asks_by_entry.items()):
+            if max(asks) > limit:
+                kept = [a for a in asks if a <= limit]
+                asks.clear()
+                asks.extend(kept)
+                self._drop_if_empty(entry)
+
     def _reserve(self, entry, amount):
         until = self._clock.monotonic() + CREDIT_LEASE_S
         self._grants.append(Grant(entry=entry, amount=amount, until=until))
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/tests/test_credits.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/tests/test_credits.py
@@ -177,3 +177,29 @@
         assert book.limit == 2 and book.held == 0
 
     asyncio.run(main())
+
+
+def test_request_beyond_the_cold_limit_runs_alone_on_a_warm_endpoint_only():
+    async def main():
+        clock = ManualClock(start=100.0)
+        book = _book(clock)
+        assert await _is_refused(book, cost=700)
+        book.limit_policy.limit = 6000.0
+        await clock.advance(3.0)
+        # The newest report is too old to rely on.
+        assert await _is_refused(book, cost=700)
+        _report(book, clock)
+        await book.admit(_request(700), entry="e")
+        assert await _is_refused(book, cost=100)
+
+    asyncio.run(main())
+
+
+def test_ask_beyond_the_limit_does_not_hold_others_back():
+    async def main():
+        book = _book(ManualClock(start=100.0))
+        book.grants.ask("a", 700)
+        book.grants.ask("b", 200)
+        assert [(g.entry, g.amount) for g in book.distribute()] == [("b", 200)]
+
+    asyncio.run(main())
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/load_watch.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/load_watch.py
@@ -65,7 +65,7 @@
             tokens_in_flight=report.tokens_in_flight,
             cache_used=report.cache_used,
             age_seconds=report.age_s,
-            limit=credits.limit,
+            limit=credits.known_limit,
             held=credits.held + credits.grants.reserved,
             asked=credits.grants.asked,
         )
@@ -136,7 +136,7 @@
                 amount=grant.amount,
                 lease_seconds=CREDIT_LEASE_S,
                 engine_boot=node.load_watch.report.boot_id,
-                limit=node.credits.limit,
+                limit=node.credits.known_limit,
                 held=node.credits.held + node.credits.grants.reserved,
             )
         )
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/routing/estimates.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/estimates.py
@@ -1,10 +1,11 @@
 """Estimates of how fast a pool serves this entry's requests."""
 
+import statistics
+
 __all__ = ["ServiceEstimate"]
 
 RATE_INTERVAL_S = 0.25
 RATE_WEIGHT = 0.25
-CAUTION = 0.7
 
 
 class ServiceEstimate:
@@ -18,9 +19,7 @@
     Notes
     -----
     The rate counts only intervals in which requests waited; otherwise it would
-    show what was asked for and not what could be had. Refusals on account of a
-    deadline take 0.7 of the estimated time of an answer, so that a request is
-    tried rather than refused when the estimate is in doubt.
+    show what was asked for and not what could be had.
 
     Examples
     --------
@@ -50,9 +49,10 @@
         self._placed += cost
 
     def take_token_times(self, contacts):
-        """Take the best time for each token that endpoints of the pool show."""
+        """Take the median time for each token that endpoints of the pool show."""
         times = [c.health.token_s for c in contacts if c.health.samples]
-        self._token_s = min(times, default=self._token_s)
+        if times:
+            self._token_s = statistics.median_low(times)
 
     def tick(self, *, has_waiting):
         """End the interval if its time has come.
@@ -79,5 +79,5 @@
         return cost / self.rate if self.rate else 0.0
 
     def service_s(self, request):
-        """Return the time that an answer takes at the least."""
-        return CAUTION * self._token_s * max(1, request.output_tokens)
+        """Return the time that an answer takes once it is placed."""
+        return self._token_s * max(1, request.output_tokens)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/routing/pool_queue.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/pool_queue.py
@@ -86,16 +86,16 @@
 
         Notes
         -----
-        A flow with little backlog overtakes others, but gets no more than its
-        share of the weights while they wait.
+        A flow gets its share of the weights while others wait. The wait for all
+        that is queued would be too low for a large flow, since what smaller ones
+        send later still goes before it.
         """
         if not self._fair.count:
             return 0.0
         is_new = not self._fair.flow_count(organisation)
         weights = self._fair.weight + (weight if is_new else 0.0)
         own = self._fair.flow_cost(organisation) + cost
-        by_share = self.estimate.wait_s(own * weights / weight)
-        return min(by_share, self.estimate.wait_s(self._fair.cost + cost))
+        return self.estimate.wait_s(own * weights / weight)
 
     def enter(self, request, *, weight, excluded):
         """Let a request wait, or refuse it at once.
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/routing/router.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/router.py
@@ -117,6 +117,12 @@
             credit would be too long.
         """
         pool = self._pool_of(request)
+        if request.cost > pool.full_limit:
+            detail = (
+                f"cost {request.cost} exceeds the full_limit {pool.full_limit} of "
+                f"pool {pool.name!r}"
+            )
+            raise MagnoliagradeError(ErrorKind.TOO_LARGE, detail)
         queue = self._queue_of(pool)
         excluded = frozenset(excluded)
         candidates = self._candidates(pool, excluded)
@@ -245,7 +251,9 @@
                 has_better = any(
                     c.room >= ticket.request.cost for c in eligible if c is not contact
                 )
-                if contact not in eligible or (is_late and has_better):
+                is_beyond = ticket.request.cost > contact.limit
+                is_lost = is_beyond or contact not in eligible
+                if is_lost or (is_late and has_better):
                     self.queue_by_pool[pool.name].unbind(ticket)
 
     def _spill(self, pool, queue):
@@ -281,9 +289,7 @@
 
 def _may_ask(contact, ticket):
     # Asking for more than the whole limit would only move the queue to the agent.
-    return not contact.asked_cost or (
-        contact.asked_cost + ticket.request.cost <= contact.limit
-    )
+    return contact.asked_cost + ticket.request.cost <= contact.limit
 
 
 def _log_ejection(contact, reason):
