Add the benchmark of added latency and throughput

Cause: nothing said what the product itself costs. Change: python -m magnoliagrade_standins bench times calls and streams through entry and agent against the back end alone, interleaved in random order, and requests a second with processor time for one entry and one agent. Conclusion: the baseline for work on the hot path.

--- a/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
@@ -7,6 +7,7 @@
 from magnoliagrade.clock import SystemClock
 from magnoliagrade.node import announce_ready, run_until_signal, start_site
 
+from magnoliagrade_standins.bench import bench_command
 from magnoliagrade_standins.demo import demo_command
 from magnoliagrade_standins.engine import Engine, EngineProfile, make_engine_app
 from magnoliagrade_standins.load import load_command
@@ -35,6 +36,10 @@
 
         _serve(make, address)
 
+    def bench(self, **options):
+        """Measure the added latency and the throughput of entry and agent."""
+        bench_command(**options)
+
     def demo(self, hold=False, **sizes):
         """Run the main job: a site, a load, a report; Ctrl-C stops it."""
         sys.exit(demo_command(hold=hold, **sizes))
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/harness/site.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/harness/site.py
@@ -40,6 +40,8 @@
         INI text of the operators' configuration.
     engine_options : dict
         Fields of the engines' profile.
+    service_options : dict
+        Flags of the plain services.
     entry_settings : dict of str to dict
         Additions to the entries' settings, by section.
     agent_settings : dict of str to dict
@@ -57,6 +59,7 @@
     services_by_data_centre: dict = field(default_factory=dict)
     configuration: str = CONFIGURATION
     engine_options: dict = field(default_factory=dict)
+    service_options: dict = field(default_factory=dict)
     entry_settings: dict = field(default_factory=dict)
     agent_settings: dict = field(default_factory=dict)
     agent_settings_by_name: dict = field(default_factory=dict)
@@ -212,7 +215,7 @@
         for data_centre, count in self.plan.services_by_data_centre.items():
             for i in range(count):
                 name = f"{data_centre}-service-{i}"
-                command = standin_command("service")
+                command = standin_command("service", **self.plan.service_options)
                 yield self._start_endpoint(name, data_centre, "service", command)
 
     async def _start_endpoint(self, name, data_centre, work, command):
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/load/report.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/load/report.py
@@ -3,17 +3,15 @@
 from collections import Counter
 from dataclasses import asdict, dataclass, field
 
-from hdrh.histogram import HdrHistogram
-
 from magnoliagrade_standins.load.arrivals import Kind
+from magnoliagrade_standins.load.histograms import (
+    PERCENTILES,
+    make_histogram,
+    percentile_s,
+)
 
 __all__ = ["LoadReport", "summarise"]
 
-HIGHEST_US = 600 * 1_000_000
-SIGNIFICANT_DIGITS = 3
-US_PER_S = 1_000_000
-PERCENTILES = (50, 95, 99)
-
 
 @dataclass(slots=True, kw_only=True)
 class LoadReport:
@@ -65,10 +63,7 @@
         percentile : float
             From 0 to 100.
         """
-        histogram = self.histogram_by_name[name]
-        if not histogram.get_total_count():
-            return None
-        return histogram.get_value_at_percentile(percentile) / US_PER_S
+        return percentile_s(self.histogram_by_name[name], percentile)
 
     def as_dict(self):
         """Return the report ready for JSON."""
@@ -137,9 +132,9 @@
     whole = [o for o in outcomes if o.is_whole]
     streams = [o for o in whole if o.arrival.kind is Kind.STREAM]
     report.histogram_by_name = {
-        "first token": _histogram(o.first_token_s for o in streams),
-        "between tokens": _histogram(gap for o in streams for gap in o.gaps_s),
-        "total": _histogram(o.total_s for o in whole),
+        "first token": make_histogram(o.first_token_s for o in streams),
+        "between tokens": make_histogram(gap for o in streams for gap in o.gaps_s),
+        "total": make_histogram(o.total_s for o in whole),
     }
     return report
 
@@ -158,13 +153,6 @@
     return {name: (good[name], count) for name, count in sorted(sent.items())}
 
 
-def _histogram(values_s):
-    histogram = HdrHistogram(1, HIGHEST_US, SIGNIFICANT_DIGITS)
-    for value in values_s:
-        histogram.record_value(max(1, round(value * US_PER_S)))
-    return histogram
-
-
 def _percent(part, whole):
     return f"{100 * part / whole:.1f} %" if whole else "none"
 
