Ask for a newer configuration as soon as a link is up

Cause: a process compared revisions only on messages after the hello, so an agent that linked to an entry with a configuration stayed without limits until the next heartbeat, up to 1 s, and refused nearly everything as not run. Ruled out: the limit itself (4096 calls) and retries. Change: the revision that the hello carries is compared once the link is up. The test fails without the change (asked == []) and passes with it.

--- a/packages/magnoliagrade/magnoliagrade/node/links.py
+++ b/packages/magnoliagrade/magnoliagrade/node/links.py
@@ -119,11 +119,12 @@
     log_event(_log, "link.up", peer=link.peer_instance, role=link.hello.role)
     try:
         node.on_link_up(link)
+        # The hello that came before may tell of a newer configuration.
+        _note_revision(node, link)
         while True:
             message = await link.receive()
             node.links.note_heard(link)
-            if link.peer_revision > node.configuration.revision:
-                node.on_peer_ahead(link)
+            _note_revision(node, link)
             await handlers.handle(node, link, message)
     finally:
         node.links.remove(link)
@@ -154,3 +155,8 @@
             if not link.take_has_sent():
                 link.send(Heartbeat(echo_sequence=link.last_sequence_in))
                 link.take_has_sent()
+
+
+def _note_revision(node, link):
+    if link.peer_revision > node.configuration.revision:
+        node.on_peer_ahead(link)
--- a/packages/magnoliagrade/magnoliagrade/node/tests/test_links.py
+++ b/packages/magnoliagrade/magnoliagrade/node/tests/test_links.py
@@ -1,5 +1,8 @@
+import asyncio
+
 from magnoliagrade.clock import ManualClock
-from magnoliagrade.node import LinkBook
+from magnoliagrade.node import ConfigurationState, HandlerTable, LinkBook, run_link
+from magnoliagrade.wire import Hello
 
 
 class FakeLink:
@@ -43,3 +46,38 @@
     book.add(FakeLink(is_dialled=True))
     clock._time += 4.0
     assert book.add(FakeLink(is_dialled=False))
+
+
+class SilentLink(FakeLink):
+    hello = Hello(role="entry")
+    peer_revision = 7
+
+    async def receive(self):
+        raise ConnectionResetError
+
+
+class NodeBehind:
+    def __init__(self):
+        clock = ManualClock()
+        self.links = LinkBook(clock=clock, own_name="a")
+        self.configuration = ConfigurationState(clock=clock)
+        self.asked = []
+
+    def on_peer_ahead(self, link):
+        self.asked.append(link.peer_revision)
+
+    def on_link_up(self, link):
+        assert not self.asked
+
+    def on_link_down(self, link):
+        pass
+
+
+def test_hello_of_a_peer_that_is_ahead_is_enough_to_ask():
+    node = NodeBehind()
+    link = SilentLink(is_dialled=True)
+    try:
+        asyncio.run(run_link(node, link, HandlerTable()))
+    except ConnectionResetError:
+        pass
+    assert node.asked == [7]
