Carry request fields in a header as plain JSON

Cause: profile of the entry under load: quoting the JSON of the internal header took 36 us of about 430 us a request, unquoting in the agent 43 us of 370 us. JSON escapes every control character except DEL, which is escaped here, so a header can carry it as it is.

--- a/packages/magnoliagrade/magnoliagrade/http/headers.py
+++ b/packages/magnoliagrade/magnoliagrade/http/headers.py
@@ -1,7 +1,6 @@
 """Headers of requests between own processes, and which headers travel on."""
 
 import json
-from urllib.parse import quote, unquote
 
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
 from magnoliagrade.world import Request
@@ -108,7 +107,7 @@
     header_by_name = dict(request.header_by_name)
     header_by_name[ATTEMPT] = attempt
     header_by_name[ENTRY] = entry
-    header_by_name[_REQUEST] = quote(json.dumps(carried, separators=(",", ":")))
+    header_by_name[_REQUEST] = _as_header(carried)
     return header_by_name
 
 
@@ -139,7 +138,7 @@
         `INVALID_REQUEST` if the internal headers are missing or malformed.
     """
     try:
-        carried = json.loads(unquote(headers[_REQUEST]))
+        carried = json.loads(headers[_REQUEST])
         return Request(
             id=carried["id"],
             organisation=carried["organisation"],
@@ -162,3 +161,8 @@
     except (KeyError, ValueError, TypeError) as exc:
         detail = f"internal request headers cannot be read: {exc!r}"
         raise MagnoliagradeError(ErrorKind.INVALID_REQUEST, detail) from exc
+
+
+def _as_header(carried):
+    # JSON escapes all control characters but one that headers forbid as well.
+    return json.dumps(carried, separators=(",", ":")).replace("\x7f", "\\u007f")
