Leave the work of recording out where a trace is not recorded

Cause: profile under load: starting spans that the sampler then refuses took 45 us of 430 us in the entry and 40 us of 370 us in the agent (with the profiler's own cost). Change: HopTracer hands on the context of an unrecorded trace without building spans; a request of no trace gets an unrecorded context, so that later hops follow. Tests run each case in a process of its own.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/door.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/door.py
@@ -7,7 +7,12 @@
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
 from magnoliagrade.http import AnswerSink, error_response, read_request_headers
 from magnoliagrade.http import headers as names
-from magnoliagrade.observability import extract_context, inject_context, log_event
+from magnoliagrade.observability import (
+    extract_context,
+    get_tracer,
+    inject_context,
+    log_event,
+)
 from opentelemetry import trace
 from prometheus_client import Counter
 
@@ -17,7 +22,7 @@
 REQUESTS = Counter(
     "magnoliagrade_agent_requests_total", "Requests from entries by result", ["result"]
 )
-_tracer = trace.get_tracer(__name__)
+_tracer = get_tracer(__name__)
 _log = logging.getLogger(__name__)
 
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/doors.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/doors.py
@@ -8,7 +8,7 @@
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
 from magnoliagrade.http import AnswerSink, error_response, read_request_headers
 from magnoliagrade.http import headers as names
-from magnoliagrade.observability import extract_context, log_event
+from magnoliagrade.observability import extract_context, get_tracer, log_event
 from opentelemetry import trace
 from prometheus_client import Counter, Histogram
 
@@ -26,7 +26,7 @@
     "Time from arrival to the end of the answer",
     ["door"],
 )
-_tracer = trace.get_tracer(__name__)
+_tracer = get_tracer(__name__)
 _log = logging.getLogger(__name__)
 
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/requests/attempt.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/requests/attempt.py
@@ -7,14 +7,13 @@
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError, Ran
 from magnoliagrade.http import headers as names
 from magnoliagrade.http import write_request_headers
-from magnoliagrade.observability import inject_context
-from opentelemetry import trace
+from magnoliagrade.observability import get_tracer, inject_context
 
 __all__ = ["AttemptFailed", "run_attempt"]
 
 READ_BYTES = 64 * 1024
 STREAM_END = b"data: [DONE]"
-_tracer = trace.get_tracer(__name__)
+_tracer = get_tracer(__name__)
 _log = logging.getLogger(__name__)
 
 
--- a/packages/magnoliagrade/magnoliagrade/observability/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/observability/__init__.py
@@ -5,6 +5,7 @@
 from magnoliagrade.observability.traces import (
     configure_tracing,
     extract_context,
+    get_tracer,
     inject_context,
 )
 
@@ -12,6 +13,7 @@
     "configure_logging",
     "configure_tracing",
     "extract_context",
+    "get_tracer",
     "inject_context",
     "log_event",
     "serve_metrics_text",
--- /dev/null
+++ b/packages/magnoliagrade/magnoliagrade/observability/tests/test_traces.py
@@ -0,0 +1,58 @@
+import io
+import json
+import subprocess
+import sys
+
+CALLER = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-{flags}"
+# The tracer provider is one per process, so each case runs in its own.
+SCRIPT = """
+import sys
+from magnoliagrade.observability import (
+    configure_tracing, extract_context, get_tracer, inject_context
+)
+provider = configure_tracing(instance="i", sampling=float(sys.argv[1]))
+headers = {"traceparent": sys.argv[2]} if sys.argv[2] else {}
+tracer = get_tracer("t")
+with tracer.start_as_current_span("outer", context=extract_context(headers)):
+    with tracer.start_as_current_span("inner"):
+        onward = {}
+        inject_context(onward)
+provider.shutdown()
+print(onward["traceparent"])
+"""
+
+
+def _trace(sampling, traceparent=""):
+    done = subprocess.run(
+        [sys.executable, "-c", SCRIPT, str(sampling), traceparent],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    spans = [json.loads(line)["span"] for line in io.StringIO(done.stderr)]
+    return {s["name"]: s for s in spans}, done.stdout.strip()
+
+
+def _is_recorded(traceparent):
+    return bool(int(traceparent.rpartition("-")[2], 16) & 1)
+
+
+def test_caller_that_records_is_followed_whatever_the_sampling():
+    spans, onward = _trace(0, CALLER.format(flags="01"))
+    assert spans["outer"]["parent_id"] == "0x00f067aa0ba902b7"
+    assert spans["inner"]["parent_id"] == spans["outer"]["context"]["span_id"]
+    inner_id = spans["inner"]["context"]["span_id"].removeprefix("0x")
+    assert onward == f"00-4bf92f3577b34da6a3ce929d0e0e4736-{inner_id}-01"
+
+
+def test_caller_that_does_not_record_is_followed_too():
+    spans, onward = _trace(1, CALLER.format(flags="00"))
+    assert spans == {}
+    assert onward == CALLER.format(flags="00")
+
+
+def test_new_trace_is_recorded_by_sampling_alone():
+    spans, onward = _trace(1)
+    assert set(spans) == {"outer", "inner"} and _is_recorded(onward)
+    spans, onward = _trace(0)
+    assert spans == {} and not _is_recorded(onward)
--- a/packages/magnoliagrade/magnoliagrade/observability/traces.py
+++ b/packages/magnoliagrade/magnoliagrade/observability/traces.py
@@ -1,6 +1,8 @@
 """Traces with a span for each hop, exported by OTLP or as JSON lines."""
 
+import contextlib
 import json
+import secrets
 import sys
 
 from opentelemetry import trace
@@ -11,11 +13,80 @@
 from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
 from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
 
-__all__ = ["configure_tracing", "extract_context", "inject_context"]
+__all__ = [
+    "HopTracer",
+    "configure_tracing",
+    "extract_context",
+    "get_tracer",
+    "inject_context",
+]
 
+TRACEPARENT = "traceparent"
 _PROPAGATOR = TraceContextTextMapPropagator()
 
 
+class HopTracer:
+    """Tracer that leaves the work of recording out where a trace is not recorded.
+
+    Parameters
+    ----------
+    name : str
+        Name of the module that traces.
+
+    Notes
+    -----
+    The library builds each span in full before its sampler refuses it. Most
+    requests are not recorded, so their hops only hand on the context.
+    """
+
+    __slots__ = ("_tracer",)
+
+    # Whether this process records any trace that no caller began.
+    records_new_traces = False
+
+    def __init__(self, *, name):
+        self._tracer = trace.get_tracer(name)
+
+    def start_as_current_span(
+        self, name, *, context=None, kind=trace.SpanKind.INTERNAL, attributes=None
+    ):
+        """Return a context manager in which a span is current.
+
+        Parameters
+        ----------
+        name : str
+            Name of the span.
+        context : opentelemetry.context.Context, optional
+            Holds the parent; the current context by default.
+        kind : SpanKind
+            Role of the hop.
+        attributes : dict, optional
+            Attributes of the span.
+        """
+        parent = trace.get_current_span(context)
+        parent_context = parent.get_span_context()
+        if not parent_context.is_valid and not HopTracer.records_new_traces:
+            return trace.use_span(_new_unrecorded_span())
+        if not parent_context.is_valid or parent_context.trace_flags.sampled:
+            return self._tracer.start_as_current_span(
+                name, context=context, kind=kind, attributes=attributes
+            )
+        if context is None:
+            return contextlib.nullcontext(parent)
+        return trace.use_span(parent)
+
+
+def get_tracer(name):
+    """Return the tracer of a module.
+
+    Parameters
+    ----------
+    name : str
+        Name of the module.
+    """
+    return HopTracer(name=name)
+
+
 def configure_tracing(*, instance, otlp_url="", sampling=0.0, stream=None):
     """Set up the process's tracer.
 
@@ -49,12 +120,15 @@
         )
     provider.add_span_processor(BatchSpanProcessor(exporter))
     trace.set_tracer_provider(provider)
+    HopTracer.records_new_traces = sampling > 0
     return provider
 
 
 def extract_context(headers):
-    """Return the trace context of incoming headers."""
-    return _PROPAGATOR.extract(carrier=dict(headers))
+    """Return the trace context of incoming headers, or None if they have none."""
+    if TRACEPARENT not in headers:
+        return None
+    return _PROPAGATOR.extract(carrier={k.lower(): v for k, v in headers.items()})
 
 
 def inject_context(headers, context=None):
@@ -62,5 +136,14 @@
     _PROPAGATOR.inject(carrier=headers, context=context)
 
 
+def _new_unrecorded_span():
+    context = trace.SpanContext(
+        trace_id=secrets.randbits(128) or 1,
+        span_id=secrets.randbits(64) or 1,
+        is_remote=False,
+    )
+    return trace.NonRecordingSpan(context)
+
+
 def _span_as_line(span):
     return json.dumps({"span": json.loads(span.to_json(indent=None))}) + "\n"
