Add a trial that moves a data centre under load

Cause: service while a data centre leaves and returns is one of the three things the users measure, and nothing measured it.

--- a/packages/magnoliagrade-standins/magnoliagrade_standins/trials/registry.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/trials/registry.py
@@ -12,7 +12,7 @@
 trials = Registry(family="trial")
 
 # Modules that register trials when they are imported.
-TRIAL_MODULES = ()
+TRIAL_MODULES = ("magnoliagrade_standins.trials.data_centre_move",)
 
 
 @dataclass(slots=True, kw_only=True)
