Write the configuration as INI and refuse bad text with lines only

Cause: labels and single changes need the configuration written back, and a property test over arbitrary text found problems without a line (a line before the first header, a section whose name has spaces), a [DEFAULT] section that leaked into all others, and two sections with one name of which the first was lost. Change: canonical writer, registries of readers and writers by kind, folded white space, one owner per key digest, lines for every problem.

--- a/packages/magnoliagrade/magnoliagrade/configuration/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/configuration/__init__.py
@@ -2,6 +2,7 @@
 
 from magnoliagrade.configuration.document import Configuration
 from magnoliagrade.configuration.ini import parse_configuration
+from magnoliagrade.configuration.ini_writer import format_configuration
 from magnoliagrade.configuration.problems import (
     InvalidDocument,
     Problem,
@@ -19,6 +20,7 @@
     "InvalidDocument",
     "Problem",
     "describe_settings",
+    "format_configuration",
     "parse_configuration",
     "read_settings",
     "setting",
--- a/packages/magnoliagrade/magnoliagrade/configuration/document.py
+++ b/packages/magnoliagrade/magnoliagrade/configuration/document.py
@@ -40,10 +40,11 @@
     organisation_by_name: dict = field(default_factory=dict)
     endpoint_labels_by_name: dict = field(default_factory=dict)
     group_by_name: dict = field(default_factory=dict)
-    _organisation_by_digest: dict = field(default_factory=dict)
+    _organisation_by_digest: dict = field(default_factory=dict, compare=False)
 
-    def __post_init__(self):
+    def index(self):
         """Index organisations by the digests of their keys."""
+        self._organisation_by_digest.clear()
         for organisation in self.organisation_by_name.values():
             for digest in organisation.key_digests:
                 self._organisation_by_digest[digest] = organisation
--- a/packages/magnoliagrade/magnoliagrade/configuration/ini.py
+++ b/packages/magnoliagrade/magnoliagrade/configuration/ini.py
@@ -3,10 +3,11 @@
 import configparser
 import re
 
-from magnoliagrade.algorithms import parse_selector
 from magnoliagrade.configuration.document import Configuration
+from magnoliagrade.configuration.fields import NAME_PATTERN, SectionFields
 from magnoliagrade.configuration.problems import InvalidDocument, Problem
-from magnoliagrade.errors import ErrorKind, MagnoliagradeError
+from magnoliagrade.errors import ErrorKind
+from magnoliagrade.registry import Registry
 from magnoliagrade.world import (
     Application,
     DataCentre,
@@ -17,23 +18,28 @@
     Work,
 )
 
-__all__ = ["parse_configuration"]
+__all__ = ["check_references", "parse_configuration", "section_readers"]
 
-_NAME = re.compile(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$")
+section_readers = Registry(family="kind of section")
 
+_HEADER = re.compile(r"\[(.+)\]")
+_DIGEST = re.compile(r"[0-9a-f]{64}")
 
-def parse_configuration(text, *, revision=0, file="configuration"):
-    """Return the configuration that a text describes.
+
+def parse_configuration(text, *, revision=0, file="configuration", is_whole=True):
+    r"""Return the configuration that a text describes.
 
     Parameters
     ----------
     text : str
-        INI with sections `[KIND NAME]`, where KIND is one of `data_centre`,
-        `pool`, `route`, `application`, `organisation`, `endpoint` and `group`.
+        INI with sections `[KIND NAME]`, where KIND is one of `section_readers`.
     revision : int
         Revision of the result.
     file : str
         Name of the file for problems.
+    is_whole : bool
+        Whether the text is a whole configuration, so that each name that it
+        uses has to be defined in it.
 
     Returns
     -------
@@ -44,27 +50,82 @@
     ------
     InvalidDocument
         With every problem of the text.
+
+    Notes
+    -----
+    A value may go on in indented lines; every run of white space in it counts
+    as one space.
+
+    Examples
+    --------
+    >>> c = parse_configuration("[organisation o]\nshare = 2")
+    >>> c.organisation_by_name["o"].share
+    2.0
     """
-    parser = configparser.ConfigParser(interpolation=None, strict=True)
-    parser.optionxform = str
-    try:
-        parser.read_string(text, source=file)
-    except configparser.Error as exc:
-        problem = Problem(
-            file=file, line=getattr(exc, "lineno", None) or 0, allowed=exc.message
-        )
-        raise InvalidDocument(ErrorKind.CONFIGURATION_INVALID, [problem]) from exc
+    parser = _parse_ini(text, file)
     reader = _Reader(file=file, text=text)
     configuration = Configuration(revision=revision)
     for section in parser.sections():
         reader.read_section(configuration, section, parser[section])
-    reader.check_references(configuration)
+    if is_whole:
+        check_references(configuration, reader.report)
     if reader.problems:
         raise InvalidDocument(ErrorKind.CONFIGURATION_INVALID, reader.problems)
-    configuration.__post_init__()
+    configuration.index()
     return configuration
 
 
+def check_references(configuration, report):
+    """Report names that nothing defines and keys that two organisations share.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        A whole configuration.
+    report : callable
+        Called with section, key and what is wrong.
+    """
+    for route in configuration.route_by_name.values():
+        if route.pool not in configuration.pool_by_name:
+            allowed = f"pool {route.pool!r} is not defined"
+            report(f"route {route.name}", "pool", allowed)
+    owner_by_digest = {}
+    for organisation in configuration.organisation_by_name.values():
+        for digest in organisation.key_digests:
+            owner = owner_by_digest.setdefault(digest, organisation.name)
+            if owner != organisation.name:
+                allowed = f"key {digest!r} belongs to organisation {owner!r}"
+                report(f"organisation {organisation.name}", "key_digests", allowed)
+
+
+def _parse_ini(text, file):
+    # No text can be the name "" of a section, so no section holds defaults.
+    parser = configparser.ConfigParser(
+        interpolation=None, strict=True, default_section=""
+    )
+    parser.optionxform = str
+    try:
+        text.encode()
+        parser.read_string(text, source=file)
+    except UnicodeEncodeError as exc:
+        line = text.count("\n", 0, exc.start) + 1
+        problem = Problem(file=file, line=line, allowed="the text is not Unicode")
+        raise InvalidDocument(ErrorKind.CONFIGURATION_INVALID, [problem]) from exc
+    except configparser.ParsingError as exc:
+        # A missing header has a line of its own; other faults come as a list.
+        errors = getattr(exc, "errors", None) or [(exc.lineno, exc.line)]
+        problems = [
+            Problem(file=file, line=number, allowed=f"{line} is not key = value")
+            for number, line in errors
+        ]
+        raise InvalidDocument(ErrorKind.CONFIGURATION_INVALID, problems) from exc
+    except configparser.Error as exc:
+        line = getattr(exc, "lineno", None) or 0
+        problem = Problem(file=file, line=line, allowed=exc.message)
+        raise InvalidDocument(ErrorKind.CONFIGURATION_INVALID, [problem]) from exc
+    return parser
+
+
 class _Reader:
     """Reads sections one by one and gathers problems.
 
@@ -76,39 +137,41 @@
         The whole text, to find line numbers.
     """
 
-    __slots__ = ("_file", "_line_by_place", "problems")
+    __slots__ = ("_file", "_line_by_place", "_seen", "_text", "problems")
 
     def __init__(self, *, file, text):
         self._file = file
-        self._line_by_place = _line_numbers(text)
+        self._text = text
+        self._line_by_place = None
+        self._seen = set()
         self.problems = []
 
     def read_section(self, configuration, section, values):
         """Add the object that one section describes."""
         kind, _, name = section.partition(" ")
         name = name.strip()
-        reader = _READER_BY_KIND.get(kind)
-        if reader is None:
-            known = ", ".join(sorted(_READER_BY_KIND))
+        if kind not in section_readers.by_name:
+            known = ", ".join(section_readers.names())
             self.report(section, "", f"unknown kind {kind!r}; known: {known}")
             return
-        if not _NAME.match(name):
+        if not NAME_PATTERN.fullmatch(name):
             self.report(section, "", f"name {name!r} is not allowed")
             return
-        fields = _Fields(reader=self, section=section, values=dict(values))
-        reader(configuration, name, fields)
+        if (kind, name) in self._seen:
+            self.report(section, "", f"{kind} {name!r} stands here twice")
+            return
+        self._seen.add((kind, name))
+        folded = {_fold(k): _fold(v) for k, v in values.items()}
+        fields = SectionFields(reader=self, section=section, values=folded)
+        section_readers.get(kind)(configuration, name, fields)
         fields.finish()
 
-    def check_references(self, configuration):
-        """Report names that nothing defines."""
-        for route in configuration.route_by_name.values():
-            if route.pool not in configuration.pool_by_name:
-                section = f"route {route.name}"
-                self.report(section, "pool", f"pool {route.pool!r} is not defined")
-
     def report(self, section, key, allowed):
         """Note a problem."""
-        line = self._line_by_place.get((section, key), 0)
+        if self._line_by_place is None:
+            self._line_by_place = _line_numbers(self._text)
+        header = self._line_by_place.get((_fold(section), ""), 0)
+        line = self._line_by_place.get((_fold(section), key), header)
         self.problems.append(
             Problem(
                 file=self._file, line=line, section=section, key=key, allowed=allowed
@@ -116,89 +179,14 @@
         )
 
 
-class _Fields:
-    """Values of one section, taken out one by one.
-
-    Parameters
-    ----------
-    reader : _Reader
-        Where problems go.
-    section : str
-        Name of the section.
-    values : dict of str to str
-        Its keys and texts.
-    """
-
-    __slots__ = ("_reader", "_section", "_values")
-
-    def __init__(self, *, reader, section, values):
-        self._reader = reader
-        self._section = section
-        self._values = values
-
-    def text(self, key, default="", *, choices=()):
-        """Return a text, optionally one of several."""
-        value = self._values.pop(key, default)
-        if choices and value not in choices:
-            allowed = f"{value!r} is not one of {', '.join(choices)}"
-            self._reader.report(self._section, key, allowed)
-        return value
-
-    def number(self, key, default, *, low, high, kind=float):
-        """Return a number within bounds."""
-        text = self._values.pop(key, str(default))
-        try:
-            value = kind(text)
-        except ValueError:
-            value = None
-        if value is None or not low <= value <= high:
-            allowed = f"{text!r} is not a number from {low} to {high}"
-            self._reader.report(self._section, key, allowed)
-            return default
-        return value
-
-    def names(self, key):
-        """Return a list of texts separated by commas."""
-        parts = self._values.pop(key, "").split(",")
-        return [p.strip() for p in parts if p.strip()]
-
-    def labels(self, key="labels"):
-        """Return labels written as `a=b, c=d`."""
-        labels = {}
-        for part in self.names(key):
-            name, equals, value = part.partition("=")
-            if not equals or not _NAME.match(name.strip()):
-                self._reader.report(self._section, key, f"{part!r} is not name=value")
-                continue
-            labels[name.strip()] = value.strip()
-        return labels
-
-    def selector(self, key):
-        """Return the text of a selector after checking it."""
-        text = self._values.pop(key, "")
-        try:
-            parse_selector(text)
-        except MagnoliagradeError as exc:
-            self._reader.report(self._section, key, exc.detail)
-        return text
-
-    def options(self, prefix):
-        """Return the remaining keys that start with a prefix."""
-        keys = [k for k in self._values if k.startswith(prefix)]
-        return {k: self._values.pop(k) for k in keys}
-
-    def finish(self):
-        """Report keys that nothing took."""
-        for key in self._values:
-            self._reader.report(self._section, key, "unknown key")
-
-
+@section_readers.register("data_centre")
 def _read_data_centre(configuration, name, fields):
     configuration.data_centre_by_name[name] = DataCentre(
         name=name, region=fields.text("region"), labels=fields.labels()
     )
 
 
+@section_readers.register("pool")
 def _read_pool(configuration, name, fields):
     configuration.pool_by_name[name] = Pool(
         name=name,
@@ -212,6 +200,7 @@
     )
 
 
+@section_readers.register("route")
 def _read_route(configuration, name, fields):
     configuration.route_by_name[name] = Route(
         name=name,
@@ -221,6 +210,7 @@
     )
 
 
+@section_readers.register("application")
 def _read_application(configuration, name, fields):
     works = [w.value for w in Work]
     work = fields.text("work", "model", choices=works)
@@ -232,20 +222,23 @@
     )
 
 
+@section_readers.register("organisation")
 def _read_organisation(configuration, name, fields):
     configuration.organisation_by_name[name] = Organisation(
         name=name,
         share=fields.number("share", 1.0, low=0.001, high=10**6),
         rate_tokens_per_s=fields.number("rate_tokens_per_s", 0.0, low=0, high=10**9),
-        key_digests=fields.names("key_digests"),
+        key_digests=fields.matching_names("key_digests", _DIGEST, "a SHA-256 digest"),
         labels=fields.labels(),
     )
 
 
+@section_readers.register("endpoint")
 def _read_endpoint(configuration, name, fields):
     configuration.endpoint_labels_by_name[name] = fields.labels()
 
 
+@section_readers.register("group")
 def _read_group(configuration, name, fields):
     frozen = fields.text("frozen", "false", choices=("true", "false"))
     configuration.group_by_name[name] = Group(
@@ -263,25 +256,18 @@
     )
 
 
-_READER_BY_KIND = {
-    "data_centre": _read_data_centre,
-    "pool": _read_pool,
-    "route": _read_route,
-    "application": _read_application,
-    "organisation": _read_organisation,
-    "endpoint": _read_endpoint,
-    "group": _read_group,
-}
+def _fold(text):
+    return " ".join(text.split())
 
 
 def _line_numbers(text):
     line_by_place = {}
     section = ""
-    for number, line in enumerate(text.splitlines(), start=1):
+    for number, line in enumerate(text.split("\n"), start=1):
         stripped = line.strip()
-        if stripped.startswith("[") and stripped.endswith("]"):
-            section = stripped[1:-1]
+        if m := _HEADER.match(stripped):
+            section = _fold(m[1])
             line_by_place.setdefault((section, ""), number)
         elif m := re.match(r"([^=:]+?)\s*[=:]", stripped):
-            line_by_place.setdefault((section, m[1]), number)
+            line_by_place.setdefault((section, _fold(m[1])), number)
     return line_by_place
