Store the configuration in chunks and give each change one verdict

Cause: the root held the whole text, so 6,800 organisations did not fit under the store's megabyte and each change sent all of it; a lost answer was settled only by the newest operation, so a change under later ones was called a conflict; a store restored from an older copy took revisions that no instance would take. Change: chunks keyed by the revision aimed at, operation and digest; root with the last 100 changes, written by compare-and-swap after the chunks; same bytes repeated until the store says yes or the expected revision has passed, then the history tells; changes of other labels follow a lost race; CONFIGURATION_STALE when instances hold more than the store; watchers write back what a restored store lost, a fork is left alone and reported. Nodes pull root and missing chunks from one peer, parse only new chunks and let other tasks run between them. Two entries per data centre watch, others take over when the store stops answering them. Conclusion: chunk keys that no two writers share make pruning safe without clocks.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/handlers.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/handlers.py
@@ -2,13 +2,16 @@
 
 import logging
 
-from magnoliagrade.configuration import InvalidDocument
-from magnoliagrade.configuration.repository import decode_stored
 from magnoliagrade.errors import MagnoliagradeError
-from magnoliagrade.node import HandlerTable, TaskTable, send_heartbeats
+from magnoliagrade.node import (
+    HandlerTable,
+    TaskTable,
+    register_spread,
+    register_status,
+    send_heartbeats,
+)
 from magnoliagrade.observability import log_event
 from magnoliagrade.wire import (
-    ConfigurationOffer,
     CreditGrant,
     CreditRequest,
     EngineLoad,
@@ -27,6 +30,8 @@
 agent_handlers = HandlerTable()
 agent_tasks = TaskTable()
 agent_tasks.register("heartbeats")(send_heartbeats)
+register_spread(agent_handlers)
+register_status(agent_handlers)
 
 
 @agent_handlers.on(Heartbeat)
@@ -48,17 +53,6 @@
     )
 
 
-@agent_handlers.on(ConfigurationOffer)
-async def on_configuration_offer(node, link, message):
-    """Put an entry's configuration in force if it is newer."""
-    try:
-        stored = decode_stored(message.root)
-        if node.configuration.offer(stored, source=link.peer_instance):
-            node.apply_configuration()
-    except InvalidDocument as exc:
-        log_event(_log, "configuration.invalid", detail=exc.detail)
-
-
 @agent_handlers.on(CreditRequest)
 async def on_credit_request(node, link, message):
     """Grant an entry its part of the limit."""
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
@@ -41,6 +41,7 @@
     )
 
     role = Role.AGENT
+    unused_kinds = ("organisation",)
 
     def __init__(self, *, settings, clock=None):
         super().__init__(
@@ -57,6 +58,7 @@
         self.is_listed_leaving = False
         self._was_refusing = False
         self.pool = None
+        self.configuration.listeners.append(lambda _: self.apply_configuration())
 
     async def start(self):
         """Open every listener and start the background tasks."""
--- /dev/null
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/configuration_routes.py
@@ -0,0 +1,109 @@
+"""Reading and changing the configuration on an entry's admin listener."""
+
+import json
+import secrets
+
+from aiohttp import web
+from magnoliagrade.configuration import InvalidDocument, change_from_fields
+from magnoliagrade.errors import (
+    ErrorKind,
+    MagnoliagradeError,
+    answer_of,
+    problem_details,
+)
+
+__all__ = ["configuration_routes"]
+
+
+def configuration_routes(node):
+    """Return the admin routes of the configuration.
+
+    Parameters
+    ----------
+    node : EntryInstance
+        The entry.
+
+    Returns
+    -------
+    routes : list of aiohttp.web.RouteDef
+        `GET /configuration` gives what is in force, `POST /configuration` makes a
+        change by way of this entry, which may reach the store where an operator
+        does not.
+    """
+
+    async def read(_request):
+        return web.json_response(_in_force(node))
+
+    async def write(request):
+        try:
+            fields = await _body(request)
+            accepted = await _change(node, fields)
+        except MagnoliagradeError as exc:
+            return _problem(exc)
+        return web.json_response(
+            {"revision": accepted.revision, "operation": accepted.operation}
+        )
+
+    return [web.get("/configuration", read), web.post("/configuration", write)]
+
+
+async def _body(request):
+    try:
+        fields = json.loads(await request.read())
+        author = fields["author"]
+        operation = fields.get("operation", "")
+        expected = fields.get("expected_revision")
+        is_superseding = fields.get("is_superseding", False)
+        if not isinstance(author, str) or not isinstance(operation, str):
+            raise TypeError("author and operation are texts")
+        if not isinstance(expected, int | None) or not isinstance(is_superseding, bool):
+            raise TypeError("expected_revision is a number, is_superseding a truth")
+        change = change_from_fields(fields["change"])
+    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+        detail = f"the body is no change: {exc}"
+        raise MagnoliagradeError(ErrorKind.INVALID_REQUEST, detail) from exc
+    return {
+        "change": change,
+        "author": author,
+        "operation": operation,
+        "expected_revision": expected,
+        "is_superseding": is_superseding,
+    }
+
+
+async def _change(node, fields):
+    operation = fields["operation"] or secrets.token_hex(8)
+    stored = await node.repository.change(
+        **{**fields, "operation": operation},
+        held_revision=node.configuration.revision,
+    )
+    await node.spread.put_in_force(stored, source="operator")
+    return stored.root.change_of(operation)
+
+
+def _in_force(node):
+    stored = node.configuration.stored
+    if stored is None:
+        return {"revision": 0, "text": "", "history": []}
+    rows = [
+        {
+            "revision": c.revision,
+            "operation": c.operation,
+            "author": c.author,
+            "time": c.time,
+            "summary": c.summary,
+        }
+        for c in stored.root.history
+    ]
+    return {"revision": stored.revision, "text": stored.text, "history": rows}
+
+
+def _problem(error):
+    body = problem_details(error)
+    if isinstance(error, InvalidDocument):
+        body["problems"] = [str(p) for p in error.problems]
+    return web.json_response(
+        body,
+        status=answer_of(error.kind).status,
+        content_type="application/problem+json",
+    )
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
@@ -9,6 +9,8 @@
 from magnoliagrade.world import Role
 
 from magnoliagrade_entry import configuration_watch  # noqa: F401
+from magnoliagrade_entry.configuration_duty import WatchDuty
+from magnoliagrade_entry.configuration_routes import configuration_routes
 from magnoliagrade_entry.doors import make_caller_app, make_peer_app
 from magnoliagrade_entry.handlers import entry_handlers, entry_tasks
 from magnoliagrade_entry.membership import Departures, KnownInstances, LinkKeeper
@@ -37,6 +39,7 @@
         "admission",
         "departures",
         "dispatcher",
+        "duty",
         "endpoints",
         "instance_list",
         "known",
@@ -75,6 +78,7 @@
         self.admission = admission_policies.get("capped")(node=self)
         self.dispatcher = Dispatcher(node=self)
         self.link_keeper = LinkKeeper(node=self)
+        self.duty = WatchDuty(node=self)
 
     async def start(self):
         """Open every listener and start the background tasks."""
@@ -83,14 +87,16 @@
         self.instance_list = HttpInstanceList(
             url=settings.instances_url, session=self.session
         )
-        self.repository = ConfigurationRepository(store=self.store)
+        self.repository = ConfigurationRepository(
+            store=self.store, clock=self.clock, rng=self.rng, is_in_background=True
+        )
         limit = settings.header_limit_bytes
         limits = {"max_line_size": limit, "max_field_size": limit}
         await self.listen_http(
             "data", make_peer_app(self), settings.data_address, **limits
         )
         await self.listen_links()
-        await self.listen_admin(status_routes(self))
+        await self.listen_admin([*status_routes(self), *configuration_routes(self)])
         await self.listen_http(
             "caller", make_caller_app(self), settings.caller_address, **limits
         )
@@ -110,6 +116,7 @@
         """Enter the instance on the other side of a link."""
         self.endpoints.on_link_up(link)
         self.peers.on_link_up(link)
+        self.duty.on_link_up(link)
 
     def on_link_down(self, link):
         """Remove the instance on the other side of a link."""
@@ -137,5 +144,5 @@
         if self.configuration.in_force.is_data_centre_out(data_centre):
             reasons.append(f"data centre {data_centre!r} is out")
         if not self.configuration.revision:
-            reasons.append("no configuration is known")
+            reasons.append(self.duty.reason_without_configuration())
         return reasons
--- a/packages/magnoliagrade/magnoliagrade/configuration/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/configuration/__init__.py
@@ -1,5 +1,12 @@
 """Settings of a process and the operators' configuration."""
 
+from magnoliagrade.configuration.changes import (
+    ReplaceAll,
+    SetLabels,
+    change_from_fields,
+    change_to_fields,
+)
+from magnoliagrade.configuration.chunks import ParsedChunks
 from magnoliagrade.configuration.document import Configuration
 from magnoliagrade.configuration.ini import parse_configuration
 from magnoliagrade.configuration.ini_writer import format_configuration
@@ -8,6 +15,11 @@
     Problem,
 )
 from magnoliagrade.configuration.repository import ConfigurationRepository
+from magnoliagrade.configuration.root import (
+    Change,
+    ConfigurationRoot,
+    StoredConfiguration,
+)
 from magnoliagrade.configuration.settings import (
     describe_settings,
     read_settings,
@@ -15,10 +27,18 @@
 )
 
 __all__ = [
+    "Change",
     "Configuration",
     "ConfigurationRepository",
+    "ConfigurationRoot",
     "InvalidDocument",
+    "ParsedChunks",
     "Problem",
+    "ReplaceAll",
+    "SetLabels",
+    "StoredConfiguration",
+    "change_from_fields",
+    "change_to_fields",
     "describe_settings",
     "format_configuration",
     "parse_configuration",
--- a/packages/magnoliagrade/magnoliagrade/node/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/node/__init__.py
@@ -6,15 +6,21 @@
     run_command_line,
     serve_node,
 )
+from magnoliagrade.node.configuration_spread import (
+    ConfigurationSpread,
+    register_spread,
+)
 from magnoliagrade.node.configuration_state import ConfigurationState
 from magnoliagrade.node.handlers import HandlerTable
 from magnoliagrade.node.links import LinkBook, run_link, send_heartbeats
 from magnoliagrade.node.node import Node
 from magnoliagrade.node.process import announce_ready, run_until_signal, start_site
+from magnoliagrade.node.status_report import register_status
 from magnoliagrade.node.tasks import Tasks, TaskTable
 
 __all__ = [
     "EXIT_INVALID",
+    "ConfigurationSpread",
     "ConfigurationState",
     "HandlerTable",
     "LinkBook",
@@ -23,6 +29,8 @@
     "Tasks",
     "announce_ready",
     "check_settings",
+    "register_spread",
+    "register_status",
     "run_command_line",
     "run_link",
     "run_until_signal",
--- a/packages/magnoliagrade/magnoliagrade/node/configuration_state.py
+++ b/packages/magnoliagrade/magnoliagrade/node/configuration_state.py
@@ -1,12 +1,22 @@
 """The configuration that a node has in force."""
 
+import asyncio
 import logging
 
-from magnoliagrade.configuration.document import Configuration
+from prometheus_client import Gauge
+
+from magnoliagrade.configuration import Configuration, ParsedChunks
 from magnoliagrade.observability.logs import log_event
 
 __all__ = ["ConfigurationState"]
 
+REVISION = Gauge(
+    "magnoliagrade_configuration_revision", "Configuration revision in force"
+)
+APPLIED_AT = Gauge(
+    "magnoliagrade_configuration_applied_timestamp_seconds",
+    "When the configuration in force was put in force",
+)
 _log = logging.getLogger(__name__)
 
 
@@ -17,12 +27,15 @@
     ----------
     clock : Clock
         Source of time.
+    skipped_kinds : sequence of str
+        Kinds of sections that this node holds for its peers but does not parse.
     """
 
-    __slots__ = ("_clock", "applied_at", "in_force", "listeners", "stored")
+    __slots__ = ("_chunks", "_clock", "applied_at", "in_force", "listeners", "stored")
 
-    def __init__(self, *, clock):
+    def __init__(self, *, clock, skipped_kinds=()):
         self._clock = clock
+        self._chunks = ParsedChunks(skipped_kinds=skipped_kinds)
         self.in_force = Configuration()
         self.stored = None
         self.applied_at = None
@@ -33,6 +46,27 @@
         """Revision in force; 0 before the first one."""
         return self.in_force.revision
 
+    async def prepare(self, stored):
+        """Parse what is new in a configuration, in slices.
+
+        Parameters
+        ----------
+        stored : StoredConfiguration
+            What will be offered next.
+
+        Raises
+        ------
+        InvalidDocument
+            If it cannot be parsed.
+
+        Notes
+        -----
+        Other tasks run between two chunks, so that requests are not held up.
+        """
+        for name in self._chunks.missing(stored):
+            self._chunks.parse(stored, name)
+            await asyncio.sleep(0)
+
     def offer(self, stored, *, source):
         """Put a stored configuration in force if it is newer.
 
@@ -55,9 +89,11 @@
         """
         if stored is None or stored.revision <= self.revision:
             return False
-        self.in_force = stored.parsed()
+        self.in_force = self._chunks.join(stored)
         self.stored = stored
         self.applied_at = self._clock.now()
+        REVISION.set(stored.revision)
+        APPLIED_AT.set(self.applied_at.timestamp())
         log_event(
             _log,
             "configuration.in_force",
@@ -67,3 +103,9 @@
         for listener in self.listeners:
             listener(self.in_force)
         return True
+
+    def age_s(self):
+        """Return the seconds since the configuration was put in force."""
+        if self.applied_at is None:
+            return 0.0
+        return (self._clock.now() - self.applied_at).total_seconds()
--- a/packages/magnoliagrade/magnoliagrade/node/links.py
+++ b/packages/magnoliagrade/magnoliagrade/node/links.py
@@ -119,6 +119,7 @@
     log_event(_log, "link.up", peer=link.peer_instance, role=link.hello.role)
     try:
         node.on_link_up(link)
+        node.on_peer_ahead(link)
         while True:
             message = await link.receive()
             node.links.note_heard(link)
--- a/packages/magnoliagrade/magnoliagrade/node/node.py
+++ b/packages/magnoliagrade/magnoliagrade/node/node.py
@@ -8,6 +8,7 @@
 from magnoliagrade.clock import SystemClock
 from magnoliagrade.identity import InstanceIdentity, new_incarnation
 from magnoliagrade.node.admin import make_admin_app
+from magnoliagrade.node.configuration_spread import ConfigurationSpread
 from magnoliagrade.node.configuration_state import ConfigurationState
 from magnoliagrade.node.links import LinkBook, run_link
 from magnoliagrade.node.process import announce_ready, bound_address, start_site
@@ -15,7 +16,6 @@
 from magnoliagrade.observability import configure_tracing
 from magnoliagrade.platform import HttpStore
 from magnoliagrade.wire import (
-    ConfigurationPull,
     Hello,
     Leaving,
     Link,
@@ -59,11 +59,13 @@
         "rng",
         "session",
         "settings",
+        "spread",
         "store",
         "tasks",
     )
 
     role = None
+    unused_kinds = ()
 
     def __init__(self, *, settings, handlers, task_table, clock=None):
         self.settings = settings
@@ -74,7 +76,10 @@
             data_centre=settings.data_centre,
         )
         self.rng = random.Random(self.identity.incarnation)
-        self.configuration = ConfigurationState(clock=self.clock)
+        self.configuration = ConfigurationState(
+            clock=self.clock, skipped_kinds=self.unused_kinds
+        )
+        self.spread = ConfigurationSpread(node=self)
         self.links = LinkBook(clock=self.clock, own_name=settings.name)
         self.counters = LinkCounters()
         self.tasks = Tasks()
@@ -187,7 +192,7 @@
 
     def on_peer_ahead(self, link):
         """Ask the other side of a link for its newer configuration."""
-        link.send(ConfigurationPull(known_revision=self.configuration.revision))
+        self.spread.on_message(link)
 
     def on_link_up(self, link):
         """Note that a link has come up."""
--- a/packages/magnoliagrade/magnoliagrade/platform/store.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/store.py
@@ -225,7 +225,9 @@
             detail = f"{method} {path}: rate limit"
             raise MagnoliagradeError(ErrorKind.STORE_LIMITED, detail)
         if self.status >= 500:
-            raise StoreUnavailable(f"{method} {path}: {self.status}")
+            raise StoreUnavailable(
+                f"{method} {path}: {self.status}", maybe_applied=method != "GET"
+            )
         if self.status >= 400 and self.status != 404:
             detail = f"{method} {path}: {self.status}"
             raise MagnoliagradeError(ErrorKind.INVALID_REQUEST, detail)
--- a/packages/magnoliagrade/magnoliagrade/wire/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/__init__.py
@@ -12,6 +12,9 @@
     ConfigurationChunk,
     ConfigurationOffer,
     ConfigurationPull,
+    ConfigurationWatch,
+    StatusPull,
+    StatusReport,
 )
 from magnoliagrade.wire.connect import keep_linked, serve_links
 from magnoliagrade.wire.group import (
@@ -47,6 +50,9 @@
     "ConfigurationChunk",
     "ConfigurationOffer",
     "ConfigurationPull",
+    "ConfigurationWatch",
+    "StatusPull",
+    "StatusReport",
     "CreditGrant",
     "CreditRequest",
     "EngineLoad",
--- a/packages/magnoliagrade/magnoliagrade/wire/configuration.capnp
+++ b/packages/magnoliagrade/magnoliagrade/wire/configuration.capnp
@@ -18,9 +18,29 @@
   chunks @2 :List(ConfigurationChunk);
 }
 
+struct ConfigurationWatch {
+  isWatching @0 :Bool;
+}
+
+struct StatusPull {
+}
+
+struct StatusReport {
+  revision @0 :UInt64;
+  operation @1 :Text;
+  ageSeconds @2 :Float64;
+  role @3 :Text;
+  dataCentre @4 :Text;
+  notReady @5 :List(Text);
+  isLeaving @6 :Bool;
+}
+
 struct ConfigurationMessage {
   union {
     pull @0 :ConfigurationPull;
     offer @1 :ConfigurationOffer;
+    watch @2 :ConfigurationWatch;
+    statusPull @3 :StatusPull;
+    statusReport @4 :StatusReport;
   }
 }
--- a/packages/magnoliagrade/magnoliagrade/wire/configuration.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/configuration.py
@@ -4,7 +4,14 @@
 
 from magnoliagrade.wire.message_table import message
 
-__all__ = ["ConfigurationChunk", "ConfigurationOffer", "ConfigurationPull"]
+__all__ = [
+    "ConfigurationChunk",
+    "ConfigurationOffer",
+    "ConfigurationPull",
+    "ConfigurationWatch",
+    "StatusPull",
+    "StatusReport",
+]
 
 
 @message("configuration", "pull")
@@ -31,3 +38,28 @@
     revision: int = 0
     root: bytes = b""
     chunks: list = field(default_factory=list, metadata={"of": ConfigurationChunk})
+
+
+@message("configuration", "watch")
+class ConfigurationWatch:
+    """An entry tells whether the store answers its watch."""
+
+    is_watching: bool = False
+
+
+@message("configuration", "statusPull")
+class StatusPull:
+    """An operator's command asks for the state of an instance."""
+
+
+@message("configuration", "statusReport")
+class StatusReport:
+    """State of an instance for an operator."""
+
+    revision: int = 0
+    operation: str = ""
+    age_seconds: float = 0.0
+    role: str = ""
+    data_centre: str = ""
+    not_ready: list = field(default_factory=list)
+    is_leaving: bool = False
