--- a/packages/magnoliagrade/magnoliagrade/configuration/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/configuration/__init__.py
@@ -7,6 +7,7 @@
     change_to_fields,
 )
 from magnoliagrade.configuration.chunks import ParsedChunks
+from magnoliagrade.configuration.difference import Difference, differences
 from magnoliagrade.configuration.document import Configuration
 from magnoliagrade.configuration.ini import parse_configuration
 from magnoliagrade.configuration.ini_writer import format_configuration
@@ -31,6 +32,7 @@
     "Configuration",
     "ConfigurationRepository",
     "ConfigurationRoot",
+    "Difference",
     "InvalidDocument",
     "ParsedChunks",
     "Problem",
@@ -40,6 +42,7 @@
     "change_from_fields",
     "change_to_fields",
     "describe_settings",
+    "differences",
     "format_configuration",
     "parse_configuration",
     "read_settings",
