--- a/packages/magnoliagrade-standins/magnoliagrade_standins/harness/site.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/harness/site.py
@@ -306,7 +306,7 @@
             return False
         others = set(self.plan.entries_by_data_centre) - {own}
         heard = {p["data_centre"] for p in status["peers"] if p["has_summary"]}
-        return others <= heard and all(e["credit"] for e in status["endpoints"])
+        return others <= heard and all(e["limit"] for e in status["endpoints"])
 
     async def _start_proxy(self):
         self.proxy = self._process("proxy", standin_command("proxy"))
