--- a/packages/magnoliagrade-agent/magnoliagrade_agent/settings.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/settings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from magnoliagrade.configuration import setting
+from magnoliagrade.configuration import same_addresses, setting
 from magnoliagrade.world import Work
 
 __all__ = ["AgentSettings"]
@@ -46,11 +46,13 @@
     advertised_data_address: str = setting(
         section="listen",
         doc="where others reach the data listener; empty means where it listens",
+        address=True,
         default="",
     )
     advertised_control_address: str = setting(
         section="listen",
         doc="where others reach the control listener; empty means where it listens",
+        address=True,
         default="",
     )
     source_address: str = setting(
@@ -62,12 +64,14 @@
     store_url: str = setting(
         section="platform",
         doc="URL of the platform's key-value service; only group members use it",
+        url=True,
         default="",
         env="MAGNOLIAGRADE_STORE_URL",
     )
     url: str = setting(
         section="endpoint",
         doc="URL of the model engine or plain service",
+        url=True,
         env="MAGNOLIAGRADE_ENDPOINT_URL",
     )
     work: str = setting(
@@ -123,6 +127,7 @@
     otlp_url: str = setting(
         section="traces",
         doc="where spans go by OTLP over HTTP; empty writes JSON lines",
+        url=True,
         default="",
     )
     sampling: float = setting(
@@ -135,11 +140,12 @@
 
     def combinations(self):
         """Return texts for settings that cannot go together."""
+        problems = same_addresses(self)
         if bool(self.group) != (self.rank >= 0):
-            return ["[group] group and [group] rank must be set together"]
-        if self.group and not self.store_url:
-            return ["[group] group needs [platform] store_url"]
-        return []
+            problems.append("[group] group and [group] rank must be set together")
+        elif self.group and not self.store_url:
+            problems.append("[group] group needs [platform] store_url")
+        return problems
 
     def label_by_name(self):
         """Return the endpoint's own labels."""
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/settings.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/settings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from magnoliagrade.configuration import setting
+from magnoliagrade.configuration import same_addresses, setting
 
 __all__ = ["EntrySettings"]
 
@@ -50,11 +50,13 @@
     advertised_data_address: str = setting(
         section="listen",
         doc="where others reach the data listener; empty means where it listens",
+        address=True,
         default="",
     )
     advertised_control_address: str = setting(
         section="listen",
         doc="where others reach the control listener; empty means where it listens",
+        address=True,
         default="",
     )
     source_address: str = setting(
@@ -66,11 +68,13 @@
     store_url: str = setting(
         section="platform",
         doc="URL of the platform's key-value service",
+        url=True,
         env="MAGNOLIAGRADE_STORE_URL",
     )
     instances_url: str = setting(
         section="platform",
         doc="URL of the platform's list of instances",
+        url=True,
         env="MAGNOLIAGRADE_INSTANCES_URL",
     )
     instances_interval_s: float = setting(
@@ -131,6 +135,7 @@
     otlp_url: str = setting(
         section="traces",
         doc="where spans go by OTLP over HTTP; empty writes JSON lines",
+        url=True,
         default="",
     )
     sampling: float = setting(
@@ -140,3 +145,7 @@
         low=0,
         high=1,
     )
+
+    def combinations(self):
+        """Return texts for settings that cannot go together."""
+        return same_addresses(self)
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
@@ -11,6 +11,7 @@
 from magnoliagrade_standins.demo import demo_command
 from magnoliagrade_standins.engine import Engine, EngineProfile, make_engine_app
 from magnoliagrade_standins.load import load_command
+from magnoliagrade_standins.pages import settings_page
 from magnoliagrade_standins.platform import (
     ListedInstances,
     MemoryStore,
@@ -66,6 +67,10 @@
         """Serve a fault-injecting TCP proxy."""
         _serve(lambda: make_proxy_app(FaultProxy(clock=SystemClock())), address)
 
+    def settings_page(self):
+        """Print docs/SETTINGS.md."""
+        print(settings_page(), end="")
+
     def trial(self, name, seed=1, json=False, **options):
         """Run a trial; exit code 1 if one of its checks failed."""
         if not run_trial(name, seed=seed, as_json=json, **options).passed:
--- a/packages/magnoliagrade/magnoliagrade/configuration/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/configuration/__init__.py
@@ -24,6 +24,7 @@
 from magnoliagrade.configuration.settings import (
     describe_settings,
     read_settings,
+    same_addresses,
     setting,
 )
 
@@ -46,5 +47,6 @@
     "format_configuration",
     "parse_configuration",
     "read_settings",
+    "same_addresses",
     "setting",
 ]
--- a/packages/magnoliagrade/magnoliagrade/configuration/settings.py
+++ b/packages/magnoliagrade/magnoliagrade/configuration/settings.py
@@ -8,9 +8,10 @@
 from magnoliagrade.configuration.problems import InvalidDocument, Problem
 from magnoliagrade.errors import ErrorKind
 
-__all__ = ["describe_settings", "read_settings", "setting"]
+__all__ = ["describe_settings", "read_settings", "same_addresses", "setting"]
 
 ADDRESS = re.compile(r"^[0-9A-Za-z_.:-]+:\d{1,5}$")
+URL = re.compile(r"^https?://[0-9A-Za-z_.:\[\]-]+(/\S*)?$")
 _MISSING = dataclasses.MISSING
 
 
@@ -24,6 +25,7 @@
     high=None,
     choices=(),
     address=False,
+    url=False,
     env="",
 ):
     """Return a dataclass field that describes one setting.
@@ -44,6 +46,8 @@
         Allowed values of a text.
     address : bool
         Whether the value is a `host:port`.
+    url : bool
+        Whether the value is an HTTP URL.
     env : str
         Environment variable that overrides the file.
     """
@@ -55,6 +59,7 @@
         "high": high,
         "choices": tuple(choices),
         "address": address,
+        "url": url,
         "env": env,
     }
     return dataclasses.field(default=default, metadata=metadata)
@@ -115,7 +120,7 @@
     """Return a table of all settings of a class as Markdown lines."""
     rows = ["| section | key | default | allowed | meaning |", "|---|---|---|---|---|"]
     for f in _fields(cls):
-        default = "required" if f.default is _MISSING else f"`{f.default}`"
+        default = {_MISSING: "required", "": "empty"}.get(f.default, f"`{f.default}`")
         unit = f" ({f.metadata['unit']})" if f.metadata["unit"] else ""
         override = f"; `{f.metadata['env']}` overrides" if f.metadata["env"] else ""
         rows.append(
@@ -125,6 +130,32 @@
     return rows
 
 
+def same_addresses(settings):
+    """Return texts for listeners that cannot share an address.
+
+    Parameters
+    ----------
+    settings : object
+        Instance of a dataclass whose fields were made by `setting`.
+    """
+    key_by_address = {}
+    problems = []
+    for field in _fields(type(settings)):
+        address = getattr(settings, field.name)
+        if not field.name.endswith("_address") or not _is_fixed(address):
+            continue
+        if field.name.startswith("advertised"):
+            continue
+        other = key_by_address.setdefault(address, field.name)
+        if other != field.name:
+            problems.append(f"{other} and {field.name} are both {address}")
+    return problems
+
+
+def _is_fixed(address):
+    return ":" in address and not address.endswith(":0")
+
+
 def _fields(cls):
     return [f for f in dataclasses.fields(cls) if "section" in f.metadata]
 
@@ -175,7 +206,11 @@
         if too_low or too_high or value != value:
             raise ValueError(text)
         return value
-    if meta["choices"] and text not in meta["choices"]:
+    if text == "" and field.default == "":
+        return text
+    if text == "" or (meta["choices"] and text not in meta["choices"]):
+        raise ValueError(text)
+    if meta["url"] and not URL.match(text):
         raise ValueError(text)
     if meta["address"] and not (ADDRESS.match(text) and _port(text) <= 65535):
         raise ValueError(text)
@@ -190,8 +225,11 @@
     meta = field.metadata
     if meta["choices"]:
         return "one of " + ", ".join(meta["choices"])
+    or_empty = " or empty" if field.default == "" else ""
     if meta["address"]:
-        return "a host:port"
+        return f"a host:port{or_empty}"
+    if meta["url"]:
+        return f"an http:// or https:// URL{or_empty}"
     if field.type is bool:
         return "true or false"
     if field.type in (int, float):
@@ -199,4 +237,4 @@
         low = "" if meta["low"] is None else f" from {meta['low']}"
         high = "" if meta["high"] is None else f" to {meta['high']}"
         return f"{kind}{low}{high}"
-    return "a text"
+    return "a text" if field.default == "" else "a text that is not empty"
--- a/packages/magnoliagrade/magnoliagrade/node/commands.py
+++ b/packages/magnoliagrade/magnoliagrade/node/commands.py
@@ -7,6 +7,13 @@
 
 import magnoliagrade
 from magnoliagrade.configuration import InvalidDocument, read_settings
+from magnoliagrade.node.command_line import (
+    command_help,
+    overview,
+    problem_with,
+    public_commands,
+    split_arguments,
+)
 from magnoliagrade.node.process import run_until_signal
 from magnoliagrade.observability import configure_logging
 
@@ -25,9 +32,21 @@
     name : str
         Name of the binary.
     """
-    if sys.argv[1:] in (["--version"], ["version"]):
+    arguments = sys.argv[1:]
+    command, _, flags = split_arguments(commands, arguments)
+    if arguments in (["--version"], ["-V"], ["version"]):
         print(f"{name} {magnoliagrade.__version__}")
         return
+    wants_help = command == "help" or {"help", "h"} & set(flags)
+    if command in (None, "help") and (wants_help or not arguments):
+        print(overview(commands, name=name))
+        return
+    if wants_help and command in public_commands(commands):
+        print(command_help(commands, name=name, command=command))
+        return
+    if problem := problem_with(commands, arguments):
+        print(f"{name}: {problem}\n{name} --help tells more", file=sys.stderr)
+        sys.exit(EXIT_INVALID)
     # Fire parses paths as Python literals first, which warns on some of them.
     warnings.simplefilter("ignore", SyntaxWarning)
     fire.Fire(commands, name=name)
