--- a/packages/magnoliagrade-entry/magnoliagrade_entry/membership/keeper.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/membership/keeper.py
@@ -4,11 +4,15 @@
 
 from magnoliagrade.wire import keep_linked
 from magnoliagrade.world import Role
+from prometheus_client import Counter
 
 from magnoliagrade_entry.membership.selection import select_links
 
 __all__ = ["LinkKeeper"]
 
+DIALS = Counter(
+    "magnoliagrade_link_dials_total", "Attempts to open a link by result", ["result"]
+)
 UNREACHABLE_FOR_S = 10.0
 FAILURES_UNTIL_UNREACHABLE = 2
 
@@ -85,6 +89,7 @@
         )
 
     def _note_result(self, name, linked):
+        DIALS.labels("linked" if linked else "failed").inc()
         if linked:
             self._failures_by_name.pop(name, None)
             self._unreachable_until.pop(name, None)
--- a/packages/magnoliagrade/magnoliagrade/wire/connect.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/connect.py
@@ -8,7 +8,7 @@
 from magnoliagrade.observability.logs import log_event
 from magnoliagrade.wire.membership import PROTOCOL_VERSION, Hello
 
-__all__ = ["keep_linked", "serve_links"]
+__all__ = ["keep_linked", "next_pause", "serve_links"]
 
 BACKOFF_FIRST_S = 0.1
 BACKOFF_MAX_S = 5.0
@@ -86,16 +86,6 @@
         Returns whether a link is wanted now.
     on_result : callable
         Told after each attempt whether hellos were exchanged.
-
-    Notes
-    -----
-    The pause before the next attempt is drawn from [first, 3 x last] and capped,
-    so that many processes that lost the same peer do not come back in step [1]_.
-
-    References
-    ----------
-    .. [1] M. Brooker, "Exponential backoff and jitter", 2015 (decorrelated
-       jitter).
     """
     host, _, port = address.rpartition(":")
     pause = BACKOFF_FIRST_S
@@ -108,10 +98,39 @@
             on_result(linked)
             if linked:
                 pause = BACKOFF_FIRST_S
-        pause = min(BACKOFF_MAX_S, rng.uniform(BACKOFF_FIRST_S, pause * 3))
+        pause = next_pause(pause, rng)
         await clock.sleep(pause)
 
 
+def next_pause(pause, rng):
+    """Return the pause before the next attempt to dial.
+
+    Parameters
+    ----------
+    pause : float
+        Pause before the last attempt, in seconds.
+    rng : random.Random
+        Source of jitter.
+
+    Returns
+    -------
+    pause : float
+        Seconds, drawn from [first, 3 x last] and capped.
+
+    Notes
+    -----
+    The draw keeps processes that lost the same peer from coming back in step
+    [1]_. Capping the draw rather than its range makes fewer attempts in a long
+    outage.
+
+    References
+    ----------
+    .. [1] M. Brooker, "Exponential backoff and jitter", 2015 (decorrelated
+       jitter).
+    """
+    return min(BACKOFF_MAX_S, rng.uniform(BACKOFF_FIRST_S, pause * 3))
+
+
 async def _dial(host, port, make_link, source):
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
