Serve organisations within their share first, with headroom

The fair queue alone decides only who gets the next credit; a small organisation still waited for credit that a large one's asks used up. While measuring: credit returned unused could strike out an equal ask of the same entry; a warm-up too short made the run at equal rates the slower one.

Change: asks name whether their organisation is above 1.5 times its share of recent cost; agents grant such asks after the others and leave them 15 % of the limit. Unused credit travels in a field of its own. Trial "fairness" warms up until every limit is full. Peers' free credit counts what the other entries may go for meanwhile.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/credits.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/credits.py
@@ -18,6 +18,7 @@
 PACE_POLL_S = 0.005
 PACE_LIMIT_S = 1.0
 FRESH_S = 2.0
+HEADROOM_FRACTION = 0.15
 REFUSED_RETRY_S = 1.0
 BREAKING_KINDS = (
     ErrorKind.ANSWER_BROKEN,
@@ -133,7 +134,11 @@
         self.grants.drop_beyond(self.limit_policy.limit)
         is_idle = not self.held and not self.grants.reserved
         lone_limit = self._lone_limit() if is_idle else 0.0
-        return self.grants.distribute(self.free, lone_limit=lone_limit)
+        return self.grants.distribute(
+            self.free,
+            headroom=HEADROOM_FRACTION * self.limit,
+            lone_limit=lone_limit,
+        )
 
     async def admit(self, request, *, entry):
         """Take a request into flight, or refuse it.
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/grants.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/grants.py
@@ -21,11 +21,14 @@
         Cost that the entry may send.
     until : float
         Monotonic time at which the reservation lapses.
+    is_surplus : bool
+        Whether the ask was one above a share.
     """
 
     entry: str
     amount: float
     until: float
+    is_surplus: bool = False
 
 
 class GrantBook:
@@ -42,7 +45,8 @@
     its request needs. Entries with asks take turns; an ask that does not fit holds
     back those behind it, so that a large one comes up in the end. A grant is used
     by the entry's next requests; what it does not use it returns, and what is lost
-    lapses with the lease. O(1) for each ask and grant.
+    lapses with the lease. Asks for organisations above their share come after the
+    others and leave them headroom. O(1) for each ask and grant.
 
     Examples
     --------
@@ -57,11 +61,18 @@
     400.0
     """
 
-    __slots__ = ("_asks_by_entry", "_clock", "_grants", "_reserved_by_entry")
+    __slots__ = (
+        "_asks_by_entry",
+        "_clock",
+        "_grants",
+        "_reserved_by_entry",
+        "_surplus_by_entry",
+    )
 
     def __init__(self, *, clock):
         self._clock = clock
         self._asks_by_entry = OrderedDict()
+        self._surplus_by_entry = OrderedDict()
         self._grants = deque()
         self._reserved_by_entry = {}
 
@@ -74,31 +85,44 @@
     @property
     def asked(self):
         """Return the cost that entries ask for and have not been granted."""
-        return float(sum(sum(asks) for asks in self._asks_by_entry.values()))
+        books = (self._asks_by_entry, self._surplus_by_entry)
+        return float(sum(sum(asks) for book in books for asks in book.values()))
 
     def reserved_for(self, entry):
         """Return the credit that is reserved for an entry."""
         self._drop_lapsed()
         return self._reserved_by_entry.get(entry, 0.0)
 
-    def ask(self, entry, amount):
-        """Note that an entry asks for credit for one request."""
-        asks = self._asks_by_entry.setdefault(entry, deque())
+    def ask(self, entry, amount, *, is_surplus=False):
+        """Note that an entry asks for credit for one request.
+
+        Parameters
+        ----------
+        entry : str
+            The entry.
+        amount : float
+            Cost of the request.
+        is_surplus : bool
+            Whether its organisation uses more than its share.
+        """
+        asks = self._book(is_surplus).setdefault(entry, deque())
         if len(asks) < MAX_ASKS_PER_ENTRY:
             asks.append(amount)
 
-    def withdraw(self, entry, amount):
-        """Take back an ask of an entry, or credit that it does not use."""
-        asks = self._asks_by_entry.get(entry, deque())
+    def withdraw(self, entry, amount, *, is_surplus=False):
+        """Take back an ask of an entry, or what it was granted for it meanwhile."""
+        book = self._book(is_surplus)
+        asks = book.get(entry, deque())
         if amount in asks:
             asks.remove(amount)
-            self._drop_if_empty(entry)
+            _drop_if_empty(book, entry)
             return
         self.use(entry, amount)
 
     def forget_asks(self, entry):
         """Drop the asks of an entry whose link is gone; its grants lapse."""
         self._asks_by_entry.pop(entry, None)
+        self._surplus_by_entry.pop(entry, None)
 
     def use(self, entry, amount):
         """Turn reserved credit into work; return how much there was of it."""
@@ -118,13 +142,15 @@
         self._grants.clear()
         self._reserved_by_entry.clear()
 
-    def distribute(self, free, *, lone_limit=0.0):
+    def distribute(self, free, *, headroom=0.0, lone_limit=0.0):
         """Grant asks in turn for as long as they fit.
 
         Parameters
         ----------
         free : float
             Cost that is neither in flight nor reserved.
+        headroom : float
+            Part of it that asks above a share leave free.
         lone_limit : float
             Cost that one request may have that runs alone; 0 if the endpoint has
             anything else to do.
@@ -134,28 +160,43 @@
         grants : list of Grant
             New reservations.
         """
+        granted = self._grant_in_turn(self._asks_by_entry, free, lone_limit)
+        free -= sum(g.amount for g in granted)
+        if granted:
+            lone_limit = 0.0
+        return granted + self._grant_in_turn(
+            self._surplus_by_entry, free - headroom, lone_limit
+        )
+
+    def drop_beyond(self, limit):
+        """Drop asks that exceed a limit; entries ask elsewhere when they learn it."""
+        for book in (self._asks_by_entry, self._surplus_by_entry):
+            for entry, asks in list(book.items()):
+                if max(asks) > limit:
+                    kept = [a for a in asks if a <= limit]
+                    asks.clear()
+                    asks.extend(kept)
+                    _drop_if_empty(book, entry)
+
+    def _book(self, is_surplus):
+        return self._surplus_by_entry if is_surplus else self._asks_by_entry
+
+    def _grant_in_turn(self, book, free, lone_limit):
         granted = []
-        while self._asks_by_entry:
-            entry, asks = next(iter(self._asks_by_entry.items()))
+        while book:
+            entry, asks = next(iter(book.items()))
             is_alone = asks[0] <= lone_limit and not granted
             if asks[0] > free and not is_alone:
                 break
             amount = asks.popleft()
             free -= amount
-            granted.append(self._reserve(entry, amount))
-            self._asks_by_entry.move_to_end(entry)
-            self._drop_if_empty(entry)
+            grant = self._reserve(entry, amount)
+            grant.is_surplus = book is self._surplus_by_entry
+            granted.append(grant)
+            book.move_to_end(entry)
+            _drop_if_empty(book, entry)
         return granted
 
-    def drop_beyond(self, limit):
-        """Drop asks that exceed a limit; entries ask elsewhere when they learn it."""
-        for entry, asks in list(self._asks_by_entry.items()):
-            if max(asks) > limit:
-                kept = [a for a in asks if a <= limit]
-                asks.clear()
-                asks.extend(kept)
-                self._drop_if_empty(entry)
-
     def _reserve(self, entry, amount):
         until = self._clock.monotonic() + CREDIT_LEASE_S
         self._grants.append(Grant(entry=entry, amount=amount, until=until))
@@ -177,6 +218,7 @@
         if left > 0:
             self._reserved_by_entry[entry] = left
 
-    def _drop_if_empty(self, entry):
-        if not self._asks_by_entry.get(entry, True):
-            del self._asks_by_entry[entry]
+
+def _drop_if_empty(book, entry):
+    if not book.get(entry, True):
+        del book[entry]
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/load_watch.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/load_watch.py
@@ -86,10 +86,14 @@
 @agent_handlers.on(CreditRequest)
 async def on_credit_request(node, link, message):
     """Note what an entry asks for or returns, and grant what is free."""
+    grants = node.credits.grants
+    entry = link.peer_instance
+    if message.unused:
+        grants.use(entry, message.unused)
     if message.returned:
-        node.credits.grants.withdraw(link.peer_instance, message.returned)
+        grants.withdraw(entry, message.returned, is_surplus=message.is_surplus)
     if message.wanted:
-        node.credits.grants.ask(link.peer_instance, message.wanted)
+        grants.ask(entry, message.wanted, is_surplus=message.is_surplus)
     send_grants(node)
 
 
@@ -138,5 +142,6 @@
                 engine_boot=node.load_watch.report.boot_id,
                 limit=node.credits.known_limit,
                 held=node.credits.held + node.credits.grants.reserved,
+                is_surplus=grant.is_surplus,
             )
         )
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/credit_watch.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/credit_watch.py
@@ -15,7 +15,7 @@
     if contact is None or contact.link is not link:
         return
     contact.note_load(limit=message.limit, held=message.held)
-    node.router.on_grant(contact, message.amount)
+    node.router.on_grant(contact, message.amount, is_surplus=message.is_surplus)
 
 
 @entry_handlers.on(EngineLoad)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/routing/data_centres.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/data_centres.py
@@ -83,7 +83,9 @@
             return None
         at, sent = self._sent_by_pool_and_peer.get((pool.name, peer.name), (None, 0))
         sent = sent * self._entries_here() if at == peer.summary_at else 0.0
-        if row.free_credits - sent - row.waiting >= cost:
+        # The other entries may go for the same credit before the next summary.
+        spoken_for = sent + row.waiting + cost * len(self._peers.by_name)
+        if row.free_credits - spoken_for >= cost:
             return 0.0
         # The rate is not told; what waits there and its wait give it.
         waiting = max(row.waiting, cost)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/routing/endpoints.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/endpoints.py
@@ -30,11 +30,12 @@
     """
 
     __slots__ = (
-        "_asking_by_cost",
+        "_asking_by_kind",
         "_clock",
         "_started_at_by_id",
         "asked_by_others",
         "asked_cost",
+        "asked_surplus",
         "endpoint",
         "health",
         "held",
@@ -52,12 +53,13 @@
         self.held = 0.0
         self.asked_by_others = 0.0
         self.asked_cost = 0.0
+        self.asked_surplus = 0.0
         self.in_flight_cost = 0.0
         self.in_flight_count = 0
         self.report_at = 0.0
         self.health = EndpointHealth(clock=clock)
         self._clock = clock
-        self._asking_by_cost = {}
+        self._asking_by_kind = {}
         self._started_at_by_id = {}
 
     @property
@@ -67,7 +69,7 @@
 
     @property
     def room(self):
-        """Return the free credit that no request of this entry waits for."""
+        """Return the free credit that no request within a share waits for here."""
         return self.limit - self.held - self.asked_cost
 
     @property
@@ -75,29 +77,52 @@
         """Return what is held and waited for as a fraction of the limit."""
         return (self.held + self.asked_cost) / max(self.limit, 1.0)
 
+    def may_ask(self, ticket):
+        """Return whether asking for a request would keep within the limit.
+
+        Notes
+        -----
+        Asking for more would only move the queue to the agent. Requests within a
+        share do not wait behind the asks of those above theirs.
+        """
+        asked = self.asked_cost + ticket.request.cost
+        if ticket.is_surplus:
+            asked += self.asked_surplus
+        return asked <= self.limit
+
     def ask(self, ticket):
         """Ask the agent for the credit of a waiting request."""
         cost = ticket.request.cost
-        self._asking_by_cost.setdefault(cost, OrderedDict())[ticket] = True
-        self.asked_cost += cost
+        self._asking_by_kind.setdefault(_kind(ticket), OrderedDict())[ticket] = True
+        self._count_ask(ticket, cost)
         ticket.contact = self
         ticket.asked_at = self._clock.monotonic()
-        self.link.send(CreditRequest(wanted=cost))
+        self.link.send(CreditRequest(wanted=cost, is_surplus=ticket.is_surplus))
 
     def withdraw(self, ticket):
         """Take back what was asked for a request."""
         if self._forget(ticket):
-            self.link.send(CreditRequest(returned=ticket.request.cost))
+            message = CreditRequest(
+                returned=ticket.request.cost, is_surplus=ticket.is_surplus
+            )
+            self.link.send(message)
 
-    def take_ask(self, amount):
+    def take_ask(self, amount, *, is_surplus):
         """Return the request that asked for a granted amount, or None.
 
+        Parameters
+        ----------
+        amount : float
+            Cost that was asked for.
+        is_surplus : bool
+            Whether it was asked above a share.
+
         Notes
         -----
         There is none if the ask was withdrawn while the grant was on its way; the
         agent has taken the credit back by then.
         """
-        tickets = self._asking_by_cost.get(amount)
+        tickets = self._asking_by_kind.get((amount, is_surplus))
         if not tickets:
             return None
         ticket = next(iter(tickets))
@@ -106,20 +131,21 @@
 
     def asking(self):
         """Return the requests that wait for credit of this endpoint."""
-        return [t for tickets in self._asking_by_cost.values() for t in tickets]
+        return [t for tickets in self._asking_by_kind.values() for t in tickets]
 
     def return_credit(self, amount):
         """Give granted credit back that nothing uses."""
         if amount > 0:
             self.held = max(0.0, self.held - amount)
-            self.link.send(CreditRequest(returned=amount))
+            self.link.send(CreditRequest(unused=amount))
 
     def note_load(self, *, limit, held, asked=None):
         """Take what the agent says of its limit and load."""
         self.limit = limit
         self.held = held
         if asked is not None:
-            self.asked_by_others = max(0.0, asked - self.asked_cost)
+            own = self.asked_cost + self.asked_surplus
+            self.asked_by_others = max(0.0, asked - own)
         self.report_at = self._clock.monotonic()
 
     def begin(self, request):
@@ -147,16 +173,27 @@
         self.health.note(result, (now - started) / tokens)
 
     def _forget(self, ticket):
-        tickets = self._asking_by_cost.get(ticket.request.cost, {})
+        kind = _kind(ticket)
+        tickets = self._asking_by_kind.get(kind, {})
         if ticket not in tickets:
             return False
         del tickets[ticket]
         if not tickets:
-            del self._asking_by_cost[ticket.request.cost]
-        self.asked_cost -= ticket.request.cost
+            del self._asking_by_kind[kind]
+        self._count_ask(ticket, -ticket.request.cost)
         ticket.contact = None
         return True
 
+    def _count_ask(self, ticket, cost):
+        if ticket.is_surplus:
+            self.asked_surplus += cost
+        else:
+            self.asked_cost += cost
+
+
+def _kind(ticket):
+    return (ticket.request.cost, ticket.is_surplus)
+
 
 class EndpointDirectory:
     """Contacts of this data centre by endpoint name.
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/routing/pool_queue.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/pool_queue.py
@@ -44,8 +44,9 @@
     Each waiting request may be bound to an endpoint, which is asked for its
     credit. Credit that arrives goes to the request that fair order puts first;
     among flows that are equally far it goes to one bound to that endpoint, so that
-    prefix affinity holds without a share being given up. At most an endpoint's
-    limit is asked of it; further requests wait unbound.
+    prefix affinity holds without a share being given up. Credit that was asked for
+    within a share never goes to a request above one. At most an endpoint's limit is
+    asked of it; further requests wait unbound.
     """
 
     __slots__ = (
@@ -81,8 +82,8 @@
         """Return the estimated time until the queue's newest request is placed."""
         return self.estimate.wait_s(self._fair.cost)
 
-    def wait_of(self, organisation, weight, cost):
-        """Return the estimated wait of one more request of an organisation.
+    def wait_of(self, flow, weight, cost):
+        """Return the estimated wait of one more request of a flow.
 
         Notes
         -----
@@ -92,22 +93,26 @@
         """
         if not self._fair.count:
             return 0.0
-        is_new = not self._fair.flow_count(organisation)
+        is_new = not self._fair.flow_count(flow)
         weights = self._fair.weight + (weight if is_new else 0.0)
-        own = self._fair.flow_cost(organisation) + cost
+        own = self._fair.flow_cost(flow) + cost
         return self.estimate.wait_s(own * weights / weight)
 
-    def enter(self, request, *, weight, excluded):
+    def enter(self, request, *, flow, weight, excluded, is_surplus=False):
         """Let a request wait, or refuse it at once.
 
         Parameters
         ----------
         request : Request
             The request.
+        flow : str
+            Flow that it belongs to, as a rule its organisation.
         weight : float
-            Share of its organisation.
+            Weight of the flow.
         excluded : frozenset of str
             Endpoints and peers that it must not go to.
+        is_surplus : bool
+            Whether the flow is above its share.
 
         Returns
         -------
@@ -121,14 +126,18 @@
             would wait for too long or too many wait.
         """
         now = self._clock.monotonic()
-        wait_s = self.wait_of(request.organisation, weight, request.cost)
+        wait_s = self.wait_of(flow, weight, request.cost)
         self._check_deadline(request, now, wait_s)
-        self._check_room(request, weight, wait_s)
+        self._check_room(flow, weight, wait_s)
         ticket = Ticket(
-            request=request, pool=self.pool, excluded=excluded, arrived_at=now
+            request=request,
+            pool=self.pool,
+            excluded=excluded,
+            arrived_at=now,
+            is_surplus=is_surplus,
         )
         ticket.item = self._fair.push(
-            request.organisation,
+            flow,
             request.cost,
             value=ticket,
             weight=weight,
@@ -177,7 +186,9 @@
         fitting = [
             i.value
             for i in heads
-            if i.cost <= credit and contact.endpoint.name not in i.value.excluded
+            if i.cost <= credit
+            and i.value.is_surplus <= asker.is_surplus
+            and contact.endpoint.name not in i.value.excluded
         ]
         own = [t for t in fitting if t is asker or t.contact is contact]
         return next(iter(own or fitting), asker)
@@ -235,7 +246,7 @@
             ErrorKind.DEADLINE_NOT_RUN, detail, retry_after=self._retry_after()
         )
 
-    def _check_room(self, request, weight, wait_s):
+    def _check_room(self, flow, weight, wait_s):
         if wait_s > MAX_WAIT_S:
             self._refuse("wait", f"the wait would be {wait_s:.1f} s")
         if self._fair.count >= MAX_WAITING:
@@ -243,7 +254,7 @@
         if self._fair.count < MAX_WAITING // 2:
             return
         # Beyond half, a flow keeps to its part, so that others find room.
-        own = self._fair.flow_count(request.organisation)
+        own = self._fair.flow_count(flow)
         part = MAX_WAITING * weight / max(weight, self._fair.weight)
         if own >= max(MIN_FLOW_PLACES, part / 2):
             self._refuse("share", f"{own} requests of the organisation wait")
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/routing/router.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/router.py
@@ -14,6 +14,8 @@
 from magnoliagrade_entry.routing.peers import PeerContact
 from magnoliagrade_entry.routing.policies import routing_policies
 from magnoliagrade_entry.routing.pool_queue import PoolQueue
+from magnoliagrade_entry.routing.queue_policies import flow_of
+from magnoliagrade_entry.routing.usage import RecentUsage
 
 __all__ = ["Placement", "Router"]
 
@@ -85,6 +87,7 @@
         "_endpoints",
         "_offers",
         "_rng",
+        "_usage",
         "queue_by_pool",
     )
 
@@ -96,6 +99,7 @@
         self._offers = RemoteOffers(
             peers=peers, clock=clock, rng=rng, data_centre=data_centre
         )
+        self._usage = RecentUsage(clock=clock)
         self.queue_by_pool = {}
         endpoints.on_gone = self._on_gone
 
@@ -130,7 +134,7 @@
             request,
             pool,
             excluded=excluded,
-            local_wait_s=self._local_wait_s(request, queue, candidates),
+            local_wait_s=self._local_wait_s(request, pool, queue, candidates),
         )
         if peer is not None:
             return self._placed(pool, Placement(peer=peer, reason="remote"))
@@ -138,7 +142,15 @@
             detail = f"pool {pool.name!r} has no endpoint that takes work"
             raise MagnoliagradeError(ErrorKind.NOT_RUN, detail, retry_after=1)
         weight = self._weight_of(request.organisation)
-        ticket = queue.enter(request, weight=weight, excluded=excluded)
+        flow = flow_of(request, pool)
+        self._usage.note(flow, request.cost, weight)
+        ticket = queue.enter(
+            request,
+            flow=flow,
+            weight=weight,
+            excluded=excluded,
+            is_surplus=self._usage.is_surplus(flow),
+        )
         self._bind(ticket, pool, queue, candidates)
         try:
             return self._placed(pool, await ticket.future)
@@ -148,7 +160,7 @@
         finally:
             queue.leave(ticket, is_served=False)
 
-    def on_grant(self, contact, amount):
+    def on_grant(self, contact, amount, *, is_surplus=False):
         """Place what credit of an endpoint allows.
 
         Parameters
@@ -157,8 +169,10 @@
             Endpoint whose agent granted it.
         amount : float
             The amount that one request asked for.
+        is_surplus : bool
+            Whether it asked above its organisation's share.
         """
-        asker = contact.take_ask(amount)
+        asker = contact.take_ask(amount, is_surplus=is_surplus)
         if asker is None:
             return
         queue = self.queue_by_pool[asker.pool]
@@ -211,17 +225,17 @@
         found = self._configuration.in_force.organisation_by_name.get(organisation)
         return found.share if found else 1.0
 
-    def _local_wait_s(self, request, queue, candidates):
+    def _local_wait_s(self, request, pool, queue, candidates):
         if not candidates:
             return float("inf")
         free = sum(c.free_credit for c in candidates)
         if free - queue.cost >= request.cost:
             return 0.0
         weight = self._weight_of(request.organisation)
-        return queue.wait_of(request.organisation, weight, request.cost)
+        return queue.wait_of(flow_of(request, pool), weight, request.cost)
 
     def _bind(self, ticket, pool, queue, candidates):
-        open_ones = [c for c in candidates if _may_ask(c, ticket)]
+        open_ones = [c for c in candidates if c.may_ask(ticket)]
         if not open_ones:
             return
         choose = routing_policies.get(pool.routing)
@@ -287,11 +301,6 @@
             self.queue_by_pool[ticket.pool].unbind(ticket)
 
 
-def _may_ask(contact, ticket):
-    # Asking for more than the whole limit would only move the queue to the agent.
-    return contact.asked_cost + ticket.request.cost <= contact.limit
-
-
 def _log_ejection(contact, reason):
     health = contact.health
     log_event(
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/routing/tickets.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/tickets.py
@@ -23,6 +23,8 @@
         Endpoints and peers that it must not go to.
     arrived_at : float
         Monotonic time of its arrival in the queue.
+    is_surplus : bool
+        Whether its organisation is above its share.
     item : QueueItem
         Its place in the fair queue.
     contact : EndpointContact, optional
@@ -37,6 +39,7 @@
     pool: str
     excluded: frozenset = frozenset()
     arrived_at: float = 0.0
+    is_surplus: bool = False
     item: QueueItem = None
     contact: object = None
     asked_at: float = 0.0
--- /dev/null
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/usage.py
@@ -0,0 +1,101 @@
+"""Which organisations use more than their share here."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+__all__ = ["RecentUsage"]
+
+HALF_LIFE_S = 5.0
+FORGET_S = 20.0
+SURPLUS_RATIO = 1.5
+
+
+@dataclass(slots=True, kw_only=True)
+class _Usage:
+    cost: float = 0.0
+    weight: float = 1.0
+    at: float = 0.0
+
+
+class RecentUsage:
+    """Cost that organisations asked for lately, older cost counting less.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+
+    Notes
+    -----
+    An organisation is above its share when its part of the recent cost exceeds 1.5
+    times its part of the weights of those seen in the last 20 s. O(1) amortised for
+    each request, whatever the number of organisations.
+
+    Examples
+    --------
+    >>> from magnoliagrade.clock import ManualClock
+    >>> usage = RecentUsage(clock=ManualClock())
+    >>> for _ in range(8):
+    ...     usage.note("large", 100, 1.0)
+    >>> usage.is_surplus("large")
+    False
+    >>> usage.note("small", 100, 1.0)
+    >>> usage.is_surplus("large"), usage.is_surplus("small")
+    (True, False)
+    """
+
+    __slots__ = ("_by_organisation", "_clock", "_total", "_total_at", "_weight")
+
+    def __init__(self, *, clock):
+        self._clock = clock
+        self._by_organisation = OrderedDict()
+        self._total = 0.0
+        self._total_at = clock.monotonic()
+        self._weight = 0.0
+
+    def note(self, organisation, cost, weight):
+        """Count a request.
+
+        Parameters
+        ----------
+        organisation : str
+            Whose it is.
+        cost : float
+            What it weighs.
+        weight : float
+            Share of the organisation.
+        """
+        now = self._clock.monotonic()
+        usage = self._by_organisation.pop(organisation, None)
+        if usage is None:
+            usage = _Usage(weight=0.0, at=now)
+        self._weight += weight - usage.weight
+        usage.weight = weight
+        usage.cost = _faded(usage.cost, now - usage.at) + cost
+        usage.at = now
+        self._by_organisation[organisation] = usage
+        self._total = _faded(self._total, now - self._total_at) + cost
+        self._total_at = now
+        self._forget(now)
+
+    def is_surplus(self, organisation):
+        """Return whether an organisation is above its share."""
+        usage = self._by_organisation.get(organisation)
+        if usage is None or self._weight <= 0:
+            return False
+        now = self._clock.monotonic()
+        cost = _faded(usage.cost, now - usage.at)
+        total = _faded(self._total, now - self._total_at)
+        return cost * self._weight > SURPLUS_RATIO * usage.weight * total
+
+    def _forget(self, now):
+        while self._by_organisation:
+            name, usage = next(iter(self._by_organisation.items()))
+            if usage.at > now - FORGET_S:
+                return
+            del self._by_organisation[name]
+            self._weight -= usage.weight
+
+
+def _faded(cost, seconds):
+    return cost * 0.5 ** (seconds / HALF_LIFE_S)
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/trials/capacity.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/trials/capacity.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from dataclasses import replace
 
 from magnoliagrade.clock import SystemClock
 
@@ -28,7 +29,8 @@
     "warm_after_tokens": 2000,
 }
 # Requests a second of one warm engine of these options under this load.
-WARM_RATE_PER_S = 20.0
+WARM_RATE_PER_S = 16.0
+WARM_PARTS = 12
 FAULTS = ("engine", "agent", "both")
 
 
@@ -111,6 +113,38 @@
         response.raise_for_status()
 
 
+async def warm_up(site, load):
+    """Send load until every endpoint's limit is the full one.
+
+    Parameters
+    ----------
+    site : Site
+        The running site.
+    load : LoadPlan
+        What to send, in parts of its duration.
+
+    Raises
+    ------
+    TimeoutError
+        If the limits have not grown after `WARM_PARTS` parts.
+    """
+    for part in range(WARM_PARTS):
+        await run_load(replace(load, seed=load.seed + 100 + part))
+        if min(await _limits(site)) >= WARM_TOKENS:
+            return
+    raise TimeoutError(f"limits are {await _limits(site)}")
+
+
+async def _limits(site):
+    limits = []
+    for entry in site.entry_by_name.values():
+        url = f"http://{entry.addresses['admin']}/status"
+        async with site.session.get(url) as response:
+            status = await response.json()
+        limits += [e["limit"] for e in status["endpoints"]]
+    return limits
+
+
 @trials.register("capacity")
 async def run_capacity(
     *,
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/trials/registry.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/trials/registry.py
@@ -15,6 +15,7 @@
 TRIAL_MODULES = (
     "magnoliagrade_standins.trials.capacity",
     "magnoliagrade_standins.trials.data_centre_move",
+    "magnoliagrade_standins.trials.fairness",
 )
 
 
--- a/packages/magnoliagrade/magnoliagrade/wire/capacity.capnp
+++ b/packages/magnoliagrade/magnoliagrade/wire/capacity.capnp
@@ -4,7 +4,9 @@
 struct CreditRequest {
   wanted @0 :Float64;        # cost of one more request that waits for credit
   inUse @1 :Float64;
-  returned @2 :Float64;      # an ask that is withdrawn, or credit that is not used
+  returned @2 :Float64;      # an ask that is withdrawn
+  isSurplus @3 :Bool;        # its organisation uses more than its share
+  unused @4 :Float64;        # granted credit that no request uses
 }
 
 struct CreditGrant {
@@ -13,6 +15,7 @@
   engineBoot @2 :Text;
   limit @3 :Float64;
   held @4 :Float64;          # cost in flight or granted, of all entries
+  isSurplus @5 :Bool;        # as in the ask
 }
 
 struct LoadReport {
@@ -36,6 +39,8 @@
 struct UsageReport {
   intervalSeconds @0 :Float64;
   usages @1 :List(OrganisationUsage);
+  dataCentre @2 :Text;       # empty: of the sender alone; else summed over these
+  entries @3 :UInt32;        # entries of the sender's data centre
 }
 
 struct CapacityMessage {
--- a/packages/magnoliagrade/magnoliagrade/wire/capacity.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/capacity.py
@@ -20,6 +20,8 @@
     wanted: float = 0.0
     in_use: float = 0.0
     returned: float = 0.0
+    is_surplus: bool = False
+    unused: float = 0.0
 
 
 @message("capacity", "creditGrant")
@@ -31,6 +33,7 @@
     engine_boot: str = ""
     limit: float = 0.0
     held: float = 0.0
+    is_surplus: bool = False
 
 
 @message("capacity", "loadReport")
@@ -59,7 +62,13 @@
 
 @message("capacity", "usageReport")
 class UsageReport:
-    """An entry tells its peers what organisations used lately."""
+    """An entry tells peers what organisations with a ceiling asked for lately.
+
+    Peers of its own data centre get its own figures, those of others the sums over
+    the entries of its data centre.
+    """
 
     interval_seconds: float = 0.0
     usages: list = field(default_factory=list, metadata={"of": OrganisationUsage})
+    data_centre: str = ""
+    entries: int = 0
