--- a/packages/magnoliagrade-entry/magnoliagrade_entry/routing/usage.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/usage.py
@@ -5,9 +5,9 @@
 
 __all__ = ["RecentUsage"]
 
-HALF_LIFE_S = 5.0
+HALF_LIFE_S = 10.0
 FORGET_S = 20.0
-SURPLUS_RATIO = 1.5
+SURPLUS_RATIO = 2.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -27,8 +27,8 @@
 
     Notes
     -----
-    An organisation is above its share when its part of the recent cost exceeds 1.5
-    times its part of the weights of those seen in the last 20 s. O(1) amortised for
+    An organisation is above its share when its part of the recent cost exceeds twice
+    its part of the weights of those seen in the last 20 s. O(1) amortised for
     each request, whatever the number of organisations.
 
     Examples
@@ -40,6 +40,7 @@
     >>> usage.is_surplus("large")
     False
     >>> usage.note("small", 100, 1.0)
+    >>> usage.note("other", 100, 1.0)
     >>> usage.is_surplus("large"), usage.is_surplus("small")
     (True, False)
     """
