Share ceilings over entries, and measure overload

Cause: organisations' ceilings were read and not kept; nothing showed what three times the capacity does to goodput, memory and recovery.

Change: admission "fair" keeps ceilings in parts that follow demand, told between entries once a second while a ceiling is in use; silent entries keep their n-th. Trials "overload" and "routing".

The part sums hold over 100 drawn cuts (test_shared_rates).

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
@@ -8,7 +8,11 @@
 from magnoliagrade.platform import HttpInstanceList
 from magnoliagrade.world import Role
 
-from magnoliagrade_entry import configuration_watch, credit_watch  # noqa: F401
+from magnoliagrade_entry import (  # noqa: F401
+    configuration_watch,
+    credit_watch,
+    usage_gossip,
+)
 from magnoliagrade_entry.configuration_duty import WatchDuty
 from magnoliagrade_entry.configuration_routes import configuration_routes
 from magnoliagrade_entry.doors import make_caller_app, make_peer_app
@@ -77,7 +81,7 @@
             clock=self.clock,
             data_centre=settings.data_centre,
         )
-        self.admission = admission_policies.get("capped")(node=self)
+        self.admission = admission_policies.get("fair")(node=self)
         self.dispatcher = Dispatcher(node=self)
         self.link_keeper = LinkKeeper(node=self)
         self.duty = WatchDuty(node=self)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/requests/__init__.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/requests/__init__.py
@@ -1,6 +1,7 @@
 """What happens to one request: arrival, admission, attempts."""
 
 from magnoliagrade_entry.requests.admission import Admission, admission_policies
+from magnoliagrade_entry.requests.admission_fair import FairAdmission
 from magnoliagrade_entry.requests.arrival import read_arrival
 from magnoliagrade_entry.requests.attempt import AttemptFailed, run_attempt
 from magnoliagrade_entry.requests.dispatch import Dispatcher
@@ -9,6 +10,7 @@
     "Admission",
     "AttemptFailed",
     "Dispatcher",
+    "FairAdmission",
     "admission_policies",
     "read_arrival",
     "run_attempt",
--- /dev/null
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/requests/tests/test_shared_rates.py
@@ -0,0 +1,64 @@
+import asyncio
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from magnoliagrade.clock import ManualClock
+
+from magnoliagrade_entry.requests.shared_rates import (
+    FLOOR_FRACTION,
+    STALE_S,
+    HeardUsage,
+    SharedRates,
+)
+
+DEMANDS = st.lists(st.floats(0, 1000), min_size=2, max_size=7)
+
+
+def _entries(demands, clock):
+    entries = []
+    for demand in demands:
+        rates = SharedRates(clock=clock)
+        rates.entries = len(demands)
+        for _ in range(30):
+            rates.note_demand("o", demand)
+            rates.end_interval(1.0)
+        entries.append(rates)
+    return entries
+
+
+def _tell(entries, sides):
+    for i, teller in enumerate(entries):
+        for j, hearer in enumerate(entries):
+            if i != j and sides[i] == sides[j]:
+                demand = dict(teller.demand_by_organisation)
+                hearer.hear(str(i), HeardUsage(demand_by_organisation=demand))
+
+
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(DEMANDS, st.lists(st.booleans(), min_size=7, max_size=7))
+def test_parts_add_up_to_the_ceiling_on_every_side_of_a_cut(demands, sides):
+    entries = _entries(demands, ManualClock())
+    _tell(entries, sides)
+    parts = [e.part("o", 100.0) for e in entries]
+    assert sum(parts) <= 100.0 + 1e-6
+    for side in (False, True):
+        own = [p for p, s in zip(parts, sides, strict=False) if s is side]
+        assert sum(own) <= 100.0 * len(own) / len(entries) + 1e-6
+
+
+def test_entry_cut_off_falls_back_to_its_own_part():
+    async def main():
+        clock = ManualClock()
+        entries = _entries([100.0, 0.0, 0.0, 0.0], clock)
+        _tell(entries, [True] * 4)
+        assert entries[0].part("o", 100.0) > 100 * (1 - 4 * FLOOR_FRACTION)
+        await clock.advance(STALE_S + 1)
+        assert entries[0].part("o", 100.0) == 25.0
+
+    asyncio.run(main())
+
+
+def test_refusal_names_the_time_to_come_back():
+    rates = SharedRates(clock=ManualClock())
+    assert rates.wait_s("o", 100.0, 200) == 0.0
+    assert rates.wait_s("o", 100.0, 50) == 0.5
--- /dev/null
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/tests/test_router.py
@@ -0,0 +1,211 @@
+import asyncio
+import random
+from types import SimpleNamespace
+
+from magnoliagrade.clock import ManualClock
+from magnoliagrade.configuration import parse_configuration
+from magnoliagrade.errors import ErrorKind, MagnoliagradeError
+from magnoliagrade.wire import EngineLoad
+from magnoliagrade.world import Request
+
+from magnoliagrade_entry.membership import Departures
+from magnoliagrade_entry.routing import EndpointDirectory, PeerDirectory, Router
+
+CONFIGURATION = """
+[application m]
+work = model
+[pool p]
+endpoint_selector = work=model
+cold_limit = 600
+full_limit = 6000
+[route r]
+pool = p
+"""
+
+
+class _Link:
+    def __init__(self, name):
+        self.peer_instance = name
+        self.peer_incarnation = 1
+        self.sent = []
+        self.hello = SimpleNamespace(
+            role="agent",
+            data_centre="d",
+            data_address="127.0.0.1:1",
+            labels=[SimpleNamespace(name="work", value="model")],
+            group="",
+        )
+
+    def send(self, message):
+        self.sent.append(message)
+
+    def asked(self):
+        return sum(m.wanted - m.returned for m in self.sent)
+
+
+def _site(clock, names=("e1", "e2"), limit=600.0):
+    configuration = SimpleNamespace(in_force=parse_configuration(CONFIGURATION))
+    where = {
+        "configuration": configuration,
+        "data_centre": "d",
+        "departures": Departures(),
+    }
+    endpoints = EndpointDirectory(clock=clock, **where)
+    router = Router(
+        configuration=configuration,
+        endpoints=endpoints,
+        peers=PeerDirectory(**where),
+        rng=random.Random(1),
+        clock=clock,
+        data_centre="d",
+    )
+    links = [_Link(name) for name in names]
+    for link in links:
+        endpoints.on_link_up(link)
+        endpoints.on_load(link.peer_instance, EngineLoad(limit=limit))
+    return router, endpoints, links
+
+
+def _request(number, organisation="o", cost=200, deadline=100.0):
+    return Request(
+        id=f"r{number}",
+        organisation=organisation,
+        application="m",
+        method="POST",
+        path="/",
+        labels={"application": "m"},
+        prompt_tokens=cost // 2,
+        output_tokens=cost - cost // 2,
+        deadline=deadline,
+    )
+
+
+async def _start(router, *requests):
+    tasks = [asyncio.create_task(router.place(r)) for r in requests]
+    await asyncio.sleep(0)
+    return tasks
+
+
+def test_nothing_goes_out_without_credit():
+    async def main():
+        router, endpoints, (link,) = _site(ManualClock(), names=("e1",))
+        (task,) = await _start(router, _request(1))
+        assert link.asked() == 200 and not task.done()
+        router.on_grant(endpoints.by_name["e1"], 200)
+        assert (await task).name == "e1"
+
+    asyncio.run(main())
+
+
+def test_credit_goes_to_the_organisation_that_is_furthest_back():
+    async def main():
+        router, endpoints, _ = _site(ManualClock(), names=("e1",), limit=6000)
+        requests = [_request(i, "large") for i in range(3)]
+        tasks = await _start(router, *requests, _request(9, "small"))
+        for _ in range(2):
+            router.on_grant(endpoints.by_name["e1"], 200)
+        await asyncio.sleep(0)
+        assert [t.done() for t in tasks] == [True, False, False, True]
+        assert endpoints.by_name["e1"].asked_cost == 400
+
+    asyncio.run(main())
+
+
+def test_ask_of_a_caller_that_went_is_withdrawn():
+    async def main():
+        router, endpoints, (link,) = _site(ManualClock(), names=("e1",))
+        (task,) = await _start(router, _request(1))
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        assert link.asked() == 0
+        router.on_grant(endpoints.by_name["e1"], 200)
+        assert len(router.queue_by_pool["p"]) == 0
+
+    asyncio.run(main())
+
+
+def test_asks_move_when_their_endpoint_goes():
+    async def main():
+        router, endpoints, links = _site(ManualClock())
+        await _start(router, _request(1))
+        asked = next(k for k in links if k.asked())
+        other = next(k for k in links if k is not asked)
+        endpoints.on_link_down(asked)
+        router.tick()
+        assert other.asked() == 200
+
+    asyncio.run(main())
+
+
+def test_credit_of_a_leaving_endpoint_is_not_used():
+    async def main():
+        router, endpoints, links = _site(ManualClock(), names=("e1",))
+        (task,) = await _start(router, _request(1))
+        contact = endpoints.by_name["e1"]
+        endpoints._departures = SimpleNamespace(is_leaving=lambda *_: True)
+        router.on_grant(contact, 200)
+        await asyncio.sleep(0)
+        assert not task.done() and links[0].sent[-1].unused == 200
+        task.cancel()
+
+    asyncio.run(main())
+
+
+def test_request_is_refused_when_its_deadline_is_out_of_reach():
+    async def main():
+        clock = ManualClock()
+        router, _, _ = _site(clock, names=("e1",))
+        (task,) = await _start(router, _request(1, deadline=1.0))
+        await clock.advance(1.1)
+        router.tick()
+        (error,) = await asyncio.gather(task, return_exceptions=True)
+        assert error.kind is ErrorKind.DEADLINE_NOT_RUN and error.retry_after >= 1
+        assert clock.monotonic() < 1.2
+
+    asyncio.run(main())
+
+
+def test_request_that_no_endpoint_bears_is_refused_at_once():
+    async def main():
+        router, _, _ = _site(ManualClock())
+        try:
+            await router.place(_request(1, cost=6001))
+        except MagnoliagradeError as exc:
+            return exc.kind
+        return None
+
+    assert asyncio.run(main()) is ErrorKind.TOO_LARGE
+
+
+def test_outlier_is_left_out_but_never_more_than_a_third():
+    clock = ManualClock()
+    router, endpoints, _ = _site(clock, names=("e1", "e2", "e3"))
+    for name, token_s in (("e1", 0.2), ("e2", 0.01), ("e3", 0.01)):
+        for _ in range(10):
+            endpoints.by_name[name].health.note("whole", token_s)
+    pool = router._configuration.in_force.pool_by_name["p"]
+    names = [c.endpoint.name for c in router._candidates(pool, frozenset())]
+    assert names == ["e2", "e3"]
+    for _ in range(20):
+        endpoints.by_name["e2"].health.note("ANSWER_BROKEN", 0.0)
+    names = [c.endpoint.name for c in router._candidates(pool, frozenset())]
+    assert names == ["e2", "e3"]
+
+
+def test_ejected_endpoint_comes_back_by_a_good_probe():
+    async def main():
+        clock = ManualClock()
+        router, endpoints, _ = _site(clock, names=("e1", "e2", "e3"))
+        health = endpoints.by_name["e1"].health
+        health.eject(0.01)
+        pool = router._configuration.in_force.pool_by_name["p"]
+        assert len(router._candidates(pool, frozenset())) == 2
+        await clock.advance(6)
+        assert len(router._candidates(pool, frozenset())) == 3
+        health.note("whole", 0.5)
+        assert health.is_out()
+        await clock.advance(11)
+        health.note("whole", 0.01)
+        assert not health.is_out() and not health.is_probing
+
+    asyncio.run(main())
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/trials/registry.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/trials/registry.py
@@ -16,6 +16,8 @@
     "magnoliagrade_standins.trials.capacity",
     "magnoliagrade_standins.trials.data_centre_move",
     "magnoliagrade_standins.trials.fairness",
+    "magnoliagrade_standins.trials.overload",
+    "magnoliagrade_standins.trials.routing",
 )
 
 
