Trace the wait for credit and survive slips in options

Cause: an unknown policy name or number in a pool's options raised in the handler of the configuration or for each request; a restarted agent told its limit up to a second late; the wait for credit did not show in traces.

Change: unknown names count as the default (the agent logs them); a limit that becomes known is told at once; spans carry the wait and whether it was above a share.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/evidence.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/evidence.py
@@ -123,8 +123,7 @@
         self.cold_limit = float(cold_limit)
         self._full_limit = float(max(cold_limit, full_limit))
         distance = self._full_limit - self.cold_limit
-        tokens = float(options.get(TOKENS_OPTION, TOKENS_PER_UNIT * distance))
-        self._growth = distance / max(tokens, 1.0)
+        self._growth = distance / max(1.0, _tokens_to_full(options, distance))
         limit = self.cold_limit if is_first else self.limit
         self.limit = min(self._full_limit, max(self.cold_limit, limit))
 
@@ -172,3 +171,10 @@
         self._shrunk_at = at
         self.limit = max(self.cold_limit, SHRINK_FACTOR * self.limit)
         return "latency"
+
+
+def _tokens_to_full(options, distance):
+    try:
+        return float(options[TOKENS_OPTION])
+    except (KeyError, ValueError):
+        return TOKENS_PER_UNIT * distance
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
@@ -152,6 +152,9 @@
 
     def _configure_limit(self, pool):
         name = pool.options.get(LIMIT_POLICY_OPTION, DEFAULT_LIMIT_POLICY)
+        if name not in limit_policies.by_name:
+            log_event(_log, "limit_policy.unknown", pool=pool.name, policy=name)
+            name = DEFAULT_LIMIT_POLICY
         make = limit_policies.get(name)
         if name != self.load_watch.limit_policy_name:
             self.credits.limit_policy = make()
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/load_watch.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/load_watch.py
@@ -74,6 +74,8 @@
 def _is_due(told, message, since_s):
     if message.boot_id != told.boot_id or message.limit < 0.9 * told.limit:
         return True
+    if message.limit and not told.limit:
+        return True
     if since_s >= REFRESH_INTERVAL_S:
         return True
     if since_s < CHANGE_INTERVAL_S:
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/routing/queue_policies.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/queue_policies.py
@@ -5,6 +5,7 @@
 __all__ = ["flow_of", "queue_policies"]
 
 QUEUE_OPTION = "option.queue.policy"
+DEFAULT_POLICY = "fair"
 
 queue_policies = Registry(family="queue policy")
 
@@ -29,6 +30,10 @@
     request : Request
         The request.
     pool : Pool
-        Its pool, whose `option.queue.policy` names the policy.
+        Its pool, whose `option.queue.policy` names the policy; an unknown name
+        counts as the default, so that a slip does not stop the pool.
     """
-    return queue_policies.get(pool.options.get(QUEUE_OPTION, "fair"))(request)
+    name = pool.options.get(QUEUE_OPTION, DEFAULT_POLICY)
+    if name not in queue_policies.by_name:
+        name = DEFAULT_POLICY
+    return queue_policies.get(name)(request)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/routing/router.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/router.py
@@ -6,6 +6,7 @@
 
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
 from magnoliagrade.observability import log_event
+from opentelemetry import trace
 from prometheus_client import Counter
 
 from magnoliagrade_entry.routing.data_centres import RemoteOffers
@@ -22,6 +23,7 @@
 TICK_S = 0.05
 PATIENCE_S = 0.25
 HEADS_SPILLED = 8
+DEFAULT_ROUTING = "prefix-affinity"
 
 PLACEMENTS = Counter(
     "magnoliagrade_placements_total",
@@ -153,7 +155,9 @@
         )
         self._bind(ticket, pool, queue, candidates)
         try:
-            return self._placed(pool, await ticket.future)
+            placement = await ticket.future
+            _trace_wait(ticket, self._clock.monotonic())
+            return self._placed(pool, placement)
         except asyncio.CancelledError:
             self._return_unused(ticket)
             raise
@@ -238,7 +242,8 @@
         open_ones = [c for c in candidates if c.may_ask(ticket)]
         if not open_ones:
             return
-        choose = routing_policies.get(pool.routing)
+        is_known = pool.routing in routing_policies.by_name
+        choose = routing_policies.get(pool.routing if is_known else DEFAULT_ROUTING)
         contact = choose(
             request=ticket.request, candidates=open_ones, pool=pool, rng=self._rng
         )
@@ -301,6 +306,12 @@
             self.queue_by_pool[ticket.pool].unbind(ticket)
 
 
+def _trace_wait(ticket, now):
+    span = trace.get_current_span()
+    span.set_attribute("magnoliagrade.queue_s", now - ticket.arrived_at)
+    span.set_attribute("magnoliagrade.is_surplus", ticket.is_surplus)
+
+
 def _log_ejection(contact, reason):
     health = contact.health
     log_event(
