Answer bad input at every door from the error table

Cause: the HTTP library answered parse errors, unknown paths and its own limits with plain text; it waited an hour for slow headers; bodies of all callers together had no bound; it decompressed bodies and left Content-Encoding as it was, so that a back end got plain bytes labelled gzip; a key, header or prompt that is not UTF-8 and a very deep JSON ended as INTERNAL; an exception after the answer had begun wrote a second answer into the first; the library logged the offending header line, keys with it; X-Request-Id was missing where the caller gave none. Change: start_door serves a bare handler on the library's server class, whose parse errors become INVALID_REQUEST or TOO_LARGE as problem details; header and idle timeouts; bodies are read within size, time and a budget of memory over all requests, and are never decompressed; 100-continue is sent only once the key is known and the declared size fits; every answer carries X-Request-Id; unread bodies close the connection.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/door.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/door.py
@@ -3,7 +3,6 @@
 import logging
 
 import aiohttp
-from aiohttp import web
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
 from magnoliagrade.http import AnswerSink, error_response, read_request_headers
 from magnoliagrade.http import headers as names
@@ -16,9 +15,8 @@
 from opentelemetry import trace
 from prometheus_client import Counter
 
-__all__ = ["make_data_app"]
+__all__ = ["make_data_door"]
 
-BODY_LIMIT_BYTES = 1024**3
 REQUESTS = Counter(
     "magnoliagrade_agent_requests_total", "Requests from entries by result", ["result"]
 )
@@ -26,8 +24,8 @@
 _log = logging.getLogger(__name__)
 
 
-def make_data_app(node):
-    """Return the application that entries send requests to.
+def make_data_door(node):
+    """Return the handler of the listener that entries send requests to.
 
     Parameters
     ----------
@@ -50,9 +48,7 @@
         REQUESTS.labels("whole").inc()
         return sink.response
 
-    app = web.Application(client_max_size=BODY_LIMIT_BYTES)
-    app.router.add_route("*", "/{tail:.*}", handle)
-    return app
+    return handle
 
 
 async def _read_request(node, http_request):
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
@@ -10,7 +10,7 @@
 
 from magnoliagrade_agent.attempts import AttemptBook
 from magnoliagrade_agent.capacity import CreditBook, limit_policies
-from magnoliagrade_agent.door import make_data_app
+from magnoliagrade_agent.door import make_data_door
 from magnoliagrade_agent.engine import EngineClient
 from magnoliagrade_agent.handlers import agent_handlers, agent_tasks
 from magnoliagrade_agent.load_watch import LoadWatch, send_grants
@@ -70,7 +70,9 @@
         """Open every listener and start the background tasks."""
         self.open_clients()
         self.engine = EngineClient(url=self.settings.url, session=self.session)
-        await self.listen_http("data", make_data_app(self), self.settings.data_address)
+        await self.listen_door(
+            "data", make_data_door(self), self.settings.data_address, is_internal=True
+        )
         await self.listen_admin()
         await self.listen_links()
         self.start_tasks()
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/doors.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/doors.py
@@ -4,7 +4,6 @@
 import contextlib
 import logging
 
-from aiohttp import web
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
 from magnoliagrade.http import AnswerSink, error_response, read_request_headers
 from magnoliagrade.http import headers as names
@@ -12,9 +11,9 @@
 from opentelemetry import trace
 from prometheus_client import Counter, Histogram
 
-from magnoliagrade_entry.requests import read_arrival
+from magnoliagrade_entry.requests import read_arrival, request_id_of
 
-__all__ = ["make_caller_app", "make_peer_app"]
+__all__ = ["make_caller_door", "make_peer_door"]
 
 REQUESTS = Counter(
     "magnoliagrade_requests_total",
@@ -30,8 +29,8 @@
 _log = logging.getLogger(__name__)
 
 
-def make_caller_app(node):
-    """Return the application that callers connect to.
+def make_caller_door(node):
+    """Return the handler of the listener that callers connect to.
 
     Parameters
     ----------
@@ -40,29 +39,34 @@
     """
 
     async def handle(http_request):
-        request_id = http_request.headers.get("X-Request-Id", "")
-        sink = AnswerSink(http_request=http_request)
+        request_id = request_id_of(http_request.headers)
+        sink = AnswerSink(
+            http_request=http_request, added_headers={"X-Request-Id": request_id}
+        )
         with _server_span("caller", http_request):
             try:
                 request = await read_arrival(
                     http_request,
+                    request_id=request_id,
                     configuration=node.configuration.in_force,
                     settings=node.settings,
                     clock=node.clock,
+                    budget=node.body_budget,
                 )
-                request_id = request.id
-                sink.added_headers["X-Request-Id"] = request_id
-                await _serve_admitted(node, request, sink)
+                try:
+                    await _serve_admitted(node, request, sink)
+                finally:
+                    node.body_budget.give_back(len(request.body))
             except MagnoliagradeError as exc:
                 return _answer_error(exc, sink, request_id, door="caller")
             REQUESTS.labels("caller", "whole").inc()
             return sink.response
 
-    return _make_app(node, handle, "caller")
+    return _counted(node, handle, "caller")
 
 
-def make_peer_app(node):
-    """Return the application that peer entries forward requests to.
+def make_peer_door(node):
+    """Return the handler of the listener that peer entries forward requests to.
 
     Parameters
     ----------
@@ -89,10 +93,10 @@
             REQUESTS.labels("peer", "whole").inc()
             return sink.response
 
-    return _make_app(node, handle, "peer")
+    return _counted(node, handle, "peer")
 
 
-def _make_app(node, handle, door):
+def _counted(node, handle, door):
     async def counted(http_request):
         started = node.clock.monotonic()
         node.requests_in_flight += 1
@@ -101,17 +105,14 @@
         except (ConnectionError, asyncio.CancelledError):
             REQUESTS.labels(door, "caller-gone").inc()
             raise
-        except Exception as exc:
-            _log.exception("request.failed")
-            error = MagnoliagradeError(ErrorKind.INTERNAL, type(exc).__name__)
-            return error_response(error, is_internal=door == "peer")
+        except Exception:
+            REQUESTS.labels(door, ErrorKind.INTERNAL.value).inc()
+            raise
         finally:
             node.requests_in_flight -= 1
             DURATION.labels(door).observe(node.clock.monotonic() - started)
 
-    app = web.Application(client_max_size=node.settings.body_limit_bytes)
-    app.router.add_route("*", "/{tail:.*}", counted)
-    return app
+    return counted
 
 
 async def _serve_admitted(node, request, sink):
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
@@ -3,6 +3,7 @@
 import logging
 
 from magnoliagrade.configuration import ConfigurationRepository
+from magnoliagrade.http import BodyBudget, DoorLimits
 from magnoliagrade.node import Node
 from magnoliagrade.observability import log_event
 from magnoliagrade.platform import HttpInstanceList
@@ -11,7 +12,7 @@
 from magnoliagrade_entry import configuration_watch, credit_watch  # noqa: F401
 from magnoliagrade_entry.configuration_duty import WatchDuty
 from magnoliagrade_entry.configuration_routes import configuration_routes
-from magnoliagrade_entry.doors import make_caller_app, make_peer_app
+from magnoliagrade_entry.doors import make_caller_door, make_peer_door
 from magnoliagrade_entry.handlers import entry_handlers, entry_tasks
 from magnoliagrade_entry.membership import Departures, KnownInstances, LinkKeeper
 from magnoliagrade_entry.membership.messages import note_listed_departures
@@ -37,6 +38,7 @@
 
     __slots__ = (
         "admission",
+        "body_budget",
         "departures",
         "dispatcher",
         "duty",
@@ -60,6 +62,7 @@
             clock=clock,
         )
         self.requests_in_flight = 0
+        self.body_budget = BodyBudget(limit_bytes=settings.body_memory_bytes)
         where = {
             "configuration": self.configuration,
             "data_centre": settings.data_centre,
@@ -92,15 +95,19 @@
         self.repository = ConfigurationRepository(
             store=self.store, clock=self.clock, rng=self.rng, is_in_background=True
         )
-        limit = settings.header_limit_bytes
-        limits = {"max_line_size": limit, "max_field_size": limit}
-        await self.listen_http(
-            "data", make_peer_app(self), settings.data_address, **limits
+        limits = DoorLimits(
+            header_bytes=settings.header_limit_bytes,
+            body_bytes=settings.body_limit_bytes,
+            header_timeout_s=settings.header_timeout_s,
+            idle_timeout_s=settings.idle_timeout_s,
+        )
+        await self.listen_door(
+            "data", make_peer_door(self), settings.data_address, is_internal=True
         )
         await self.listen_links()
         await self.listen_admin([*status_routes(self), *configuration_routes(self)])
-        await self.listen_http(
-            "caller", make_caller_app(self), settings.caller_address, **limits
+        await self.listen_door(
+            "caller", make_caller_door(self), settings.caller_address, limits=limits
         )
         self.start_tasks()
         log_event(_log, "entry.started", **self.addresses)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/requests/__init__.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/requests/__init__.py
@@ -1,7 +1,7 @@
 """What happens to one request: arrival, admission, attempts."""
 
 from magnoliagrade_entry.requests.admission import Admission, admission_policies
-from magnoliagrade_entry.requests.arrival import read_arrival
+from magnoliagrade_entry.requests.arrival import read_arrival, request_id_of
 from magnoliagrade_entry.requests.attempt import AttemptFailed, run_attempt
 from magnoliagrade_entry.requests.dispatch import Dispatcher
 
@@ -11,5 +11,6 @@
     "Dispatcher",
     "admission_policies",
     "read_arrival",
+    "request_id_of",
     "run_attempt",
 ]
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/requests/arrival.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/requests/arrival.py
@@ -1,20 +1,23 @@
 """Understanding a caller's request."""
 
-import asyncio
 import json
+import re
 
 from magnoliagrade.algorithms import hash64
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
-from magnoliagrade.http import end_to_end_headers
+from magnoliagrade.http import end_to_end_headers, read_body
 from magnoliagrade.identity import new_request_id
 from magnoliagrade.world import Request, Work
 
-__all__ = ["MODEL_PATHS", "read_arrival"]
+__all__ = ["MODEL_PATHS", "read_arrival", "request_id_of"]
 
 MODEL_PATHS = ("/v1/chat/completions", "/v1/completions")
 BYTES_PER_TOKEN = 4
 DEFAULT_OUTPUT_TOKENS = 128
+MAX_OUTPUT_TOKENS = 1_000_000
 PREFIX_BYTES = 256
+REQUEST_ID_CHARACTERS = 128
+_REQUEST_ID = re.compile(r"[!-~]+")
 _SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
 _TRUE_AND_FALSE = {"?1": True, "?0": False}
 _CONSUMED_HEADERS = (
@@ -27,19 +30,25 @@
 )
 
 
-async def read_arrival(http_request, *, configuration, settings, clock):
+async def read_arrival(
+    http_request, *, request_id, configuration, settings, clock, budget
+):
     """Return the request that a caller sent.
 
     Parameters
     ----------
     http_request : aiohttp.web.Request
         The incoming HTTP request.
+    request_id : str
+        Id of the request, from `request_id_of`.
     configuration : Configuration
         Configuration in force.
     settings : EntrySettings
         Limits on bodies.
     clock : Clock
         Source of time.
+    budget : BodyBudget
+        Memory for bodies; the caller gives back the size of the request's body.
 
     Returns
     -------
@@ -49,15 +58,53 @@
     Raises
     ------
     MagnoliagradeError
-        `UNAUTHENTICATED`, `INVALID_REQUEST`, `TOO_LARGE` or `NO_ROUTE`.
+        `UNAUTHENTICATED`, `INVALID_REQUEST`, `TOO_LARGE`, `OVERLOADED` or
+        `NO_ROUTE`. Nothing of the budget is held then.
     """
+    _check_headers(http_request.headers)
     organisation = _authenticate(http_request.headers, configuration)
-    body = await _read_body(http_request, settings)
+    body = await read_body(
+        http_request,
+        limit_bytes=settings.body_limit_bytes,
+        timeout_s=settings.body_timeout_s,
+        budget=budget,
+    )
+    try:
+        return _understand(
+            http_request, body, request_id, organisation, configuration, clock
+        )
+    except MagnoliagradeError:
+        budget.give_back(len(body))
+        raise
+
+
+def request_id_of(headers):
+    """Return the id that a caller gave its request, or a new one.
+
+    Parameters
+    ----------
+    headers : mapping of str to str
+        Headers as received.
+
+    Examples
+    --------
+    >>> request_id_of({"X-Request-Id": "a-1"})
+    'a-1'
+    >>> len(request_id_of({"X-Request-Id": "two words"}))
+    32
+    """
+    given = headers.get("X-Request-Id", "")
+    if len(given) <= REQUEST_ID_CHARACTERS and _REQUEST_ID.fullmatch(given):
+        return given
+    return new_request_id()
+
+
+def _understand(http_request, body, request_id, organisation, configuration, clock):
     headers = http_request.headers
     if http_request.path in MODEL_PATHS:
-        request = _read_model_request(http_request, body)
+        request = _read_model_request(http_request, body, request_id)
     else:
-        request = _read_service_request(http_request, body)
+        request = _read_service_request(http_request, body, request_id)
     application = configuration.application_by_name.get(request.application)
     if application is None or _is_other_work(application, http_request.path):
         detail = f"application {request.application!r} does not exist"
@@ -83,6 +130,22 @@
     return is_model_path != (application.work is Work.MODEL)
 
 
+def _check_headers(headers):
+    for name, value in headers.items():
+        # The parser keeps bytes that are not UTF-8 as lone surrogates.
+        if not value.isascii() and not _is_encodable(value):
+            detail = f"header {name!r} is not UTF-8"
+            raise MagnoliagradeError(ErrorKind.INVALID_REQUEST, detail)
+
+
+def _is_encodable(text):
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _authenticate(headers, configuration):
     scheme, _, key = headers.get("Authorization", "").partition(" ")
     if scheme.lower() != "bearer" or not key.strip():
@@ -94,45 +157,30 @@
     return organisation
 
 
-async def _read_body(http_request, settings):
-    limit = settings.body_limit_bytes
-    declared = http_request.content_length or 0
-    if declared > limit:
-        detail = f"body of {declared} bytes exceeds {limit}"
-        raise MagnoliagradeError(ErrorKind.TOO_LARGE, detail)
-    parts = []
-    size = 0
-    try:
-        async with asyncio.timeout(settings.body_timeout_s):
-            async for part in http_request.content.iter_any():
-                size += len(part)
-                if size > limit:
-                    detail = f"body exceeds {limit} bytes"
-                    raise MagnoliagradeError(ErrorKind.TOO_LARGE, detail)
-                parts.append(part)
-    except TimeoutError as exc:
-        detail = f"body was not sent within {settings.body_timeout_s} s"
-        raise MagnoliagradeError(ErrorKind.INVALID_REQUEST, detail) from exc
-    return b"".join(parts)
-
-
-def _read_model_request(http_request, body):
+def _read_model_request(http_request, body, request_id):
     if http_request.method != "POST":
         detail = f"method {http_request.method} is not POST"
         raise MagnoliagradeError(ErrorKind.INVALID_REQUEST, detail)
+    coding = http_request.headers.get("Content-Encoding", "identity")
+    if coding.lower() != "identity":
+        detail = f"content encoding {coding!r} of a model request is not read"
+        raise MagnoliagradeError(ErrorKind.INVALID_REQUEST, detail)
     try:
         fields = json.loads(body)
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         detail = f"body is not JSON: {exc}"
         raise MagnoliagradeError(ErrorKind.INVALID_REQUEST, detail) from exc
     model = _field(fields, "model", str)
     prompt = _prompt_text(fields)
+    if not _is_encodable(model + prompt):
+        detail = "model or prompt holds half of a surrogate pair"
+        raise MagnoliagradeError(ErrorKind.INVALID_REQUEST, detail)
     output = fields.get("max_tokens", DEFAULT_OUTPUT_TOKENS)
-    if type(output) is not int or output < 1:
-        detail = f"max_tokens {output!r} is not a positive whole number"
+    if type(output) is not int or not 1 <= output <= MAX_OUTPUT_TOKENS:
+        detail = f"max_tokens is not a whole number from 1 to {MAX_OUTPUT_TOKENS}"
         raise MagnoliagradeError(ErrorKind.INVALID_REQUEST, detail)
     return Request(
-        id=_request_id(http_request.headers),
+        id=request_id,
         organisation="",
         application=model,
         method="POST",
@@ -164,10 +212,10 @@
     return value
 
 
-def _read_service_request(http_request, body):
+def _read_service_request(http_request, body, request_id):
     application, _, rest = http_request.path_qs.lstrip("/").partition("/")
     return Request(
-        id=_request_id(http_request.headers),
+        id=request_id,
         organisation="",
         application=application.partition("?")[0],
         method=http_request.method,
@@ -182,13 +230,6 @@
     return {k: v for k, v in kept.items() if k not in _CONSUMED_HEADERS}
 
 
-def _request_id(headers):
-    given = headers.get("X-Request-Id", "")
-    if given and len(given) <= 128 and given.isprintable() and " " not in given:
-        return given
-    return new_request_id()
-
-
 def _is_repeatable(http_request, request, application):
     text = http_request.headers.get("Idempotent")
     if text is not None:
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/settings.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/settings.py
@@ -109,6 +109,31 @@
         low=0.1,
         high=3600,
     )
+    body_memory_bytes: int = setting(
+        section="requests",
+        doc="memory that the bodies of all requests in the entry may take together",
+        unit="bytes",
+        default=256 * 1024 * 1024,
+        low=1024,
+        high=1024**4,
+    )
+    header_timeout_s: float = setting(
+        section="requests",
+        doc="longest time that a caller may take to send the headers of a request",
+        unit="s",
+        default=10.0,
+        low=0.1,
+        high=3600,
+    )
+    idle_timeout_s: float = setting(
+        section="requests",
+        doc="longest time that a connection is kept without a request; longer than "
+        "that of the platform's balancer",
+        unit="s",
+        default=600.0,
+        low=0.1,
+        high=86400,
+    )
     drain_lag_s: float = setting(
         section="shutdown",
         doc="how long new requests are still served after SIGTERM, while the "
@@ -148,4 +173,9 @@
 
     def combinations(self):
         """Return texts for settings that cannot go together."""
-        return same_addresses(self)
+        problems = same_addresses(self)
+        if self.body_memory_bytes < self.body_limit_bytes:
+            problems.append(
+                "[requests] body_memory_bytes must not be less than body_limit_bytes"
+            )
+        return problems
--- a/packages/magnoliagrade/magnoliagrade/node/node.py
+++ b/packages/magnoliagrade/magnoliagrade/node/node.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 from magnoliagrade.clock import SystemClock
+from magnoliagrade.http import DoorLimits, start_door
 from magnoliagrade.identity import InstanceIdentity, new_incarnation
 from magnoliagrade.node.admin import make_admin_app
 from magnoliagrade.node.configuration_spread import ConfigurationSpread
@@ -112,6 +113,33 @@
         self._runners.append(runner)
         self.addresses[name] = bound
 
+    async def listen_door(
+        self, name, handle, address, *, limits=None, is_internal=False
+    ):
+        """Serve a door and note its bound address under a name.
+
+        Parameters
+        ----------
+        name : str
+            Name of the listener.
+        handle : coroutine function
+            Takes an HTTP request and returns a response.
+        address : str
+            `host:port` to listen on.
+        limits : DoorLimits, optional
+            What a connection may ask; wide ones by default.
+        is_internal : bool
+            Whether own processes are on the other side.
+        """
+        runner, bound = await start_door(
+            handle,
+            address,
+            limits=limits or DoorLimits(),
+            is_internal=is_internal,
+        )
+        self._runners.append(runner)
+        self.addresses[name] = bound
+
     async def listen_admin(self, routes=()):
         """Serve health, readiness and metrics."""
         app = make_admin_app(reasons_not_ready=self.reasons_not_ready, routes=routes)
