--- a/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
@@ -8,7 +8,7 @@
 from magnoliagrade.platform import HttpInstanceList
 from magnoliagrade.world import Role
 
-from magnoliagrade_entry import configuration_watch  # noqa: F401
+from magnoliagrade_entry import configuration_watch, credit_watch  # noqa: F401
 from magnoliagrade_entry.configuration_duty import WatchDuty
 from magnoliagrade_entry.configuration_routes import configuration_routes
 from magnoliagrade_entry.doors import make_caller_app, make_peer_app
@@ -67,13 +67,15 @@
         self.departures = Departures()
         self.known = KnownInstances(clock=self.clock)
         where["departures"] = self.departures
-        self.endpoints = EndpointDirectory(**where)
+        self.endpoints = EndpointDirectory(clock=self.clock, **where)
         self.peers = PeerDirectory(**where)
         self.router = Router(
             configuration=self.configuration,
             endpoints=self.endpoints,
             peers=self.peers,
             rng=self.rng,
+            clock=self.clock,
+            data_centre=settings.data_centre,
         )
         self.admission = admission_policies.get("capped")(node=self)
         self.dispatcher = Dispatcher(node=self)
