--- /dev/null
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/group/generations.py
@@ -0,0 +1,317 @@
+"""A rank's part in the generations of its group."""
+
+import logging
+from dataclasses import replace
+
+from magnoliagrade.observability import log_event
+from magnoliagrade.wire import (
+    GenerationAnswer,
+    GenerationJoin,
+    GenerationSettled,
+)
+
+from magnoliagrade_agent.group.knowledge import (
+    Knowledge,
+    generation_of,
+    settle,
+)
+
+__all__ = ["GenerationMember"]
+
+_log = logging.getLogger(__name__)
+
+
+class GenerationMember:
+    """One rank's agent as a member of its group's generations.
+
+    Parameters
+    ----------
+    group : str
+        Name of the group.
+    rank : int
+        Rank of this agent.
+    ranks : int
+        Number of ranks.
+    incarnation : int
+        Number of this start; higher than those of earlier ones as far as known.
+    orders : RankOrders
+        Orders to the rank.
+    send : callable
+        Called with a rank and a message; may lose it.
+
+    Notes
+    -----
+    A generation is named by the incarnations of all ranks, so no number has to be
+    agreed on. In it each rank gives one answer on each matter and never another:
+    one on what it knew before, one on each arming. Therefore all ranks that have
+    all answers come to the same conclusion, in whatever order messages arrive.
+    Everything is sent again until it is of no more use, so losses only delay.
+    """
+
+    __slots__ = (
+        "_maps",
+        "_send",
+        "answer_by_rank",
+        "fence",
+        "generation",
+        "generations_opened",
+        "group",
+        "incarnation_by_rank",
+        "is_rank_new",
+        "is_running",
+        "is_superseded",
+        "knowledge",
+        "orders",
+        "rank",
+        "ranks",
+        "record",
+        "settled_ranks",
+        "was_running",
+    )
+
+    def __init__(self, *, group, rank, ranks, incarnation, orders, send):
+        self.group = group
+        self.rank = rank
+        self.ranks = ranks
+        self.orders = orders
+        self._send = send
+        self.incarnation_by_rank = {rank: incarnation}
+        self.knowledge = Knowledge()
+        self.record = None
+        self.fence = 0
+        self.generations_opened = 0
+        self.is_rank_new = True
+        self.is_superseded = False
+        self.was_running = False
+        self._maps = {}
+        self._forget_generation()
+
+    @property
+    def incarnation(self):
+        """Return the incarnation under which this rank has joined."""
+        return self.incarnation_by_rank[self.rank]
+
+    async def start(self):
+        """Stop the rank, learn what it knows and open a generation."""
+        state = await self.orders.pause()
+        self.knowledge = state.knowledge
+        await self._open_generation()
+
+    async def restart_rank(self):
+        """Open a generation because the rank behind this agent has restarted."""
+        self.incarnation_by_rank[self.rank] += 1
+        await self._open_generation()
+
+    async def offer_record(self, record, fence):
+        """Take the group's record and newest fence from the store.
+
+        Parameters
+        ----------
+        record : GroupRecord
+            Map to start from if no rank knows any.
+        fence : int
+            Newest fencing number in the store.
+        """
+        self.record = record
+        self.fence = max(self.fence, fence)
+        if self.generation and not self.is_running:
+            await self._answer()
+
+    async def on_message(self, message, reply):
+        """Handle a message of the group.
+
+        Parameters
+        ----------
+        message : object
+            A message of the group's family.
+        reply : callable
+            Sends a message back to where this one came from.
+        """
+        if self.is_superseded:
+            return
+        await self.handler_by_message[type(message)](self, message, reply)
+
+    async def tick(self):
+        """Send again what others may have missed of an incomplete generation."""
+        if not self.is_running and not self.is_superseded:
+            self._broadcast_generation()
+            await self._maybe_run()
+
+    def _forget_generation(self):
+        self.generation = 0
+        self.answer_by_rank = {}
+        self.settled_ranks = set()
+        self.is_running = False
+
+    async def _open_generation(self):
+        self._forget_generation()
+        self.generations_opened += 1
+        state = await self.orders.pause()
+        self.is_rank_new = not state.knowledge.origin
+        completed = state.knowledge.completed
+        self.knowledge = replace(self.knowledge, completed=completed)
+        if len(self.incarnation_by_rank) == self.ranks:
+            self.generation = generation_of(self._incarnations())
+            await self._answer()
+        self._broadcast(self._join())
+
+    def _incarnations(self):
+        return [self.incarnation_by_rank.get(r, 0) for r in range(self.ranks)]
+
+    def _join(self):
+        return GenerationJoin(
+            group=self.group,
+            generation=self.generation,
+            rank=self.rank,
+            incarnation=self.incarnation,
+        )
+
+    async def _on_join(self, message, reply):
+        known = self.incarnation_by_rank.get(message.rank, 0)
+        if message.rank == self.rank:
+            await self._on_own_incarnation(message.incarnation)
+        elif message.incarnation < known:
+            reply(replace(message, incarnation=known))
+        elif message.incarnation > known:
+            self.incarnation_by_rank[message.rank] = message.incarnation
+            await self._open_generation()
+        elif message.generation != self.generation:
+            reply(self._join())
+            if self.rank in self.answer_by_rank:
+                reply(self.answer_by_rank[self.rank])
+        else:
+            self._tell_generation(reply)
+
+    async def _on_own_incarnation(self, incarnation):
+        if incarnation <= self.incarnation:
+            return
+        if self.was_running:
+            # A process that replaced this one has the rank now.
+            self._forget_generation()
+            self.is_superseded = True
+            await self.orders.pause()
+            log_event(_log, "group.superseded", group=self.group, rank=self.rank)
+            return
+        self.incarnation_by_rank[self.rank] = incarnation + 1
+        await self._open_generation()
+
+    async def _answer(self):
+        if self.rank in self.answer_by_rank or not self._has_something_to_say():
+            return
+        known = self.knowledge
+        version, packed_map = known.version, known.map_by_version.get(known.version)
+        if not known.origin and self.record is not None:
+            version, packed_map = self.record.version, self.record.map
+        switch = known.switch
+        answer = GenerationAnswer(
+            group=self.group,
+            generation=self.generation,
+            rank=self.rank,
+            incarnation=self.incarnation,
+            current_version=version,
+            map=packed_map or b"",
+            completed_step=known.completed,
+            origin=known.origin,
+            fence=self.fence,
+            incarnations=self._incarnations(),
+            is_rank_new=self.is_rank_new,
+        )
+        if switch is not None:
+            answer.open_version, answer.open_step = switch.place
+            answer.outcome = switch.outcome.value
+            answer.open_map = known.map_by_version.get(switch.version, b"")
+        self.answer_by_rank[self.rank] = answer
+        self._broadcast(answer)
+        await self._maybe_settle()
+
+    def _has_something_to_say(self):
+        # A rank that knows nothing waits for the store or for one that knows.
+        others_know = any(a.origin for a in self.answer_by_rank.values())
+        return bool(self.knowledge.origin or self.record or others_know)
+
+    async def _on_answer(self, message, reply):
+        if message.generation != self.generation:
+            await self._on_other_incarnations(message.incarnations, reply)
+            return
+        self.answer_by_rank.setdefault(message.rank, message)
+        await self._answer()
+        await self._maybe_settle()
+
+    async def _on_other_incarnations(self, incarnations, reply):
+        if incarnations[self.rank] > self.incarnation:
+            await self._on_own_incarnation(incarnations[self.rank])
+            return
+        is_new = False
+        for rank, incarnation in enumerate(incarnations):
+            known = self.incarnation_by_rank.get(rank, 0)
+            if rank != self.rank and incarnation > known:
+                self.incarnation_by_rank[rank] = incarnation
+                is_new = True
+        if is_new:
+            await self._open_generation()
+        else:
+            reply(self._join())
+
+    async def _maybe_settle(self):
+        if len(self.answer_by_rank) < self.ranks or self.rank in self.settled_ranks:
+            return
+        answers = list(self.answer_by_rank.values())
+        self.knowledge = settle(answers, generation=self.generation)
+        self.fence = max(self.fence, *(a.fence for a in answers))
+        await self.orders.settle(self.knowledge)
+        self._maps = dict(self.knowledge.map_by_version)
+        self.settled_ranks.add(self.rank)
+        self._broadcast(self._settled())
+        await self._maybe_run()
+
+    def _settled(self):
+        return GenerationSettled(
+            group=self.group, generation=self.generation, rank=self.rank
+        )
+
+    async def _on_settled(self, message, reply):
+        if message.generation == self.generation:
+            self.settled_ranks.add(message.rank)
+            await self._maybe_run()
+
+    async def _maybe_run(self):
+        if self.is_running or not self._may_run():
+            return
+        step = self.knowledge.completed + 1
+        if await self.orders.run(self.generation, step):
+            self.is_running = True
+            self.was_running = True
+            log_event(
+                _log,
+                "group.running",
+                group=self.group,
+                generation=self.generation,
+                map_version=self.knowledge.version_at(step),
+                step=step,
+            )
+
+    def _may_run(self):
+        # Round 4 of a new generation: all ranks know what it starts from.
+        return len(self.settled_ranks) == self.ranks
+
+    def _broadcast_generation(self):
+        self._broadcast(self._join())
+        self._tell_generation(self._broadcast)
+
+    def _tell_generation(self, send):
+        if self.rank in self.answer_by_rank:
+            send(self.answer_by_rank[self.rank])
+        if self.rank in self.settled_ranks:
+            send(self._settled())
+
+    def _broadcast(self, message):
+        for rank in range(self.ranks):
+            if rank != self.rank:
+                self._send(rank, message)
+
+
+GenerationMember.handler_by_message = {
+    GenerationAnswer: GenerationMember._on_answer,
+    GenerationJoin: GenerationMember._on_join,
+    GenerationSettled: GenerationMember._on_settled,
+}
--- a/packages/magnoliagrade/magnoliagrade/wire/group.capnp
+++ b/packages/magnoliagrade/magnoliagrade/wire/group.capnp
@@ -15,6 +15,8 @@
   version @2 :UInt64;
   rank @3 :UInt32;
   accepted @4 :Bool;
+  fence @5 :UInt64;          # newest that the rank has seen
+  needsMap @6 :Bool;
 }
 
 struct ArmSwitch {
@@ -76,6 +78,12 @@
   openStep @6 :UInt64;
   outcome @7 :Text;          # committed, aborted or empty
   map @8 :Data;
+  openMap @9 :Data;
+  completedStep @10 :UInt64;
+  origin @11 :UInt64;        # 0: the rank knows nothing of the group
+  fence @12 :UInt64;
+  incarnations @13 :List(UInt64);
+  isRankNew @14 :Bool;       # the rank's process started after it last ran
 }
 
 struct ExpertCounts {
@@ -84,6 +92,23 @@
   sequence @2 :UInt64;
   experts @3 :UInt32;
   counts @4 :List(Float32);  # layers x experts, row-major
+  step @5 :UInt64;
+  stepSeconds @6 :Float32;
+  seconds @7 :Float32;       # work time of the rank without waiting
+}
+
+struct GenerationSettled {
+  group @0 :Text;
+  generation @1 :UInt64;
+  rank @2 :UInt32;
+}
+
+struct GroupState {
+  group @0 :Text;
+  rank @1 :UInt32;
+  generation @2 :UInt64;
+  isComplete @3 :Bool;
+  mapVersion @4 :UInt64;
 }
 
 struct GroupMessage {
@@ -98,5 +123,7 @@
     join @7 :GenerationJoin;
     joinAnswer @8 :GenerationAnswer;
     expertCounts @9 :ExpertCounts;
+    settled @10 :GenerationSettled;
+    state @11 :GroupState;
   }
 }
--- a/packages/magnoliagrade/magnoliagrade/wire/group.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/group.py
@@ -10,6 +10,8 @@
     "ExpertCounts",
     "GenerationAnswer",
     "GenerationJoin",
+    "GenerationSettled",
+    "GroupState",
     "OutcomeKnown",
     "OutcomeQuery",
     "StageAck",
@@ -38,6 +40,8 @@
     version: int = 0
     rank: int = 0
     accepted: bool = False
+    fence: int = 0
+    needs_map: bool = False
 
 
 @message("group", "arm")
@@ -120,6 +124,32 @@
     open_step: int = 0
     outcome: str = ""
     map: bytes = b""
+    open_map: bytes = b""
+    completed_step: int = 0
+    origin: int = 0
+    fence: int = 0
+    incarnations: list = field(default_factory=list)
+    is_rank_new: bool = False
+
+
+@message("group", "settled")
+class GenerationSettled:
+    """A rank has settled a generation on the map that all answers give."""
+
+    group: str = ""
+    generation: int = 0
+    rank: int = 0
+
+
+@message("group", "state")
+class GroupState:
+    """An agent tells entries whether its group can take requests."""
+
+    group: str = ""
+    rank: int = 0
+    generation: int = 0
+    is_complete: bool = False
+    map_version: int = 0
 
 
 @message("group", "expertCounts")
@@ -131,3 +161,6 @@
     sequence: int = 0
     experts: int = 0
     counts: list = field(default_factory=list)
+    step: int = 0
+    step_seconds: float = 0.0
+    seconds: float = 0.0
