--- a/packages/magnoliagrade-agent/magnoliagrade_agent/group/generations.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/group/generations.py
@@ -148,7 +148,7 @@
         self.generations_opened += 1
         state = await self.orders.pause()
         self.is_rank_new = not state.knowledge.origin
-        completed = state.knowledge.completed
+        completed = max(self.knowledge.completed, state.knowledge.completed)
         self.knowledge = replace(self.knowledge, completed=completed)
         if len(self.incarnation_by_rank) == self.ranks:
             self.generation = generation_of(self._incarnations())
@@ -226,7 +226,7 @@
 
     def _has_something_to_say(self):
         # A rank that knows nothing waits for the store or for one that knows.
-        others_know = any(a.origin for a in self.answer_by_rank.values())
+        others_know = any(a.current_version for a in self.answer_by_rank.values())
         return bool(self.knowledge.origin or self.record or others_know)
 
     async def _on_answer(self, message, reply):
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/group/member.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/group/member.py
@@ -1,6 +1,7 @@
 """A rank's part in the switch of its group's expert map."""
 
 import logging
+from dataclasses import replace
 
 from magnoliagrade.observability import log_event
 from magnoliagrade.wire import (
@@ -118,7 +119,9 @@
         after_step = last.step if last else 0
         if not await self.orders.hold(armed, after_step=after_step):
             return False
-        self.knowledge = armed
+        # The rank has begun that step, so it has completed the one before.
+        completed = max(armed.completed, after_step - 1)
+        self.knowledge = replace(armed, completed=completed)
         self.is_switch_closed = False
         return True
 
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
@@ -1,12 +1,18 @@
 """Run one stand-in as a process: `python -m magnoliagrade_standins NAME`."""
 
 import asyncio
+import dataclasses
+import json
+import sys
 
 import fire
+from magnoliagrade.algorithms.balance import rebalancing_policies
 from magnoliagrade.clock import SystemClock
 from magnoliagrade.node import announce_ready, run_until_signal, start_site
 
+from magnoliagrade_standins.balance import BalancePlan, plot_days, run_day
 from magnoliagrade_standins.engine import Engine, EngineProfile, make_engine_app
+from magnoliagrade_standins.explore import ExplorationPlan, explore
 from magnoliagrade_standins.platform import (
     ListedInstances,
     MemoryStore,
@@ -48,6 +54,30 @@
         """Serve a fault-injecting TCP proxy."""
         _serve(lambda: make_proxy_app(FaultProxy(clock=SystemClock())), address)
 
+    def explore(self, **bounds):
+        """Explore the switch of a map; flags are fields of `ExplorationPlan`."""
+        finding = explore(ExplorationPlan(**bounds))
+        print(json.dumps(dataclasses.asdict(finding), indent=1))
+        if finding.two_maps or finding.stuck_seeds:
+            sys.exit(1)
+
+    def balance(self, output="", **sizes):
+        """Compare rebalancing policies; flags are fields of `BalancePlan`.
+
+        With `--output PREFIX` it writes PREFIX.json and PREFIX.svg.
+        """
+        plan = BalancePlan(**sizes)
+        reports = []
+        for name in rebalancing_policies.names():
+            print(f"{name}: a day of {plan.layers} layers", file=sys.stderr)
+            reports.append(run_day(plan, name))
+        print(json.dumps([r.summary() for r in reports], indent=1))
+        if output:
+            rows = [dataclasses.asdict(r) for r in reports]
+            with open(f"{output}.json", "w", encoding="utf-8") as file:
+                json.dump(rows, file)
+            plot_days(reports, report_s=plan.report_s, path=f"{output}.svg")
+
     def service(self, address=LOOPBACK, service_s=0.005):
         """Serve a plain service."""
 
--- /dev/null
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/balance/__init__.py
@@ -0,0 +1,19 @@
+"""Comparison of rebalancing policies over a day of drifting popularity."""
+
+from magnoliagrade_standins.balance.comparison import (
+    BalancePlan,
+    DayReport,
+    compare,
+    run_day,
+)
+from magnoliagrade_standins.balance.drift import DriftingPopularity
+from magnoliagrade_standins.balance.plot import plot_days
+
+__all__ = [
+    "BalancePlan",
+    "DayReport",
+    "DriftingPopularity",
+    "compare",
+    "plot_days",
+    "run_day",
+]
--- /dev/null
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/balance/plot.py
@@ -0,0 +1,32 @@
+"""Plot of skew over the day."""
+
+import matplotlib
+
+matplotlib.use("Agg")
+
+from matplotlib import pyplot as plt  # noqa: E402
+
+__all__ = ["plot_days"]
+
+
+def plot_days(reports, *, report_s, path):
+    """Write a plot of each policy's skew over the day.
+
+    Parameters
+    ----------
+    reports : sequence of DayReport
+        One for each policy.
+    report_s : float
+        Seconds between the values of a report.
+    path : str
+        File to write; its suffix gives the format.
+    """
+    figure, axes = plt.subplots(figsize=(8, 4))
+    for report in reports:
+        hours = [(i + 1) * report_s / 3600 for i in range(len(report.skews))]
+        axes.plot(hours, report.skews, label=report.policy, linewidth=0.8)
+    axes.set_xlabel("hour of the day")
+    axes.set_ylabel("slowest over mean time of ranks")
+    axes.legend()
+    figure.savefig(path)
+    plt.close(figure)
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/explore/exploration.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/explore/exploration.py
@@ -10,7 +10,7 @@
 from magnoliagrade_standins.explore.faults import planted_faults
 from magnoliagrade_standins.ranks import Rank, RankGroup, find_two_maps
 
-__all__ = ["Exploration", "ExplorationPlan", "Finding", "explore"]
+__all__ = ["Exploration", "ExplorationPlan", "Finding", "explore", "finish"]
 
 GROUP = "group"
 MAX_IN_FLIGHT = 200
@@ -115,7 +115,7 @@
             send=functools.partial(self.send, rank),
         )
         self.member_by_rank[rank] = member
-        _finish(member.start())
+        finish(member.start())
 
     def send(self, sender, rank, message):
         """Take a message from one rank's agent to another unless its way is cut."""
@@ -140,8 +140,8 @@
         goal = max(r.completed for r in self.group.ranks) + 2
         for _ in range(SETTLING_ROUNDS):
             for rank, member in self.member_by_rank.items():
-                _finish(member.offer_record(self.record(), 0))
-                _finish(member.tick(is_query_due=True))
+                finish(member.offer_record(self.record(), 0))
+                finish(member.tick(is_query_due=True))
                 self.group.advance(rank)
             while self.in_flight:
                 self.deliver(self.in_flight.pop(0))
@@ -161,7 +161,7 @@
         def reply(answer):
             self.route_reply(message, answer)
 
-        _finish(member.on_message(message, reply))
+        finish(member.on_message(message, reply))
 
     def route_reply(self, message, answer):
         """Send an answer back, to coordinators if it belongs to them."""
@@ -203,12 +203,12 @@
     def on_tick(self):
         """Let one agent repeat itself."""
         member = self.member_by_rank[self.rng.randrange(self.plan.ranks)]
-        _finish(member.tick(is_query_due=self.rng.random() < 0.2))
+        finish(member.tick(is_query_due=self.rng.random() < 0.2))
 
     def on_record(self):
         """Let one agent read the store."""
         member = self.member_by_rank[self.rng.randrange(self.plan.ranks)]
-        _finish(member.offer_record(self.record(), 0))
+        finish(member.offer_record(self.record(), 0))
 
     def on_restart(self):
         """Restart an agent, the rank behind it, or both."""
@@ -217,12 +217,15 @@
         if not self.restarts_left or not (is_open or self.rng.random() < 0.1):
             return
         self.restarts_left -= 1
-        rank = self.rng.randrange(self.plan.ranks)
         kind = self.rng.choice(("agent", "rank", "both", "both"))
+        self.restart(self.rng.randrange(self.plan.ranks), kind)
+
+    def restart(self, rank, kind):
+        """Restart a rank's `agent`, the `rank` itself, or `both`."""
         if kind != "agent":
             self.group.ranks[rank].restart()
         if kind == "rank":
-            _finish(self.member_by_rank[rank].restart_rank())
+            finish(self.member_by_rank[rank].restart_rank())
         else:
             self.start_member(rank)
 
@@ -232,12 +235,19 @@
         if not self.switches_left or not running:
             return
         self.switches_left -= 1
+        self.begin_switch(
+            fence=1 + len(self.coordinators),
+            generation=self.rng.choice(running).generation,
+        )
+
+    def begin_switch(self, *, fence, generation):
+        """Let a coordinator with a fencing number begin a switch."""
         version = 2 + len(self.coordinators)
         coordinator = self.fault.coordinator_class(
             group=GROUP,
             ranks=self.plan.ranks,
-            generation=self.rng.choice(running).generation,
-            fence=1 + len(self.coordinators),
+            generation=generation,
+            fence=fence,
             version=version,
             packed_map=str(version).encode(),
             choose_step=self.choose_step,
@@ -303,8 +313,8 @@
     return finding
 
 
-def _finish(coroutine):
-    """Run a coroutine that waits for nothing."""
+def finish(coroutine):
+    """Run a coroutine that waits for nothing and return its result."""
     try:
         coroutine.send(None)
     except StopIteration as stop:
--- /dev/null
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/explore/tests/test_cases.py
@@ -0,0 +1,253 @@
+"""The switch of a map in each failure that has a name."""
+
+import itertools
+
+from magnoliagrade.wire import ArmAck, ArmSwitch, OutcomeKnown, SwitchOutcome
+from magnoliagrade_agent.group import GroupRecord, Outcome
+from magnoliagrade_agent.group.coordinator import SwitchPhase
+
+from magnoliagrade_standins.explore import Exploration, ExplorationPlan
+from magnoliagrade_standins.explore.exploration import finish
+from magnoliagrade_standins.ranks import find_two_maps
+
+RANKS = 3
+TELLING = (ArmAck, SwitchOutcome, OutcomeKnown)
+
+
+def _running_group():
+    exploration = Exploration(plan=ExplorationPlan(ranks=RANKS), seed=1)
+    assert exploration.settle()
+    return exploration
+
+
+def _flow(group, *, lose=lambda rank, message: False):
+    """Deliver everything in order, but for what is lost."""
+    for _ in range(10_000):
+        if not group.in_flight:
+            return
+        rank, message = group.in_flight.pop(0)
+        if not lose(rank, message):
+            group.deliver((rank, message))
+    raise AssertionError("messages without end")
+
+
+def _begin_switch(group, *, fence=1):
+    group.begin_switch(fence=fence, generation=group.member_by_rank[0].generation)
+    return group.coordinators[-1]
+
+
+def _advance(group, times=8):
+    for _ in range(times):
+        for rank in range(RANKS):
+            group.group.advance(rank)
+
+
+def _restart(group, rank, kind):
+    group.restart(rank, kind)
+
+
+def _versions(group):
+    return {r.knowledge.version_at(r.begun + 99) for r in group.group.ranks}
+
+
+def _check(group):
+    assert group.settle()
+    assert find_two_maps(group.group.records) is None
+
+
+def _is(kind):
+    return lambda rank, message: isinstance(message, kind)
+
+
+def test_switch_without_faults_does_not_hold_a_rank():
+    group = _running_group()
+    coordinator = _begin_switch(group)
+    _flow(group)
+    assert coordinator.phase is SwitchPhase.ARMING
+    assert all(rank.hold_step == 0 for rank in group.group.ranks)
+    _advance(group)
+    last = {r.rank: r.version for r in group.group.records}
+    assert last == {0: 2, 1: 2, 2: 2}
+    _check(group)
+
+
+def test_coordinator_wakes_between_any_two_messages():
+    for before in range(12):
+        group = _running_group()
+        paused = _begin_switch(group, fence=1)
+        for _ in range(min(before, len(group.in_flight))):
+            group.deliver(group.in_flight.pop(0))
+        held, group.in_flight = group.in_flight, []
+        newer = _begin_switch(group, fence=2)
+        _flow(group)
+        paused.resend()
+        group.in_flight.extend(held)
+        _flow(group)
+        newer.resend()
+        _check(group)
+        assert len(_versions(group)) == 1
+
+
+def test_older_coordinator_is_fenced():
+    group = _running_group()
+    _begin_switch(group, fence=5)
+    _flow(group)
+    _advance(group)
+    older = _begin_switch(group, fence=4)
+    _flow(group)
+    assert older.phase is SwitchPhase.FENCED
+    assert _versions(group) == {2}
+
+
+def test_lost_messages_of_each_kind_only_delay():
+    for kind in (ArmSwitch, ArmAck, SwitchOutcome, OutcomeKnown):
+        group = _running_group()
+        coordinator = _begin_switch(group)
+        _flow(group, lose=_is(kind))
+        _advance(group)
+        assert all(r.begun < coordinator.step for r in group.group.ranks) or (
+            kind in (ArmSwitch, SwitchOutcome)
+        )
+        coordinator.resend()
+        _check(group)
+        assert len(_versions(group)) == 1
+
+
+def test_late_and_repeated_arming_changes_no_answer():
+    group = _running_group()
+    coordinator = _begin_switch(group)
+    _flow(group, lose=lambda rank, m: isinstance(m, ArmSwitch) and rank == 2)
+    finish(group.member_by_rank[0].tick(is_query_due=True))
+    _flow(group)
+    coordinator.resend()
+    coordinator.resend()
+    _flow(group)
+    outcomes = {m.knowledge.switch for m in group.member_by_rank.values()}
+    assert Outcome.COMMITTED not in {s.outcome for s in outcomes if s}
+    _check(group)
+    assert _versions(group) == {1}
+
+
+def test_rank_restarted_before_arming():
+    for kind in ("agent", "rank", "both"):
+        group = _running_group()
+        _begin_switch(group)
+        _restart(group, 1, kind)
+        _check(group)
+        assert _versions(group) == {1}
+
+
+def test_rank_restarted_between_arming_and_outcome():
+    for kind in ("agent", "rank", "both"):
+        group = _running_group()
+        _begin_switch(group)
+        _flow(group, lose=_is(ArmAck))
+        _restart(group, 1, kind)
+        _check(group)
+        assert _versions(group) == {1}
+
+
+def test_rank_restarted_after_outcome():
+    for kind in ("agent", "rank", "both"):
+        group = _running_group()
+        _begin_switch(group)
+        _flow(group, lose=lambda rank, m: isinstance(m, OutcomeKnown) and rank == 0)
+        _restart(group, 1, kind)
+        _check(group)
+        assert _versions(group) == {2}
+
+
+def test_two_ranks_restarted_while_one_knew_the_outcome():
+    for survivor, kind in itertools.product(range(RANKS), ("rank", "both")):
+        group = _running_group()
+        _begin_switch(group)
+        _flow(group, lose=lambda rank, m: isinstance(m, TELLING) and rank != 1)
+        for rank in set(range(RANKS)) - {survivor}:
+            _restart(group, rank, kind)
+        _check(group)
+        knew = survivor == 1 or kind == "rank"
+        assert _versions(group) == ({2} if knew else {1}), (survivor, kind)
+
+
+def test_whole_group_restarted_with_store_down():
+    group = _running_group()
+    _begin_switch(group)
+    _flow(group)
+    for rank in range(RANKS):
+        _restart(group, rank, "both")
+    for _ in range(20):
+        for member in group.member_by_rank.values():
+            finish(member.tick())
+        _flow(group)
+        _advance(group)
+    assert not any(rank.is_running for rank in group.group.ranks)
+    record = GroupRecord(version=7, map=b"7")
+    finish(group.member_by_rank[2].offer_record(record, 9))
+    _flow(group)
+    _advance(group)
+    assert [rank.is_running for rank in group.group.ranks] == [True] * RANKS
+    assert _versions(group) == {7}
+    assert {m.fence for m in group.member_by_rank.values()} == {9}
+
+
+def test_agents_restarted_beside_running_ranks_keep_the_map():
+    group = _running_group()
+    _begin_switch(group)
+    _flow(group)
+    _advance(group)
+    for rank in range(RANKS):
+        _restart(group, rank, "agent")
+    _check(group)
+    assert _versions(group) == {2}
+
+
+def test_restarted_agent_learns_the_newest_fence_from_its_peers():
+    group = _running_group()
+    _begin_switch(group, fence=5)
+    _flow(group)
+    _restart(group, 1, "both")
+    group.settle()
+    assert group.member_by_rank[1].fence == 5
+
+
+def test_stalled_rank_holds_all_and_is_waited_for():
+    group = _running_group()
+    coordinator = _begin_switch(group)
+    _flow(group)
+    for _ in range(20):
+        group.group.advance(0)
+        group.group.advance(1)
+    assert max(r.begun for r in group.group.ranks) <= coordinator.step
+    _check(group)
+    assert _versions(group) == {2}
+
+
+def test_data_centre_cut_at_any_message_of_a_switch():
+    for before in range(0, 40, 3):
+        group = _running_group()
+        coordinator = _begin_switch(group)
+        for _ in range(before):
+            if group.in_flight:
+                group.deliver(group.in_flight.pop(0))
+        group.cuts = {(2, 0), (2, 1), (0, 2), (1, 2)}
+        group.in_flight = [i for i in group.in_flight if i[0] != 2]
+        for _ in range(5):
+            for member in group.member_by_rank.values():
+                finish(member.tick(is_query_due=True))
+            _flow(group)
+            _advance(group)
+        group.cuts = set()
+        coordinator.resend()
+        _check(group)
+        assert len(_versions(group)) == 1
+
+
+def test_replaced_agent_steps_down():
+    group = _running_group()
+    old = group.member_by_rank[1]
+    _restart(group, 1, "agent")
+    group.settle()
+    finish(old.tick())
+    join = group.member_by_rank[1]._join()
+    finish(old.on_message(join, lambda message: None))
+    assert old.is_superseded
--- /dev/null
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/explore/tests/test_exploration.py
@@ -0,0 +1,28 @@
+"""The explorer: sound code passes, planted faults are found."""
+
+from magnoliagrade_standins.explore import ExplorationPlan, explore
+
+
+def test_no_step_with_two_maps():
+    for ranks in (2, 3):
+        finding = explore(ExplorationPlan(ranks=ranks, walks=1200))
+        assert finding.two_maps == ""
+        assert finding.stuck_seeds == []
+        assert finding.switches > 100
+
+
+def test_finds_that_the_known_round_is_left_out():
+    finding = explore(ExplorationPlan(ranks=3, walks=2000, fault="no-known-round"))
+    assert finding.two_maps
+
+
+def test_finds_that_the_settled_round_is_left_out():
+    plan = ExplorationPlan(
+        ranks=2, walks=400, restarts=5, seed=21000, fault="no-settled-round"
+    )
+    assert explore(plan).two_maps
+
+
+def test_finds_that_the_coordinator_alone_decides():
+    plan = ExplorationPlan(ranks=3, walks=2000, fault="coordinator-decides")
+    assert explore(plan).two_maps
--- /dev/null
+++ b/packages/magnoliagrade/magnoliagrade/algorithms/balance/__init__.py
@@ -0,0 +1,41 @@
+"""Balance of an expert-parallel group: counts, speeds, placements, policies."""
+
+from magnoliagrade.algorithms.balance.budget import rebalancing_rate
+from magnoliagrade.algorithms.balance.counts import ExpertCounter
+from magnoliagrade.algorithms.balance.moves import Move, apply_move, best_move
+from magnoliagrade.algorithms.balance.placement import (
+    count_transfers,
+    initial_placement,
+    pack_placement,
+    rank_times,
+    skew,
+    step_time,
+    unpack_placement,
+)
+from magnoliagrade.algorithms.balance.policies import (
+    Plan,
+    Situation,
+    rebalancing_policies,
+)
+from magnoliagrade.algorithms.balance.repack import repack
+from magnoliagrade.algorithms.balance.speeds import SpeedEstimator
+
+__all__ = [
+    "ExpertCounter",
+    "Move",
+    "Plan",
+    "Situation",
+    "SpeedEstimator",
+    "apply_move",
+    "best_move",
+    "count_transfers",
+    "initial_placement",
+    "pack_placement",
+    "rank_times",
+    "rebalancing_policies",
+    "rebalancing_rate",
+    "repack",
+    "skew",
+    "step_time",
+    "unpack_placement",
+]
--- /dev/null
+++ b/packages/magnoliagrade/magnoliagrade/algorithms/balance/tests/test_balance.py
@@ -0,0 +1,132 @@
+import numpy as np
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from magnoliagrade.algorithms.balance import (
+    ExpertCounter,
+    Situation,
+    SpeedEstimator,
+    count_transfers,
+    initial_placement,
+    pack_placement,
+    rank_times,
+    rebalancing_policies,
+    repack,
+    skew,
+    unpack_placement,
+)
+
+
+def _situation(rates, **changes):
+    layers, experts = rates.shape
+    fields = {
+        "holds": None,
+        "rates": rates,
+        "speeds": np.ones(4),
+        "slots": 3,
+        "expert_bytes": 1,
+        "bytes_per_s": 100.0,
+        "budget_bytes": 1000.0,
+        "horizon_s": 1000.0,
+    }
+    fields.update(changes)
+    if fields["holds"] is None:
+        fields["holds"] = initial_placement(
+            layers=layers, ranks=4, experts=experts, slots=3
+        )
+    return Situation(**fields)
+
+
+def _is_valid(holds, slots):
+    return holds.any(axis=1).all() and holds.sum(axis=2).max() <= slots
+
+
+@settings(max_examples=40, deadline=None, derandomize=True)
+@given(st.integers(0, 10**6))
+def test_every_policy_keeps_each_expert_within_the_slots(seed):
+    rates = np.random.default_rng(seed).exponential(size=(2, 8)) + 0.01
+    for name in rebalancing_policies.names():
+        situation = _situation(rates)
+        plan = rebalancing_policies.get(name)().plan(situation)
+        if plan is not None:
+            assert _is_valid(plan.holds, situation.slots), name
+            assert plan.transfers == count_transfers(situation.holds, plan.holds)
+
+
+def test_placement_survives_packing():
+    holds = initial_placement(layers=2, ranks=3, experts=5, slots=2)
+    assert (unpack_placement(pack_placement(holds)) == holds).all()
+
+
+def test_hot_expert_gets_replicas():
+    rates = np.ones((1, 8))
+    rates[0, 5] = 20
+    holds = repack(rates, speeds=np.ones(4), slots=3)
+    assert holds[0, :, 5].sum() == 4
+
+
+def test_slow_rank_gets_less():
+    rates = np.ones((1, 8))
+    speeds = np.array([1.0, 1.0, 1.0, 0.5])
+    plan = rebalancing_policies.get("weighed")().plan(_situation(rates, speeds=speeds))
+    loads = rank_times(plan.holds, rates, np.ones(4))[0]
+    assert loads[3] < loads[:3].min()
+
+
+def test_hot_experts_are_not_taken_for_a_slow_rank():
+    speeds = SpeedEstimator(ranks=3)
+    for rank, load in enumerate((10.0, 10.0, 40.0)):
+        speeds.add(rank, seconds=load / 100, load=load)
+    assert speeds.speeds().tolist() == [1.0, 1.0, 1.0]
+
+
+def test_nothing_moves_when_loading_costs_more_than_it_saves():
+    rates = np.ones((1, 8))
+    rates[0, 5] = 1.5
+    cheap = _situation(rates)
+    dear = _situation(rates, bytes_per_s=0.001)
+    policy = rebalancing_policies.get("weighed")()
+    assert policy.plan(cheap) is not None
+    assert policy.plan(dear) is None
+
+
+def test_budget_bounds_the_bytes_of_a_plan():
+    rates = np.random.default_rng(1).exponential(size=(4, 8))
+    policy = rebalancing_policies.get("weighed")()
+    plan = policy.plan(_situation(rates, budget_bytes=3.0))
+    assert 0 < plan.transfers <= 3
+
+
+def test_planning_at_the_target_size_is_bounded_work():
+    rates = np.random.default_rng(1).lognormal(sigma=0.8, size=(60, 128)) * 1000
+    holds = initial_placement(layers=60, ranks=32, experts=128, slots=6)
+    situation = _situation(
+        rates,
+        holds=holds,
+        speeds=np.ones(32),
+        slots=6,
+        expert_bytes=44_000_000,
+        bytes_per_s=1e9,
+        budget_bytes=300e9,
+    )
+    plan = rebalancing_policies.get("weighed")().plan(situation)
+    assert plan.evaluations <= 60 + plan.transfers
+    after = skew(rank_times(plan.holds, rates, situation.speeds))
+    assert after < skew(rank_times(holds, rates, situation.speeds))
+
+
+def test_counts_survive_lost_late_and_repeated_reports():
+    counter = ExpertCounter(layers=1, experts=2, half_life_s=60.0)
+    report = np.array([[30.0, 10.0]])
+    for sequence in (1, 2, 2, 1, 5):
+        counter.add(report, rank=0, sequence=sequence, interval_s=10, now=sequence)
+    assert np.allclose(counter.rates(), [[3.0, 1.0]])
+
+
+def test_counts_follow_a_jump():
+    counter = ExpertCounter(layers=1, experts=2, half_life_s=60.0)
+    for i in range(20):
+        counts = np.array([[10.0, 0.0]]) if i < 10 else np.array([[0.0, 10.0]])
+        counter.add(counts, rank=0, sequence=i + 1, interval_s=30, now=30.0 * i)
+    first, second = counter.rates()[0]
+    assert second > 10 * first
