--- a/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
@@ -8,10 +8,13 @@
 from magnoliagrade.platform import HttpInstanceList
 from magnoliagrade.world import Role
 
-from magnoliagrade_entry import configuration_watch  # noqa: F401
+from magnoliagrade_entry import configuration_watch, credit_watch  # noqa: F401
+from magnoliagrade_entry.configuration_duty import WatchDuty
+from magnoliagrade_entry.configuration_routes import configuration_routes
 from magnoliagrade_entry.doors import make_caller_app, make_peer_app
 from magnoliagrade_entry.handlers import entry_handlers, entry_tasks
-from magnoliagrade_entry.membership import LinkKeeper
+from magnoliagrade_entry.membership import Departures, KnownInstances, LinkKeeper
+from magnoliagrade_entry.membership.messages import note_listed_departures
 from magnoliagrade_entry.requests import Dispatcher, admission_policies
 from magnoliagrade_entry.routing import EndpointDirectory, PeerDirectory, Router
 from magnoliagrade_entry.status import status_routes
@@ -34,9 +37,12 @@
 
     __slots__ = (
         "admission",
+        "departures",
         "dispatcher",
+        "duty",
         "endpoints",
         "instance_list",
+        "known",
         "link_keeper",
         "peers",
         "repository",
@@ -58,17 +64,23 @@
             "configuration": self.configuration,
             "data_centre": settings.data_centre,
         }
-        self.endpoints = EndpointDirectory(**where)
+        self.departures = Departures()
+        self.known = KnownInstances(clock=self.clock)
+        where["departures"] = self.departures
+        self.endpoints = EndpointDirectory(clock=self.clock, **where)
         self.peers = PeerDirectory(**where)
         self.router = Router(
             configuration=self.configuration,
             endpoints=self.endpoints,
             peers=self.peers,
             rng=self.rng,
+            clock=self.clock,
+            data_centre=settings.data_centre,
         )
         self.admission = admission_policies.get("capped")(node=self)
         self.dispatcher = Dispatcher(node=self)
         self.link_keeper = LinkKeeper(node=self)
+        self.duty = WatchDuty(node=self)
 
     async def start(self):
         """Open every listener and start the background tasks."""
@@ -77,14 +89,16 @@
         self.instance_list = HttpInstanceList(
             url=settings.instances_url, session=self.session
         )
-        self.repository = ConfigurationRepository(store=self.store)
+        self.repository = ConfigurationRepository(
+            store=self.store, clock=self.clock, rng=self.rng, is_in_background=True
+        )
         limit = settings.header_limit_bytes
         limits = {"max_line_size": limit, "max_field_size": limit}
         await self.listen_http(
             "data", make_peer_app(self), settings.data_address, **limits
         )
         await self.listen_links()
-        await self.listen_admin(status_routes(self))
+        await self.listen_admin([*status_routes(self), *configuration_routes(self)])
         await self.listen_http(
             "caller", make_caller_app(self), settings.caller_address, **limits
         )
@@ -104,15 +118,33 @@
         """Enter the instance on the other side of a link."""
         self.endpoints.on_link_up(link)
         self.peers.on_link_up(link)
+        self.duty.on_link_up(link)
 
     def on_link_down(self, link):
         """Remove the instance on the other side of a link."""
         self.endpoints.on_link_down(link)
         self.peers.on_link_down(link)
 
+    def take_instances(self, instances, *, age_s=0.0):
+        """Take a list of instances, unless a newer one is known.
+
+        Parameters
+        ----------
+        instances : list of Instance
+            The list.
+        age_s : float
+            Seconds since it was read from the platform.
+        """
+        if self.known.update(instances, age_s=age_s):
+            note_listed_departures(self, instances)
+            self.link_keeper.update()
+
     def reasons_not_ready(self):
         """Return why this entry should get no requests; empty if ready."""
         reasons = super().reasons_not_ready()
+        data_centre = self.identity.data_centre
+        if self.configuration.in_force.is_data_centre_out(data_centre):
+            reasons.append(f"data centre {data_centre!r} is out")
         if not self.configuration.revision:
-            reasons.append("no configuration is known")
+            reasons.append(self.duty.reason_without_configuration())
         return reasons
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
@@ -1,18 +1,19 @@
 """Run one stand-in as a process: `python -m magnoliagrade_standins NAME`."""
 
 import asyncio
-import dataclasses
-import json
 import sys
 
 import fire
-from magnoliagrade.algorithms.balance import rebalancing_policies
 from magnoliagrade.clock import SystemClock
 from magnoliagrade.node import announce_ready, run_until_signal, start_site
 
-from magnoliagrade_standins.balance import BalancePlan, plot_days, run_day
+from magnoliagrade_standins.balance import balance_command
+from magnoliagrade_standins.bench import bench_command
+from magnoliagrade_standins.demo import demo_command
 from magnoliagrade_standins.engine import Engine, EngineProfile, make_engine_app
-from magnoliagrade_standins.explore import ExplorationPlan, explore
+from magnoliagrade_standins.explore import explore_command
+from magnoliagrade_standins.load import load_command
+from magnoliagrade_standins.pages import settings_page
 from magnoliagrade_standins.platform import (
     ListedInstances,
     MemoryStore,
@@ -20,6 +21,7 @@
 )
 from magnoliagrade_standins.proxy import FaultProxy, make_proxy_app
 from magnoliagrade_standins.service import PlainService, make_service_app
+from magnoliagrade_standins.trials import run_trial
 
 LOOPBACK = "127.0.0.1:0"
 
@@ -37,6 +39,22 @@
 
         _serve(make, address)
 
+    def balance(self, output="", **sizes):
+        """Compare rebalancing policies over a day of drifting popularity."""
+        balance_command(output=output, **sizes)
+
+    def explore(self, **bounds):
+        """Explore the switch of a group's map; exits with 1 if it finds a fault."""
+        sys.exit(explore_command(**bounds))
+
+    def bench(self, **options):
+        """Measure the added latency and the throughput of entry and agent."""
+        bench_command(**options)
+
+    def demo(self, hold=False, **sizes):
+        """Run the main job: a site, a load, a report; Ctrl-C stops it."""
+        sys.exit(demo_command(hold=hold, **sizes))
+
     def engine(self, address=LOOPBACK, name="engine", **profile):
         """Serve a model engine; further flags are fields of its profile."""
 
@@ -50,33 +68,23 @@
 
         _serve(make, address)
 
+    def load(self, urls, records="", json_path="", plot_path="", **plan):
+        """Put a load on entries; further flags are fields of its plan."""
+        paths = {"json_path": json_path, "plot_path": plot_path}
+        sys.exit(load_command(urls, records=records, **paths, **plan))
+
     def proxy(self, address=LOOPBACK):
         """Serve a fault-injecting TCP proxy."""
         _serve(lambda: make_proxy_app(FaultProxy(clock=SystemClock())), address)
 
-    def explore(self, **bounds):
-        """Explore the switch of a map; flags are fields of `ExplorationPlan`."""
-        finding = explore(ExplorationPlan(**bounds))
-        print(json.dumps(dataclasses.asdict(finding), indent=1))
-        if finding.two_maps or finding.stuck_seeds:
-            sys.exit(1)
+    def settings_page(self):
+        """Print docs/SETTINGS.md."""
+        print(settings_page(), end="")
 
-    def balance(self, output="", **sizes):
-        """Compare rebalancing policies; flags are fields of `BalancePlan`.
-
-        With `--output PREFIX` it writes PREFIX.json and PREFIX.svg.
-        """
-        plan = BalancePlan(**sizes)
-        reports = []
-        for name in rebalancing_policies.names():
-            print(f"{name}: a day of {plan.layers} layers", file=sys.stderr)
-            reports.append(run_day(plan, name))
-        print(json.dumps([r.summary() for r in reports], indent=1))
-        if output:
-            rows = [dataclasses.asdict(r) for r in reports]
-            with open(f"{output}.json", "w", encoding="utf-8") as file:
-                json.dump(rows, file)
-            plot_days(reports, report_s=plan.report_s, path=f"{output}.svg")
+    def trial(self, name, seed=1, json=False, **options):
+        """Run a trial; exit code 1 if one of its checks failed."""
+        if not run_trial(name, seed=seed, as_json=json, **options).passed:
+            sys.exit(1)
 
     def service(self, address=LOOPBACK, service_s=0.005):
         """Serve a plain service."""
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/balance/__init__.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/balance/__init__.py
@@ -1,5 +1,6 @@
 """Comparison of rebalancing policies over a day of drifting popularity."""
 
+from magnoliagrade_standins.balance.command import balance_command
 from magnoliagrade_standins.balance.comparison import (
     BalancePlan,
     DayReport,
@@ -10,6 +11,7 @@
 from magnoliagrade_standins.balance.plot import plot_days
 
 __all__ = [
+    "balance_command",
     "BalancePlan",
     "DayReport",
     "DriftingPopularity",
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/explore/__init__.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/explore/__init__.py
@@ -1,5 +1,6 @@
 """Explorer of message orders, losses and restarts in the switch of a map."""
 
+from magnoliagrade_standins.explore.command import explore_command
 from magnoliagrade_standins.explore.exploration import (
     Exploration,
     ExplorationPlan,
@@ -7,4 +8,10 @@
 )
 from magnoliagrade_standins.explore.faults import planted_faults
 
-__all__ = ["Exploration", "ExplorationPlan", "explore", "planted_faults"]
+__all__ = [
+    "explore_command",
+    "Exploration",
+    "ExplorationPlan",
+    "explore",
+    "planted_faults",
+]
--- a/packages/magnoliagrade/magnoliagrade/node/node.py
+++ b/packages/magnoliagrade/magnoliagrade/node/node.py
@@ -8,13 +8,20 @@
 from magnoliagrade.clock import SystemClock
 from magnoliagrade.identity import InstanceIdentity, new_incarnation
 from magnoliagrade.node.admin import make_admin_app
+from magnoliagrade.node.configuration_spread import ConfigurationSpread
 from magnoliagrade.node.configuration_state import ConfigurationState
 from magnoliagrade.node.links import LinkBook, run_link
 from magnoliagrade.node.process import announce_ready, bound_address, start_site
 from magnoliagrade.node.tasks import Tasks
 from magnoliagrade.observability import configure_tracing
 from magnoliagrade.platform import HttpStore
-from magnoliagrade.wire import Hello, Leaving, Link, LinkCounters, serve_links
+from magnoliagrade.wire import (
+    Hello,
+    Leaving,
+    Link,
+    LinkCounters,
+    serve_links,
+)
 
 __all__ = ["Node"]
 
@@ -52,11 +59,13 @@
         "rng",
         "session",
         "settings",
+        "spread",
         "store",
         "tasks",
     )
 
     role = None
+    unused_kinds = ()
 
     def __init__(self, *, settings, handlers, task_table, clock=None):
         self.settings = settings
@@ -67,8 +76,11 @@
             data_centre=settings.data_centre,
         )
         self.rng = random.Random(self.identity.incarnation)
-        self.configuration = ConfigurationState(clock=self.clock)
-        self.links = LinkBook(clock=self.clock)
+        self.configuration = ConfigurationState(
+            clock=self.clock, skipped_kinds=self.unused_kinds
+        )
+        self.spread = ConfigurationSpread(node=self)
+        self.links = LinkBook(clock=self.clock, own_name=settings.name)
         self.counters = LinkCounters()
         self.tasks = Tasks()
         self.is_leaving = False
@@ -151,7 +163,7 @@
         await self.session.close()
         self._tracing.shutdown()
 
-    def make_link(self, *, reader, writer):
+    def make_link(self, *, reader, writer, is_dialled=False):
         """Return a link over a new connection."""
         return Link(
             reader=reader,
@@ -159,6 +171,7 @@
             identity=self.identity,
             revision=lambda: self.configuration.revision,
             counters=self.counters,
+            is_dialled=is_dialled,
         )
 
     async def run_link(self, link):
@@ -177,6 +190,10 @@
             ),
         )
 
+    def on_peer_ahead(self, link):
+        """Ask the other side of a link for its newer configuration."""
+        self.spread.on_message(link)
+
     def on_link_up(self, link):
         """Note that a link has come up."""
 
--- a/packages/magnoliagrade/magnoliagrade/wire/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/__init__.py
@@ -12,6 +12,9 @@
     ConfigurationChunk,
     ConfigurationOffer,
     ConfigurationPull,
+    ConfigurationWatch,
+    StatusPull,
+    StatusReport,
 )
 from magnoliagrade.wire.connect import keep_linked, serve_links
 from magnoliagrade.wire.group import (
@@ -33,6 +36,8 @@
     Heartbeat,
     Hello,
     InstanceRow,
+    InstanceRows,
+    InstanceRowsPull,
     Label,
     Leaving,
     PeerSummary,
@@ -47,6 +52,9 @@
     "ConfigurationChunk",
     "ConfigurationOffer",
     "ConfigurationPull",
+    "ConfigurationWatch",
+    "StatusPull",
+    "StatusReport",
     "CreditGrant",
     "CreditRequest",
     "EngineLoad",
@@ -59,6 +67,8 @@
     "Heartbeat",
     "Hello",
     "InstanceRow",
+    "InstanceRows",
+    "InstanceRowsPull",
     "Label",
     "Leaving",
     "Link",
