--- a/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
@@ -7,9 +7,11 @@
 from magnoliagrade.clock import SystemClock
 from magnoliagrade.node import announce_ready, run_until_signal, start_site
 
+from magnoliagrade_standins.balance import balance_command
 from magnoliagrade_standins.bench import bench_command
 from magnoliagrade_standins.demo import demo_command
 from magnoliagrade_standins.engine import Engine, EngineProfile, make_engine_app
+from magnoliagrade_standins.explore import explore_command
 from magnoliagrade_standins.load import load_command
 from magnoliagrade_standins.pages import settings_page
 from magnoliagrade_standins.platform import (
@@ -38,6 +40,14 @@
 
         _serve(make, address)
 
+    def balance(self, output="", **sizes):
+        """Compare rebalancing policies over a day of drifting popularity."""
+        balance_command(output=output, **sizes)
+
+    def explore(self, **bounds):
+        """Explore the switch of a group's map; exits with 1 if it finds a fault."""
+        sys.exit(explore_command(**bounds))
+
     def bench(self, **options):
         """Measure the added latency and the throughput of entry and agent."""
         bench_command(**options)
