Show a trace over all hops, list events, keep secrets out of logs

Cause: nothing put spans of several processes together, nothing showed that logs hold no bodies or keys, and events were listed nowhere. Change: python -m magnoliagrade_standins trace FILES prints traces as trees; server spans carry request id, organisation and application; docs/operators/LOGS.md is made from the code beside docs/SETTINGS.md (python -m magnoliagrade_standins pages). Plots import their library only when they draw, since each stand-in paid for it.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/doors.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/doors.py
@@ -43,7 +43,7 @@
         sink = AnswerSink(
             http_request=http_request, added_headers={"X-Request-Id": request_id}
         )
-        with _server_span("caller", http_request):
+        with _server_span("caller", http_request) as span:
             try:
                 request = await read_arrival(
                     http_request,
@@ -53,6 +53,7 @@
                     clock=node.clock,
                     budget=node.body_budget,
                 )
+                _describe(span, request)
                 try:
                     await _serve_admitted(node, request, sink)
                 finally:
@@ -77,7 +78,7 @@
     async def handle(http_request):
         request_id = ""
         sink = AnswerSink(http_request=http_request, added_headers={names.RAN: "yes"})
-        with _server_span("peer", http_request):
+        with _server_span("peer", http_request) as span:
             try:
                 request = read_request_headers(
                     http_request.headers,
@@ -87,6 +88,7 @@
                     now=node.clock.monotonic(),
                 )
                 request_id = request.id
+                _describe(span, request)
                 await node.dispatcher.serve(request, sink)
             except MagnoliagradeError as exc:
                 return _answer_error(exc, sink, request_id, door="peer")
@@ -132,6 +134,13 @@
         yield span
 
 
+def _describe(span, request):
+    if span.is_recording():
+        span.set_attribute("magnoliagrade.request_id", request.id)
+        span.set_attribute("magnoliagrade.organisation", request.organisation)
+        span.set_attribute("magnoliagrade.application", request.application)
+
+
 def _answer_error(error, sink, request_id, *, door):
     REQUESTS.labels(door, error.kind.value).inc()
     log_event(
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
@@ -13,7 +13,6 @@
 from magnoliagrade_standins.engine import Engine, EngineProfile, make_engine_app
 from magnoliagrade_standins.explore import explore_command
 from magnoliagrade_standins.load import load_command
-from magnoliagrade_standins.pages import settings_page
 from magnoliagrade_standins.platform import (
     ListedInstances,
     MemoryStore,
@@ -22,6 +21,11 @@
 from magnoliagrade_standins.proxy import FaultProxy, make_proxy_app
 from magnoliagrade_standins.service import PlainService, make_service_app
 from magnoliagrade_standins.slopes import slopes_command
+from magnoliagrade_standins.traces import (
+    assemble_traces,
+    read_spans,
+    trace_lines,
+)
 from magnoliagrade_standins.trials import run_trial
 
 LOOPBACK = "127.0.0.1:0"
@@ -78,9 +82,20 @@
         """Serve a fault-injecting TCP proxy."""
         _serve(lambda: make_proxy_app(FaultProxy(clock=SystemClock())), address)
 
-    def settings_page(self):
-        """Print docs/SETTINGS.md."""
-        print(settings_page(), end="")
+    def pages(self, folder="docs"):
+        """Write the pages of the documentation that are made from code."""
+        # Imports both binaries, which stand-ins need not wait for.
+        from magnoliagrade_standins.pages import write_pages
+
+        write_pages(folder)
+
+    def trace(self, *files):
+        """Print the traces in files that processes wrote as trees."""
+        spans = []
+        for file in files:
+            with open(file, encoding="utf-8") as lines:
+                spans += read_spans(lines)
+        print("\n".join(trace_lines(assemble_traces(spans))))
 
     def trial(self, name, seed=1, json=False, **options):
         """Run a trial; exit code 1 if one of its checks failed."""
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/balance/plot.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/balance/plot.py
@@ -1,11 +1,5 @@
 """Plot of skew over the day."""
 
-import matplotlib
-
-matplotlib.use("Agg")
-
-from matplotlib import pyplot as plt  # noqa: E402
-
 __all__ = ["plot_days"]
 
 
@@ -21,7 +15,11 @@
     path : str
         File to write; its suffix gives the format.
     """
-    figure, axes = plt.subplots(figsize=(8, 4))
+    # Imported here, because it takes a second that other commands would pay.
+    from matplotlib.figure import Figure
+
+    figure = Figure(figsize=(8, 4))
+    axes = figure.subplots()
     for report in reports:
         hours = [(i + 1) * report_s / 3600 for i in range(len(report.skews))]
         axes.plot(hours, report.skews, label=report.policy, linewidth=0.8)
@@ -29,4 +27,3 @@
     axes.set_ylabel("slowest over mean time of ranks")
     axes.legend()
     figure.savefig(path)
-    plt.close(figure)
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/pages.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/pages.py
@@ -1,15 +1,36 @@
 """Pages of the documentation that are made from code."""
 
+import ast
+import importlib
+import pathlib
+
 from magnoliagrade.configuration import describe_settings
 from magnoliagrade_agent import AgentSettings
 from magnoliagrade_entry.settings import EntrySettings
 
-__all__ = ["settings_page"]
+__all__ = ["events_page", "pages", "settings_page", "write_pages"]
+
+PRODUCT = ("magnoliagrade", "magnoliagrade_entry", "magnoliagrade_agent")
+EVENTS_HEAD = """\
+# Events in the logs
+
+Made by `python -m magnoliagrade_standins pages` from the code; a test keeps the page
+and the code together.
 
+Each process writes JSON lines to standard error. Every line has `timestamp`, `level`,
+`name` (the module), `event`, `instance` and `data_centre`; the fields below come on
+top. Names of events and fields are stable. Neither bodies nor keys are ever written.
+Spans of traces that are recorded go to the same place, as lines that start with
+`{"span"`, unless `[traces] otlp_url` is set;
+`python -m magnoliagrade_standins trace FILES` prints them as trees.
+
+| event | fields | module |
+|---|---|---|
+"""
 HEAD = """\
 # Settings
 
-Made by `python -m magnoliagrade_standins settings_page` from the settings' own
+Made by `python -m magnoliagrade_standins pages` from the settings' own
 descriptions; a test keeps the page and the code together.
 
 Each process reads one INI file. Where an environment variable is named, it overrides
@@ -38,3 +59,62 @@
         rows = "\n".join(describe_settings(cls))
         parts.append(f"## {binary}\n\n{rows}\n")
     return "\n".join(parts)
+
+
+def events_page():
+    """Return the text of docs/operators/LOGS.md.
+
+    Returns
+    -------
+    text : str
+        Markdown with a row for each event that the product logs.
+    """
+    rows = set()
+    for package in PRODUCT:
+        root = pathlib.Path(importlib.import_module(package).__file__).parent
+        for path in root.rglob("*.py"):
+            if "tests" not in path.parts:
+                rows |= _events_in(path, root.parent)
+    return EVENTS_HEAD + "\n".join(sorted(rows)) + "\n"
+
+
+def pages():
+    """Return the text of each page that is made from code, by path under docs/."""
+    return {"SETTINGS.md": settings_page(), "operators/LOGS.md": events_page()}
+
+
+def write_pages(folder):
+    """Write every page that is made from code.
+
+    Parameters
+    ----------
+    folder : str
+        The directory `docs`.
+    """
+    for name, text in pages().items():
+        pathlib.Path(folder, name).write_text(text, encoding="utf-8")
+
+
+def _events_in(path, root):
+    rows = set()
+    for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+        if not isinstance(node, ast.Call):
+            continue
+        called = getattr(node.func, "id", getattr(node.func, "attr", ""))
+        if called == "log_event" and len(node.args) > 1:
+            event = ast.literal_eval(node.args[1])
+        elif called in ("error", "exception") and _is_logger(node.func):
+            event = ast.literal_eval(node.args[0])
+        else:
+            continue
+        fields = sorted({k.arg or "..." for k in node.keywords} - _NO_FIELDS)
+        module = path.relative_to(root).with_suffix("").as_posix().replace("/", ".")
+        rows.add(f"| {event} | {', '.join(fields)} | {module} |")
+    return rows
+
+
+_NO_FIELDS = {"level", "exc_info", "extra"}
+
+
+def _is_logger(function):
+    return getattr(getattr(function, "value", None), "id", "") == "_log"
--- a/packages/magnoliagrade/magnoliagrade/observability/tests/test_traces.py
+++ b/packages/magnoliagrade/magnoliagrade/observability/tests/test_traces.py
@@ -1,7 +1,11 @@
+import http.server
 import io
 import json
 import subprocess
 import sys
+import threading
+
+from opentelemetry.proto.collector.trace.v1 import trace_service_pb2
 
 CALLER = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-{flags}"
 # The tracer provider is one per process, so each case runs in its own.
@@ -10,7 +14,9 @@
 from magnoliagrade.observability import (
     configure_tracing, extract_context, get_tracer, inject_context
 )
-provider = configure_tracing(instance="i", sampling=float(sys.argv[1]))
+provider = configure_tracing(
+    instance="i", sampling=float(sys.argv[1]), otlp_url=sys.argv[3]
+)
 headers = {"traceparent": sys.argv[2]} if sys.argv[2] else {}
 tracer = get_tracer("t")
 with tracer.start_as_current_span("outer", context=extract_context(headers)):
@@ -22,9 +28,9 @@
 """
 
 
-def _trace(sampling, traceparent=""):
+def _trace(sampling, traceparent="", otlp_url=""):
     done = subprocess.run(
-        [sys.executable, "-c", SCRIPT, str(sampling), traceparent],
+        [sys.executable, "-c", SCRIPT, str(sampling), traceparent, otlp_url],
         capture_output=True,
         text=True,
         check=True,
@@ -56,3 +62,32 @@
     assert set(spans) == {"outer", "inner"} and _is_recorded(onward)
     spans, onward = _trace(0)
     assert spans == {} and not _is_recorded(onward)
+
+
+def test_spans_go_to_the_collector_when_one_is_set():
+    received = []
+
+    class Collector(http.server.BaseHTTPRequestHandler):
+        def do_POST(self):  # noqa: N802
+            data = self.rfile.read(int(self.headers["Content-Length"]))
+            received.append((self.path, self.headers["Content-Type"], data))
+            self.send_response(200)
+            self.end_headers()
+
+        def log_message(self, *_args):
+            pass
+
+    with http.server.HTTPServer(("127.0.0.1", 0), Collector) as server:
+        threading.Thread(target=server.serve_forever).start()
+        host, port = server.server_address
+        spans, _ = _trace(1, otlp_url=f"http://{host}:{port}/v1/traces")
+        server.shutdown()
+    assert spans == {}
+    (path, kind, data), *_ = received
+    assert (path, kind) == ("/v1/traces", "application/x-protobuf")
+    request = trace_service_pb2.ExportTraceServiceRequest.FromString(data)
+    (resource,) = request.resource_spans
+    values = {a.key: a.value.string_value for a in resource.resource.attributes}
+    assert values["service.instance.id"] == "i"
+    names = [s.name for scope in resource.scope_spans for s in scope.spans]
+    assert sorted(names) == ["inner", "outer"]
--- a/tests/test_binaries.py
+++ b/tests/test_binaries.py
@@ -8,7 +8,7 @@
 
 import magnoliagrade
 from magnoliagrade_standins.harness import binary_command
-from magnoliagrade_standins.pages import settings_page
+from magnoliagrade_standins.pages import pages
 
 ROOT = pathlib.Path(__file__).parent.parent
 BINARIES = ("magnoliagrade", "magnoliagrade-agent")
@@ -110,7 +110,7 @@
         assert "[instance] name: '' is not a text that is not empty" in empty.stderr
 
 
-def test_settings_page_is_up_to_date():
-    page = (ROOT / "docs" / "SETTINGS.md").read_text(encoding="utf-8")
-    command = "python -m magnoliagrade_standins settings_page > docs/SETTINGS.md"
-    assert page == settings_page(), f"run {command}"
+def test_pages_made_from_code_are_up_to_date():
+    for name, text in pages().items():
+        page = (ROOT / "docs" / name).read_text(encoding="utf-8")
+        assert page == text, f"{name}: run python -m magnoliagrade_standins pages"
