--- a/packages/magnoliagrade-standins/magnoliagrade_standins/pages.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/pages.py
@@ -5,12 +5,26 @@
 import pathlib
 
 from magnoliagrade.configuration import describe_settings
+from magnoliagrade.errors import ANSWER_BY_KIND
 from magnoliagrade_agent import AgentSettings
 from magnoliagrade_entry.settings import EntrySettings
 
-__all__ = ["events_page", "pages", "settings_page", "write_pages"]
+__all__ = ["errors_page", "events_page", "pages", "settings_page", "write_pages"]
 
 PRODUCT = ("magnoliagrade", "magnoliagrade_entry", "magnoliagrade_agent")
+ERRORS_HEAD = """\
+# Errors
+
+Made by `python -m magnoliagrade_standins pages` from the one table in
+`magnoliagrade/errors.py`; a test keeps the page and the code together.
+
+The body is a problem document (RFC 9457) with `code`, `ran` and `retryable`. `ran`
+says whether the request ran at its back end: `no` is certain. `retryable` says whether
+sending the same request again is safe and can be expected to differ.
+
+| code | status | ran | retryable | title |
+|---|---|---|---|---|
+"""
 EVENTS_HEAD = """\
 # Events in the logs
 
@@ -61,6 +75,22 @@
     return "\n".join(parts)
 
 
+def errors_page():
+    """Return the text of docs/ERRORS.md.
+
+    Returns
+    -------
+    text : str
+        Markdown with a row for each kind of error.
+    """
+    rows = [
+        f"| {kind.value} | {answer.status} | {answer.ran.value} "
+        f"| {'yes' if answer.retryable else 'no'} | {answer.title} |"
+        for kind, answer in ANSWER_BY_KIND.items()
+    ]
+    return ERRORS_HEAD + "\n".join(rows) + "\n"
+
+
 def events_page():
     """Return the text of docs/operators/LOGS.md.
 
@@ -80,7 +110,11 @@
 
 def pages():
     """Return the text of each page that is made from code, by path under docs/."""
-    return {"SETTINGS.md": settings_page(), "operators/LOGS.md": events_page()}
+    return {
+        "ERRORS.md": errors_page(),
+        "SETTINGS.md": settings_page(),
+        "operators/LOGS.md": events_page(),
+    }
 
 
 def write_pages(folder):
