--- a/packages/magnoliagrade-entry/magnoliagrade_entry/configuration_watch.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/configuration_watch.py
@@ -16,7 +16,7 @@
 POLL_PER_ENTRY_S = 15.0
 DUTY_CHECK_S = 0.5
 RETRY_PAUSE_S = 0.25
-RETRY_PAUSE_MAX_S = 10.0
+RETRY_PAUSE_MAX_S = 3.0
 
 FORKED = Gauge(
     "magnoliagrade_configuration_forked",
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
@@ -125,6 +125,11 @@
         self.endpoints.on_link_down(link)
         self.peers.on_link_down(link)
 
+    def store_calls_per_s(self):
+        """Return this entry's part of the calls that all entries may make."""
+        entries = [i for i in self.known.by_name.values() if i.role is Role.ENTRY]
+        return self.settings.store_calls_per_s / max(1, len(entries))
+
     def take_instances(self, instances, *, age_s=0.0):
         """Take a list of instances, unless a newer one is known.
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/settings.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/settings.py
@@ -85,6 +85,15 @@
         low=0.05,
         high=600,
     )
+    store_calls_per_s: float = setting(
+        section="platform",
+        doc="calls to the store that all entries together may make; each takes an "
+        "equal part",
+        unit="1/s",
+        default=500.0,
+        low=1,
+        high=10**6,
+    )
     body_limit_bytes: int = setting(
         section="requests",
         doc="largest body that a caller may send",
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/platform/store.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/platform/store.py
@@ -110,16 +110,25 @@
     async def watch(self, key, *, after_revision, wait_s, purpose):
         """Return the value once it is newer, or None when the wait ends."""
         await self._begin(purpose)
+        ended = asyncio.ensure_future(self._clock.sleep(wait_s))
         try:
-            async with asyncio.timeout(wait_s):
-                while True:
-                    self._raise_if_down()
-                    value = self._value_by_key.get(key)
-                    if value is not None and value.revision > after_revision:
-                        return value
-                    await self._changed.wait()
-        except TimeoutError:
-            return None
+            while True:
+                self._raise_if_down()
+                value = self._value_by_key.get(key)
+                if value is not None and value.revision > after_revision:
+                    return value
+                if ended.done():
+                    return None
+                await self._wait_for_change_or(ended)
+        finally:
+            ended.cancel()
+
+    async def _wait_for_change_or(self, ended):
+        changed = asyncio.ensure_future(self._changed.wait())
+        try:
+            await asyncio.wait({changed, ended}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            changed.cancel()
 
     async def grant_lease(self, ttl_s, *, purpose):
         """Return the id of a new lease."""
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/slopes/command.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/slopes/command.py
@@ -12,6 +12,10 @@
     measure_size,
 )
 from magnoliagrade_standins.slopes.sizes import FAMILIES
+from magnoliagrade_standins.slopes.store_calls import (
+    STORE_SIZES,
+    measure_store_calls,
+)
 
 __all__ = ["slopes_command"]
 
@@ -22,6 +26,7 @@
 ROLES = ("entry", "agent")
 BUDGET = {"cpu_percent": 2.1, "memory_mb": 32.0, "bytes_per_s": 22000.0}
 BUDGET_IN_FORCE_S = 18.0
+STORE = "store"
 
 
 def slopes_command(
@@ -32,7 +37,8 @@
     Parameters
     ----------
     families : str
-        Names of families separated by commas; empty measures all.
+        Names of families separated by commas, `store` for the calls to the store
+        among them; empty measures all.
     json_path : str
         Where to write all readings; empty writes none.
     plot_path : str
@@ -43,7 +49,12 @@
         Changes made at each size.
     """
     wanted = families if isinstance(families, (list, tuple)) else families.split(",")
-    names = [n for n in wanted if n] or list(FAMILIES)
+    names = [n for n in wanted if n] or [*FAMILIES, STORE]
+    if STORE in names:
+        names.remove(STORE)
+        _print_store_calls()
+    if not names:
+        return 0
     idle_by_role, results = asyncio.run(_measure(names, rest_s, changes))
     _print_idle(idle_by_role)
     for name in names:
@@ -67,6 +78,18 @@
     return idle_by_role, results
 
 
+def _print_store_calls():
+    print("calls to the store by entries (manual time, one store in memory)")
+    columns = "entries rest/s change outage/s peak/s in-force-s".split()
+    print("  " + "".join(c.rjust(12) for c in columns), flush=True)
+    for data_centres, entries in STORE_SIZES:
+        calls = asyncio.run(
+            measure_store_calls(data_centres=data_centres, entries=entries)
+        )
+        row = dataclasses.astuple(calls)
+        print("  " + "".join(f"{value:12.2f}" for value in row), flush=True)
+
+
 def _print_idle(idle_by_role):
     print("\nidle interpreter with the libraries")
     for role, usage in idle_by_role.items():
--- a/packages/magnoliagrade/magnoliagrade/node/node.py
+++ b/packages/magnoliagrade/magnoliagrade/node/node.py
@@ -15,7 +15,7 @@
 from magnoliagrade.node.process import announce_ready, bound_address, start_site
 from magnoliagrade.node.tasks import Tasks
 from magnoliagrade.observability import configure_tracing
-from magnoliagrade.platform import HttpStore
+from magnoliagrade.platform import CallLimiter, HttpStore
 from magnoliagrade.wire import (
     Hello,
     Leaving,
@@ -27,6 +27,7 @@
 __all__ = ["Node"]
 
 DRAIN_POLL_S = 0.05
+STORE_CALLS_PER_S = 5.0
 
 
 class Node:
@@ -105,7 +106,11 @@
             timeout=aiohttp.ClientTimeout(total=None),
             auto_decompress=False,
         )
-        self.store = HttpStore(url=settings.store_url, session=self.session)
+        self.store = HttpStore(
+            url=settings.store_url,
+            session=self.session,
+            limiter=CallLimiter(clock=self.clock, rate=self.store_calls_per_s),
+        )
 
     async def listen_http(self, name, app, address, **runner_options):
         """Serve an application and note its bound address under a name."""
@@ -192,6 +197,10 @@
             ),
         )
 
+    def store_calls_per_s(self):
+        """Return how many calls a second this process may make to the store."""
+        return STORE_CALLS_PER_S
+
     def on_peer_ahead(self, link):
         """Ask the other side of a link for its newer configuration."""
         self.spread.on_message(link)
--- a/packages/magnoliagrade/magnoliagrade/platform/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/__init__.py
@@ -1,6 +1,7 @@
 """Clients of the platform: its store and its list of instances."""
 
 from magnoliagrade.platform.instances import HttpInstanceList, InstanceList
+from magnoliagrade.platform.limiter import CallLimiter
 from magnoliagrade.platform.store import (
     HttpStore,
     Store,
@@ -10,6 +11,7 @@
 )
 
 __all__ = [
+    "CallLimiter",
     "HttpInstanceList",
     "HttpStore",
     "InstanceList",
--- a/packages/magnoliagrade/magnoliagrade/platform/store.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/store.py
@@ -13,6 +13,7 @@
 __all__ = ["HttpStore", "Store", "StoreConflict", "StoreUnavailable", "StoreValue"]
 
 CALL_TIMEOUT_S = 2.0
+UNLIMITED_PURPOSE = "configuration"
 
 STORE_CALLS = Counter(
     "magnoliagrade_store_calls_total",
@@ -107,15 +108,19 @@
         Base URL of the store.
     session : aiohttp.ClientSession
         Session whose connections are used.
+    limiter : CallLimiter, optional
+        Limit on this process's calls; none by default. Operators' changes of the
+        configuration are rare and go past it.
 
     Notes
     -----
     The protocol is described in docs/PLATFORM.md.
     """
 
-    __slots__ = ("_session", "_url")
+    __slots__ = ("_limiter", "_session", "_url")
 
-    def __init__(self, *, url, session):
+    def __init__(self, *, url, session, limiter=None):
+        self._limiter = limiter
         self._url = url.rstrip("/")
         self._session = session
 
@@ -187,6 +192,8 @@
         verb="",
     ):
         verb = verb or method.lower()
+        if self._limiter is not None and purpose != UNLIMITED_PURPOSE:
+            await self._take_turn(purpose, verb)
         try:
             answer = await self._exchange(method, path, params, data, timeout_s)
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
@@ -200,6 +207,13 @@
         answer.raise_for_status(method, path)
         return answer
 
+    async def _take_turn(self, purpose, verb):
+        try:
+            await self._limiter.take()
+        except MagnoliagradeError:
+            STORE_CALLS.labels(purpose, verb, "limited_here").inc()
+            raise
+
     async def _exchange(self, method, path, params, data, timeout_s):
         async with (
             asyncio.timeout(timeout_s),
