Send a store write once, and wait for each instance on its own

Cause: the test with real processes got 'chunks of revision 6 are missing': the HTTP library sends PUT and DELETE again when a kept connection breaks, so a write whose answer was lost came back as a conflict with itself, was taken for a lost race, and its chunks were deleted while the root named them. Conclusion: whoever uses compare-and-swap over this library must forbid its retries.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/commands/changing.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/commands/changing.py
@@ -225,14 +225,25 @@
 
 
 async def _wait(site, revision, options):
+    # Each instance is asked on its own, so that a silent one delays no other.
+    instances = await site.listed()
+    until = SystemClock().monotonic() + options.timeout_s
+    are_there = await asyncio.gather(
+        *(_comes_into_force(site, i, revision, until) for i in instances)
+    )
+    pairs = zip(instances, are_there, strict=True)
+    return sorted(instance.name for instance, is_there in pairs if not is_there)
+
+
+async def _comes_into_force(site, instance, revision, until):
     clock = SystemClock()
-    until = clock.monotonic() + options.timeout_s
     while True:
-        rows = await site.exchange.statuses(await site.listed())
-        behind = sorted(r.instance.name for r in rows if r.revision < revision)
-        if not behind or clock.monotonic() >= until:
-            return behind
-        await asyncio.sleep(WAIT_POLL_S)
+        (row,) = await site.exchange.statuses([instance])
+        if row.revision >= revision:
+            return True
+        if clock.monotonic() >= until:
+            return False
+        await clock.sleep(WAIT_POLL_S)
 
 
 def _parsed(stored):
--- /dev/null
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/platform/tests/test_http_store.py
@@ -0,0 +1,38 @@
+import asyncio
+
+import aiohttp
+from magnoliagrade.clock import SystemClock
+from magnoliagrade.node import start_site
+from magnoliagrade.platform import HttpStore, StoreConflict, StoreUnavailable
+
+from magnoliagrade_standins.platform import (
+    ListedInstances,
+    MemoryStore,
+    StoreFaults,
+    make_platform_app,
+)
+
+P = {"purpose": "test"}
+
+
+def test_write_without_an_answer_is_not_sent_again_behind_the_callers_back():
+    async def main():
+        clock = SystemClock()
+        memory = MemoryStore(clock=clock)
+        app = make_platform_app(store=memory, listing=ListedInstances(clock=clock))
+        runner, address = await start_site(app, "127.0.0.1:0", shutdown_timeout=0.1)
+        async with aiohttp.ClientSession() as session:
+            store = HttpStore(url=f"http://{address}", session=session)
+            # The connection is kept open, and reused by what follows.
+            first = await store.put("k", b"1", expected_revision=0, **P)
+            memory.set_faults(StoreFaults(lose_write_answers=1))
+            seen = None
+            try:
+                await store.put("k", b"2", expected_revision=first, **P)
+            except (StoreConflict, StoreUnavailable) as exc:
+                seen = exc
+        await runner.cleanup()
+        assert isinstance(seen, StoreUnavailable) and seen.maybe_applied, seen
+        assert (await memory.get("k", **P)).value == b"2"
+
+    asyncio.run(main())
--- a/packages/magnoliagrade/magnoliagrade/configuration/problems.py
+++ b/packages/magnoliagrade/magnoliagrade/configuration/problems.py
@@ -37,7 +37,7 @@
         where = f"[{self.section}]" if self.section else ""
         if self.key:
             where = f"{where} {self.key}"
-        return f"{place}: {where}: {self.allowed}"
+        return ": ".join(part for part in (place, where.strip(), self.allowed) if part)
 
 
 class InvalidDocument(MagnoliagradeError):
--- a/packages/magnoliagrade/magnoliagrade/configuration/storage.py
+++ b/packages/magnoliagrade/magnoliagrade/configuration/storage.py
@@ -209,7 +209,8 @@
                     )
                     return True
                 except StoreConflict:
-                    return await self._read_back(root, maybe_applied, until)
+                    # Whatever sent the bytes twice, the history tells the truth.
+                    return await self._read_back(root, until)
                 except MagnoliagradeError as exc:
                     maybe_applied |= getattr(exc, "maybe_applied", False)
                     pause = await self._pause(exc, pause, until)
@@ -218,9 +219,7 @@
                 raise
             raise _unknown(root, exc) from exc
 
-    async def _read_back(self, root, maybe_applied, until):
-        if not maybe_applied:
-            return False
+    async def _read_back(self, root, until):
         pause = PAUSE_FIRST_S
         while True:
             try:
--- a/packages/magnoliagrade/magnoliagrade/platform/store.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/store.py
@@ -218,7 +218,11 @@
         async with (
             asyncio.timeout(timeout_s),
             self._session.request(
-                method, self._url + path, params=params, data=data
+                method,
+                self._url + path,
+                params=params,
+                data=data,
+                middlewares=(_refuse_second_send(),) if method != "GET" else None,
             ) as response,
         ):
             body = await response.read()
@@ -262,5 +266,20 @@
         return rows
 
 
+def _refuse_second_send():
+    # The library sends PUT and DELETE again when a kept connection breaks, so a
+    # write that took effect would come back as a conflict with itself.
+    is_sent = False
+
+    async def middleware(request, handler):
+        nonlocal is_sent
+        if is_sent:
+            raise aiohttp.ServerDisconnectedError("the request has been sent before")
+        is_sent = True
+        return await handler(request)
+
+    return middleware
+
+
 def _key_path(key):
     return "/v1/keys/" + quote(key, safe="/")
