--- a/tests/test_configuration_spread.py
+++ b/tests/test_configuration_spread.py
@@ -24,6 +24,7 @@
 
 async def _changes_through_faults():
     async with Site(plan=PLAN) as site:
+        await _with_slow_store(site)
         await _with_store_cut_from_one_data_centre(site)
         await _with_data_centres_cut_from_each_other(site)
         await _with_store_down_after_acceptance_by_one_entry(site)
@@ -31,6 +32,13 @@
         await _newcomer_without_store_and_peers(site)
 
 
+async def _with_slow_store(site):
+    await site.control_platform("faults", {"latency_s": 1.0})
+    revision = await _label(site, "0")
+    await _wait_in_force(site, revision)
+    await site.control_platform("faults", {})
+
+
 async def _with_store_cut_from_one_data_centre(site):
     await site.set_rules(
         {
