--- a/packages/magnoliagrade-standins/magnoliagrade_standins/pages.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/pages.py
@@ -3,13 +3,22 @@
 import ast
 import importlib
 import pathlib
+import pkgutil
 
 from magnoliagrade.configuration import describe_settings
 from magnoliagrade.errors import ANSWER_BY_KIND
 from magnoliagrade_agent import AgentSettings
 from magnoliagrade_entry.settings import EntrySettings
+from prometheus_client import REGISTRY
 
-__all__ = ["errors_page", "events_page", "pages", "settings_page", "write_pages"]
+__all__ = [
+    "errors_page",
+    "events_page",
+    "metrics_page",
+    "pages",
+    "settings_page",
+    "write_pages",
+]
 
 PRODUCT = ("magnoliagrade", "magnoliagrade_entry", "magnoliagrade_agent")
 ERRORS_HEAD = """\
@@ -25,6 +34,19 @@
 | code | status | ran | retryable | title |
 |---|---|---|---|---|
 """
+METRICS_HEAD = """\
+# Metrics
+
+Made by `python -m magnoliagrade_standins pages` from the code; a test keeps the page
+and the code together.
+
+`GET /metrics` on the admin address of each process, in Prometheus' format. Units are
+in the names; `cost` is in tokens, or in calls for plain services. Labels have few
+values each: none names a request, a caller or an organisation.
+
+| metric | type | labels | meaning |
+|---|---|---|---|
+"""
 EVENTS_HEAD = """\
 # Events in the logs
 
@@ -108,12 +130,40 @@
     return EVENTS_HEAD + "\n".join(sorted(rows)) + "\n"
 
 
+def metrics_page():
+    """Return the text of docs/operators/METRICS.md.
+
+    Returns
+    -------
+    text : str
+        Markdown with a row for each metric that the product registers.
+    """
+    for package in PRODUCT:
+        path = importlib.import_module(package).__path__
+        for module in pkgutil.walk_packages(path, prefix=f"{package}."):
+            if ".tests" not in module.name:
+                importlib.import_module(module.name)
+    rows = []
+    for collector in list(REGISTRY._collector_to_names):
+        if not getattr(collector, "_name", "").startswith("magnoliagrade_"):
+            continue
+        (family,) = collector.describe()
+        suffix = "_total" if family.type == "counter" else ""
+        labels = ", ".join(collector._labelnames)
+        rows.append(
+            f"| {family.name}{suffix} | {family.type} | {labels} "
+            f"| {family.documentation} |"
+        )
+    return METRICS_HEAD + "\n".join(sorted(rows)) + "\n"
+
+
 def pages():
     """Return the text of each page that is made from code, by path under docs/."""
     return {
         "ERRORS.md": errors_page(),
         "SETTINGS.md": settings_page(),
         "operators/LOGS.md": events_page(),
+        "operators/METRICS.md": metrics_page(),
     }
 
 
