--- a/packages/magnoliagrade-agent/magnoliagrade_agent/group/generations.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/group/generations.py
@@ -133,9 +133,15 @@
 
     async def tick(self):
         """Send again what others may have missed of an incomplete generation."""
-        if not self.is_running and not self.is_superseded:
-            self._broadcast_generation()
-            await self._maybe_run()
+        if self.is_running or self.is_superseded:
+            return
+        # An order to the rank may have failed halfway.
+        if not self.generation and len(self.incarnation_by_rank) == self.ranks:
+            await self._open_generation()
+            return
+        await self._maybe_settle()
+        self._broadcast_generation()
+        await self._maybe_run()
 
     def _forget_generation(self):
         self.generation = 0
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/group/member.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/group/member.py
@@ -54,6 +54,8 @@
         """
         await super().tick()
         if self.is_open():
+            await self._maybe_decide()
+            await self._maybe_release()
             self._broadcast_switch()
             if is_query_due:
                 self._broadcast(self._query())
@@ -135,6 +137,9 @@
         return max(self.knowledge.completed + 2, last.step if last else 0)
 
     async def _give_arm_answer(self, place, accepted):
+        if not accepted and not self.is_open():
+            # An earlier order to hold may have reached the rank without an answer.
+            await self.orders.release(place[1])
         self._arm_answer_by_switch[place] = accepted
         self._acks(place)[self.rank] = accepted
         if not accepted:
--- /dev/null
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/group/service.py
@@ -0,0 +1,259 @@
+"""A group member's life inside its agent: links, ticks, requests."""
+
+import asyncio
+import contextlib
+import logging
+
+from magnoliagrade.errors import ErrorKind, MagnoliagradeError
+from magnoliagrade.observability import log_event
+from magnoliagrade.wire import GenerationJoin, GroupState, StageAck, keep_linked
+from magnoliagrade.world import Role
+
+from magnoliagrade_agent.group import metrics
+from magnoliagrade_agent.group.member import GroupMember
+from magnoliagrade_agent.group.rank_client import RankClient
+
+__all__ = ["GroupService", "new_group_incarnation"]
+
+PEER_GRACE_S = 2.0
+QUERY_AFTER_S = 0.3
+
+_log = logging.getLogger(__name__)
+
+
+class GroupService:
+    """What an agent does for its group.
+
+    Parameters
+    ----------
+    node : AgentInstance
+        The agent, whose settings name a group.
+
+    Notes
+    -----
+    Messages of all links and ticks go through one lock, so that each finds the
+    rank's answer to the order before it.
+    """
+
+    __slots__ = (
+        "_heard_by_rank",
+        "_lock",
+        "_open_since",
+        "_requests",
+        "addresses",
+        "coordinator",
+        "group",
+        "member",
+        "node",
+        "orders",
+        "rank_boot_id",
+        "step",
+    )
+
+    def __init__(self, *, node):
+        settings = node.settings
+        self.node = node
+        self.group = settings.group
+        self.addresses = [a.strip() for a in settings.group_addresses.split(",")]
+        self.coordinator = None
+        self.rank_boot_id = ""
+        self.step = 0
+        self._lock = asyncio.Lock()
+        self._requests = set()
+        self._heard_by_rank = {}
+        self._open_since = None
+        self.orders = RankClient(
+            url=settings.rank_url or settings.url,
+            session=node.session,
+            fence=lambda: self.member.incarnation,
+        )
+        self.member = GroupMember(
+            group=self.group,
+            rank=settings.rank,
+            ranks=len(self.addresses),
+            incarnation=new_group_incarnation(node.clock, node.rng),
+            orders=self.orders,
+            send=self.send,
+        )
+
+    @property
+    def is_complete(self):
+        """Whether the group runs and every peer has been heard of lately."""
+        now = self.node.clock.monotonic()
+        heard = [
+            now - self._heard_by_rank.get(rank, float("-inf")) < PEER_GRACE_S
+            for rank in range(self.member.ranks)
+            if rank != self.member.rank
+        ]
+        return self.member.is_running and all(heard)
+
+    def link_of(self, rank):
+        """Return the link to a rank's agent, or None."""
+        for link in self.node.links.of_role(Role.AGENT):
+            if link.hello.group == self.group and link.hello.rank == rank:
+                return link
+        return None
+
+    def send(self, rank, message):
+        """Send a message to a rank's agent; it is lost if there is no link."""
+        link = self.link_of(rank)
+        if link is not None:
+            link.send(message)
+
+    async def on_message(self, link, message):
+        """Handle a message of a peer's agent."""
+        self.note_heard(link)
+        if isinstance(message, StageAck):
+            if self.coordinator is not None:
+                self.coordinator.on_stage_ack(message)
+            return
+        await self.act(self.member.on_message, message, link.send)
+
+    async def order(self, rank, message):
+        """Hand a coordinator's order to a rank, which may be this one."""
+        if rank != self.member.rank:
+            self.send(rank, message)
+            return
+        replies = []
+        await self.act(self.member.on_message, message, replies.append)
+        for reply in replies:
+            if self.coordinator is not None and isinstance(reply, StageAck):
+                self.coordinator.on_stage_ack(reply)
+
+    async def act(self, method, *arguments, **options):
+        """Let the member act; an order that the rank did not take is tried again."""
+        async with self._lock:
+            was_running = self.member.is_running
+            try:
+                await method(*arguments, **options)
+            except MagnoliagradeError as exc:
+                log_event(_log, "group.rank_failed", code=exc.kind.value)
+            if was_running and not self.member.is_running:
+                self._break_requests()
+        if was_running != self.member.is_running:
+            self.tell_entries()
+
+    async def tick(self):
+        """Look after the rank, send again what others may have missed."""
+        await self._watch_rank()
+        is_open = self.member.is_open()
+        now = self.node.clock.monotonic()
+        if not is_open:
+            self._open_since = None
+        elif self._open_since is None:
+            self._open_since = now
+        is_due = is_open and now - self._open_since > QUERY_AFTER_S
+        await self.act(self.member.tick, is_query_due=is_due)
+        self.tell_entries()
+        metrics.update(self)
+
+    async def _watch_rank(self):
+        try:
+            state = await self.orders.state()
+        except MagnoliagradeError:
+            return
+        self.step = state.begun
+        boot_id, self.rank_boot_id = self.rank_boot_id, state.boot_id
+        if not boot_id:
+            await self.act(self.member.start)
+        elif boot_id != state.boot_id:
+            log_event(_log, "group.rank_restarted", boot_id=state.boot_id)
+            await self.act(self.member.restart_rank)
+
+    async def keep_peer_links(self):
+        """Dial the agents of all higher ranks and keep linked to them."""
+        node = self.node
+        dials = [
+            keep_linked(
+                address=address,
+                make_link=node.make_link,
+                hello=node.hello,
+                handle=node.run_link,
+                clock=node.clock,
+                rng=node.rng,
+                source=node.settings.source_address,
+            )
+            for rank, address in enumerate(self.addresses)
+            if rank > self.member.rank
+        ]
+        await asyncio.gather(*dials)
+
+    def note_heard(self, link):
+        """Note a sign of life of a peer's agent."""
+        if link.hello.group == self.group:
+            self._heard_by_rank[link.hello.rank] = self.node.clock.monotonic()
+
+    def on_link_up(self, link):
+        """Introduce this rank to a peer's agent, its state to an entry."""
+        if link.hello.role == Role.ENTRY.value:
+            link.send(self._state())
+        elif link.hello.group == self.group:
+            self.note_heard(link)
+            member = self.member
+            join = GenerationJoin(
+                group=self.group,
+                generation=member.generation,
+                rank=member.rank,
+                incarnation=member.incarnation,
+            )
+            link.send(join)
+
+    def tell_entries(self):
+        """Tell every entry whether the group can take requests."""
+        for link in self.node.links.of_role(Role.ENTRY):
+            link.send(self._state())
+
+    def _state(self):
+        member = self.member
+        return GroupState(
+            group=self.group,
+            rank=member.rank,
+            generation=member.generation,
+            is_complete=self.is_complete,
+            map_version=member.knowledge.version_at(self.step),
+        )
+
+    @contextlib.contextmanager
+    def serving(self):
+        """Return a context in which a request is served by the group.
+
+        Raises
+        ------
+        MagnoliagradeError
+            `NOT_RUN` before the request has begun if the group is not complete,
+            `ANSWER_BROKEN` if a new generation begins while it runs.
+        """
+        if not self.is_complete:
+            detail = f"group {self.group} is not complete"
+            raise MagnoliagradeError(ErrorKind.NOT_RUN, detail)
+        task = asyncio.current_task()
+        self._requests.add(task)
+        try:
+            yield
+        except asyncio.CancelledError as exc:
+            if task in self._requests:
+                raise
+            task.uncancel()
+            detail = f"group {self.group} began a new generation"
+            raise MagnoliagradeError(ErrorKind.ANSWER_BROKEN, detail) from exc
+        finally:
+            self._requests.discard(task)
+
+    def _break_requests(self):
+        requests, self._requests = self._requests, set()
+        for task in requests:
+            task.cancel()
+        if requests:
+            log_event(_log, "group.requests_broken", count=len(requests))
+
+
+def new_group_incarnation(clock, rng):
+    """Return a number that is higher than those of earlier starts of a rank.
+
+    Notes
+    -----
+    Milliseconds of the wall clock and random bits. A clock that has gone back only
+    costs a round trip: peers tell the highest number that they know.
+    """
+    milliseconds = int(clock.now().timestamp() * 1000)
+    return (milliseconds << 20) | rng.getrandbits(20)
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/settings.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/settings.py
@@ -110,6 +110,11 @@
         doc="control addresses of the group's agents by rank, separated by commas",
         default="",
     )
+    rank_url: str = setting(
+        section="group",
+        doc="URL of the rank's orders; empty means the endpoint's URL",
+        default="",
+    )
     drain_limit_s: float = setting(
         section="shutdown",
         doc="longest wait for requests in flight",
--- a/packages/magnoliagrade/magnoliagrade/wire/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/__init__.py
@@ -20,6 +20,7 @@
 from magnoliagrade.wire.group import (
     ArmAck,
     ArmSwitch,
+    CountsRequest,
     ExpertCounts,
     GenerationAnswer,
     GenerationJoin,
@@ -55,6 +56,7 @@
     "ConfigurationWatch",
     "StatusPull",
     "StatusReport",
+    "CountsRequest",
     "CreditGrant",
     "CreditRequest",
     "EngineLoad",
--- a/packages/magnoliagrade/magnoliagrade/wire/group.capnp
+++ b/packages/magnoliagrade/magnoliagrade/wire/group.capnp
@@ -103,6 +103,11 @@
   rank @2 :UInt32;
 }
 
+struct CountsRequest {
+  group @0 :Text;
+  fence @1 :UInt64;
+}
+
 struct GroupState {
   group @0 :Text;
   rank @1 :UInt32;
@@ -125,5 +130,6 @@
     expertCounts @9 :ExpertCounts;
     settled @10 :GenerationSettled;
     state @11 :GroupState;
+    countsRequest @12 :CountsRequest;
   }
 }
--- a/packages/magnoliagrade/magnoliagrade/wire/group.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/group.py
@@ -7,6 +7,7 @@
 __all__ = [
     "ArmAck",
     "ArmSwitch",
+    "CountsRequest",
     "ExpertCounts",
     "GenerationAnswer",
     "GenerationJoin",
@@ -164,3 +165,11 @@
     step: int = 0
     step_seconds: float = 0.0
     seconds: float = 0.0
+
+
+@message("group", "countsRequest")
+class CountsRequest:
+    """The coordinator asks a rank's agent for its token counts."""
+
+    group: str = ""
+    fence: int = 0
