--- a/packages/magnoliagrade-agent/magnoliagrade_agent/door.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/door.py
@@ -16,6 +16,8 @@
 from opentelemetry import trace
 from prometheus_client import Counter
 
+from magnoliagrade_agent.group.service import group_serving
+
 __all__ = ["make_data_app"]
 
 BODY_LIMIT_BYTES = 1024**3
@@ -70,6 +72,11 @@
     reason = node.reason_to_refuse()
     if reason:
         raise MagnoliagradeError(ErrorKind.SHUTTING_DOWN, reason)
+    with group_serving(node):
+        await _serve_attempt(node, request, attempt, headers, sink)
+
+
+async def _serve_attempt(node, request, attempt, headers, sink):
     node.attempts.begin(attempt)
     work = await node.credits.admit(request, entry=headers[names.ENTRY])
     with node.credits.following(work):
--- /dev/null
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/group/balancing.py
@@ -0,0 +1,111 @@
+"""What a group's coordinator knows of its balance, and its plans."""
+
+import numpy as np
+from magnoliagrade.algorithms.balance import (
+    ExpertCounter,
+    Situation,
+    SpeedEstimator,
+    rank_times,
+    rebalancing_policies,
+    rebalancing_rate,
+    skew,
+)
+
+__all__ = ["GroupBalance"]
+
+DEFAULT_BY_OPTION = {
+    "half_life_s": 300.0,
+    "horizon_s": 1800.0,
+    "interval_s": 300.0,
+    "expert_bytes": 44e6,
+    "store_bytes_per_s": 1e9,
+    "store_share": 0.25,
+}
+
+
+class GroupBalance:
+    """Counts and speeds of a group's ranks at its coordinator.
+
+    Parameters
+    ----------
+    group : Group
+        The group's configuration.
+    groups : int
+        Groups that share the data centre's weight store.
+    clock : Clock
+        Source of time.
+    """
+
+    __slots__ = ("_clock", "_counter", "_speeds", "group", "groups")
+
+    def __init__(self, *, group, groups, clock):
+        self.group = group
+        self.groups = groups
+        self._clock = clock
+        self._counter = ExpertCounter(
+            layers=group.layers,
+            experts=group.experts,
+            half_life_s=self.option("half_life_s"),
+        )
+        self._speeds = SpeedEstimator(ranks=group.ranks)
+
+    def option(self, name):
+        """Return an option of the group's configuration, or its default."""
+        return float(self.group.options.get(name, DEFAULT_BY_OPTION[name]))
+
+    def add(self, message, holds):
+        """Take a rank's report of counts and work.
+
+        Parameters
+        ----------
+        message : ExpertCounts
+            The report; one of another size is left out.
+        holds : ndarray of bool, shape (layers, ranks, experts)
+            Placement in force.
+        """
+        shape = (self.group.layers, self.group.experts)
+        if len(message.counts) != shape[0] * shape[1]:
+            return
+        counts = np.array(message.counts).reshape(shape)
+        is_taken = self._counter.add(
+            counts,
+            rank=message.rank,
+            sequence=message.sequence,
+            interval_s=message.seconds,
+            now=self._clock.monotonic(),
+        )
+        if is_taken:
+            loads = rank_times(holds, self._counter.rates(), np.ones(self.group.ranks))
+            load = float(loads.sum(axis=0)[message.rank]) * message.seconds
+            self._speeds.add(message.rank, seconds=message.work_seconds, load=load)
+
+    def skew(self, holds):
+        """Return the skew that the counts give under a placement."""
+        return skew(rank_times(holds, self._counter.rates(), self._speeds.speeds()))
+
+    def plan(self, holds):
+        """Return the plan of the group's policy, or None to stay.
+
+        Parameters
+        ----------
+        holds : ndarray of bool, shape (layers, ranks, experts)
+            Placement in force.
+        """
+        if not self._counter.has_counts:
+            return None
+        rate = rebalancing_rate(
+            store_bytes_per_s=self.option("store_bytes_per_s"),
+            share=self.option("store_share"),
+            groups=self.groups,
+        )
+        situation = Situation(
+            holds=holds,
+            rates=self._counter.rates(),
+            speeds=self._speeds.speeds(),
+            slots=self.group.slots_per_rank,
+            expert_bytes=int(self.option("expert_bytes")),
+            bytes_per_s=rate,
+            budget_bytes=rate * self.option("interval_s"),
+            horizon_s=self.option("horizon_s"),
+        )
+        return rebalancing_policies.get(self.group.rebalancing)().plan(situation)
--- /dev/null
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/group/coordination.py
@@ -0,0 +1,248 @@
+"""The tasks around a group's record and its coordinator."""
+
+import asyncio
+import logging
+
+from magnoliagrade.algorithms.balance import (
+    initial_placement,
+    pack_placement,
+    unpack_placement,
+)
+from magnoliagrade.errors import MagnoliagradeError
+from magnoliagrade.observability import log_event
+from magnoliagrade.wire import CountsRequest
+
+from magnoliagrade_agent.group import metrics
+from magnoliagrade_agent.group.balancing import GroupBalance
+from magnoliagrade_agent.group.coordinator import SwitchCoordinator, SwitchPhase
+from magnoliagrade_agent.group.record import CoordinatorLease, GroupRecords
+
+__all__ = ["coordinate", "learn_record"]
+
+FIRST_VERSION = 1
+LEASE_TTL_S = 10.0
+LOOP_S = 1.0
+RECORD_RETRY_S = 0.5
+SWITCH_LIMIT_S = 60.0
+SWITCH_POLL_S = 0.05
+RESEND_S = 0.3
+VERSIONS_PER_FENCE = 1 << 20
+
+_log = logging.getLogger(__name__)
+
+
+async def learn_record(service):
+    """Read the group's record and newest fence until the group runs.
+
+    Parameters
+    ----------
+    service : GroupService
+        The agent's group.
+
+    Notes
+    -----
+    Without the store a group of which no rank knows anything stays out of steps.
+    """
+    node = service.node
+    records = GroupRecords(store=node.store, group=service.group)
+    while True:
+        await node.clock.sleep(RECORD_RETRY_S)
+        group = _configured(service)
+        if service.member.is_running or service.member.record or group is None:
+            continue
+        try:
+            first = pack_placement(_initial(group))
+            record = await records.read_or_create(FIRST_VERSION, first)
+            fence = await records.newest_fence()
+        except MagnoliagradeError as exc:
+            log_event(_log, "group.record_unknown", code=exc.kind.value)
+            continue
+        await service.act(service.member.offer_record, record, fence)
+
+
+async def coordinate(service):
+    """Hold the lease if it is free; then gather counts, plan and switch.
+
+    Parameters
+    ----------
+    service : GroupService
+        The agent's group.
+    """
+    node = service.node
+    lease = CoordinatorLease(
+        store=node.store,
+        group=service.group,
+        holder=node.identity.instance,
+        clock=node.clock,
+        ttl_s=LEASE_TTL_S,
+    )
+    coordination = _Coordination(service, lease)
+    while True:
+        await node.clock.sleep(LOOP_S)
+        group = _configured(service)
+        if group is None or not service.member.is_running:
+            continue
+        is_held = await lease.acquire_or_renew()
+        metrics.COORDINATOR.labels(service.group).set(is_held)
+        if is_held:
+            await coordination.try_turn(group)
+        else:
+            service.balance = None
+
+
+class _Coordination:
+    def __init__(self, service, lease):
+        self.service = service
+        self.lease = lease
+        self.records = GroupRecords(store=service.node.store, group=service.group)
+        self.planned_at = service.node.clock.monotonic()
+        self.counted_at = self.planned_at
+        self.versions = 0
+
+    async def try_turn(self, group):
+        """Take a turn; a store that does not answer only ends this one."""
+        try:
+            await self.turn(group)
+        except MagnoliagradeError as exc:
+            log_event(_log, "group.turn_failed", code=exc.kind.value)
+
+    async def turn(self, group):
+        """Record the map, gather counts and rebalance, each when it is due."""
+        service = self.service
+        if service.balance is None or service.balance.group is not group:
+            groups = len(service.node.configuration.in_force.group_by_name)
+            service.balance = GroupBalance(
+                group=group, groups=groups, clock=service.node.clock
+            )
+        await self._write_record()
+        now = service.node.clock.monotonic()
+        interval_s = service.balance.option("interval_s")
+        if now - self.counted_at >= interval_s / 5:
+            self.counted_at = now
+            await self._ask_for_counts()
+        if now - self.planned_at >= interval_s:
+            self.planned_at = now
+            await self._rebalance(group)
+
+    async def _ask_for_counts(self):
+        service = self.service
+        request = CountsRequest(group=service.group, fence=self.lease.fence)
+        for rank in range(service.member.ranks):
+            service.send(rank, request)
+        own = await service.read_counts()
+        if own is not None:
+            service.take_counts(own)
+
+    async def _rebalance(self, group):
+        service = self.service
+        holds = unpack_placement(service.map_in_force())
+        metrics.SKEW.labels(group.name).set(service.balance.skew(holds))
+        if group.pinned_version:
+            await self._return_to(group.pinned_version)
+            return
+        if group.is_frozen:
+            metrics.PLANS.labels(group.name, "frozen").inc()
+            return
+        plan = await asyncio.to_thread(service.balance.plan, holds)
+        if plan is None:
+            metrics.PLANS.labels(group.name, "stay").inc()
+            return
+        metrics.PLAN_COST_S.labels(group.name).set(plan.cost_s)
+        log_event(
+            _log,
+            "group.planned",
+            group=group.name,
+            transfers=plan.transfers,
+            saving_s=round(plan.saving_s, 3),
+            cost_s=round(plan.cost_s, 3),
+        )
+        is_done = await self._switch(pack_placement(plan.holds))
+        result = "carried-out" if is_done else "failed"
+        metrics.PLANS.labels(group.name, result).inc()
+        if is_done:
+            size = int(service.balance.option("expert_bytes"))
+            metrics.MOVED_BYTES.labels(group.name).inc(plan.transfers * size)
+
+    async def _return_to(self, version):
+        """Switch to the map that operators have pinned, if it is another one."""
+        packed_map = await self.records.read_version(version)
+        if packed_map is None:
+            log_event(_log, "group.pinned_unknown", map_version=version)
+        elif packed_map != self.service.map_in_force():
+            await self._switch(packed_map)
+
+    async def _switch(self, packed_map):
+        service, clock = self.service, self.service.node.clock
+        self.versions += 1
+        orders = []
+        coordinator = SwitchCoordinator(
+            group=service.group,
+            ranks=service.member.ranks,
+            generation=service.member.generation,
+            fence=self.lease.fence,
+            version=self.lease.fence * VERSIONS_PER_FENCE + self.versions,
+            packed_map=packed_map,
+            choose_step=service.choose_step,
+            send=lambda rank, message: orders.append((rank, message)),
+        )
+        service.coordinator = coordinator
+        coordinator.start()
+        began = phase_began = resent = clock.monotonic()
+        phase = coordinator.phase
+        is_done = False
+        while clock.monotonic() - began < SWITCH_LIMIT_S:
+            await self._send_all(orders)
+            if coordinator.phase is not phase:
+                self._note_phase(phase, clock.monotonic() - phase_began)
+                phase, phase_began = coordinator.phase, clock.monotonic()
+            verdict = service.verdict(coordinator)
+            if verdict is not None or phase is SwitchPhase.FENCED:
+                is_done = bool(verdict)
+                break
+            await clock.sleep(SWITCH_POLL_S)
+            if clock.monotonic() - resent > RESEND_S:
+                resent = clock.monotonic()
+                await self.lease.acquire_or_renew()
+                coordinator.resend()
+        self._note_phase(phase, clock.monotonic() - phase_began)
+        service.coordinator = None
+        return is_done
+
+    def _note_phase(self, phase, seconds):
+        metrics.SWITCH_S.labels(self.service.group, phase.value).observe(seconds)
+
+    async def _send_all(self, orders):
+        while orders:
+            rank, message = orders.pop(0)
+            await self.service.order(rank, message)
+
+    async def _write_record(self):
+        """Bring the store's record up to the map in force."""
+        service = self.service
+        version = service.version_in_force()
+        if not service.record_behind():
+            return
+        record = await self.records.read()
+        if record is None:
+            return
+        packed_map = service.map_in_force()
+        if record.version != version:
+            await self.records.write(
+                version, packed_map, expected_revision=record.revision
+            )
+        await self.records.keep_version(version, packed_map)
+        service.recorded_version = version
+
+
+def _configured(service):
+    configuration = service.node.configuration.in_force
+    return configuration.group_by_name.get(service.group)
+
+
+def _initial(group):
+    return initial_placement(
+        layers=group.layers,
+        ranks=group.ranks,
+        experts=group.experts,
+        slots=group.slots_per_rank,
+    )
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/group/metrics.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/group/metrics.py
@@ -33,7 +33,9 @@
     ["group"],
 )
 PLANS = Counter(
-    "magnoliagrade_group_plans_total", "Plans by what became of them", ["group", "result"]
+    "magnoliagrade_group_plans_total",
+    "Plans by what became of them",
+    ["group", "result"],
 )
 PLAN_COST_S = Gauge(
     "magnoliagrade_group_plan_cost_seconds", "Cost of the newest plan", ["group"]
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/group/rank_client.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/group/rank_client.py
@@ -161,9 +161,7 @@
         origin=int(fields["origin"]),
         version=fields["version"],
         completed=fields["completed"],
-        map_by_version={
-            int(v): base64.b64decode(m) for v, m in fields["maps"].items()
-        },
+        map_by_version={int(v): base64.b64decode(m) for v, m in fields["maps"].items()},
         switch=switch
         and Switch(
             version=switch["version"],
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/group/record.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/group/record.py
@@ -58,6 +58,20 @@
             self._key, value, expected_revision=expected_revision, purpose=PURPOSE
         )
 
+    async def keep_version(self, version, packed_map):
+        """Keep a map under its version, so that operators can pin it."""
+        await self._store.put(
+            f"{self._key}/{version}",
+            packed_map,
+            expected_revision=None,
+            purpose=PURPOSE,
+        )
+
+    async def read_version(self, version):
+        """Return the packed map of a version, or None."""
+        value = await self._store.get(f"{self._key}/{version}", purpose=PURPOSE)
+        return value.value if value else None
+
     async def newest_fence(self):
         """Return the fencing number of the present coordinator, or 0."""
         value = await self._store.get(self._lease_key, purpose=PURPOSE)
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/group/service.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/group/service.py
@@ -3,20 +3,32 @@
 import asyncio
 import contextlib
 import logging
+import math
 
+from magnoliagrade.algorithms.balance import unpack_placement
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
 from magnoliagrade.observability import log_event
-from magnoliagrade.wire import GenerationJoin, GroupState, StageAck, keep_linked
+from magnoliagrade.wire import (
+    ExpertCounts,
+    GenerationJoin,
+    GroupState,
+    StageAck,
+    keep_linked,
+)
 from magnoliagrade.world import Role
 
 from magnoliagrade_agent.group import metrics
+from magnoliagrade_agent.group.knowledge import Outcome
 from magnoliagrade_agent.group.member import GroupMember
 from magnoliagrade_agent.group.rank_client import RankClient
 
-__all__ = ["GroupService", "new_group_incarnation"]
+__all__ = ["GroupService", "group_serving", "new_group_incarnation"]
 
-PEER_GRACE_S = 2.0
+PEER_GRACE_S = 4.0
 QUERY_AFTER_S = 0.3
+LEAD_S = 0.5
+LEAST_LEAD_STEPS = 4
+LEAST_STEP_S = 0.001
 
 _log = logging.getLogger(__name__)
 
@@ -36,18 +48,22 @@
     """
 
     __slots__ = (
-        "_heard_by_rank",
         "_lock",
         "_open_since",
         "_requests",
+        "_sequence",
+        "_step_at",
         "addresses",
+        "balance",
         "coordinator",
         "group",
         "member",
         "node",
         "orders",
         "rank_boot_id",
+        "recorded_version",
         "step",
+        "step_s",
     )
 
     def __init__(self, *, node):
@@ -56,11 +72,15 @@
         self.group = settings.group
         self.addresses = [a.strip() for a in settings.group_addresses.split(",")]
         self.coordinator = None
+        self.balance = None
+        self.recorded_version = 0
+        self.step_s = 0.0
+        self._sequence = 0
+        self._step_at = node.clock.monotonic()
         self.rank_boot_id = ""
         self.step = 0
         self._lock = asyncio.Lock()
         self._requests = set()
-        self._heard_by_rank = {}
         self._open_since = None
         self.orders = RankClient(
             url=settings.rank_url or settings.url,
@@ -79,13 +99,12 @@
     @property
     def is_complete(self):
         """Whether the group runs and every peer has been heard of lately."""
-        now = self.node.clock.monotonic()
-        heard = [
-            now - self._heard_by_rank.get(rank, float("-inf")) < PEER_GRACE_S
-            for rank in range(self.member.ranks)
-            if rank != self.member.rank
-        ]
-        return self.member.is_running and all(heard)
+        if not self.member.is_running:
+            return False
+        ranks = set(range(self.member.ranks)) - {self.member.rank}
+        links = [self.link_of(rank) for rank in ranks]
+        silent_for = self.node.links.silent_for
+        return all(k is not None and silent_for(k) < PEER_GRACE_S for k in links)
 
     def link_of(self, rank):
         """Return the link to a rank's agent, or None."""
@@ -102,7 +121,6 @@
 
     async def on_message(self, link, message):
         """Handle a message of a peer's agent."""
-        self.note_heard(link)
         if isinstance(message, StageAck):
             if self.coordinator is not None:
                 self.coordinator.on_stage_ack(message)
@@ -152,7 +170,7 @@
             state = await self.orders.state()
         except MagnoliagradeError:
             return
-        self.step = state.begun
+        self._note_step(state.begun)
         boot_id, self.rank_boot_id = self.rank_boot_id, state.boot_id
         if not boot_id:
             await self.act(self.member.start)
@@ -160,6 +178,64 @@
             log_event(_log, "group.rank_restarted", boot_id=state.boot_id)
             await self.act(self.member.restart_rank)
 
+    def _note_step(self, step):
+        now = self.node.clock.monotonic()
+        if step > self.step:
+            self.step_s = (now - self._step_at) / (step - self.step)
+        self.step, self._step_at = step, now
+
+    def choose_step(self):
+        """Return the step to arm a switch for, far enough ahead to hold no rank."""
+        lead = math.ceil(LEAD_S / max(self.step_s, LEAST_STEP_S))
+        return self.step + max(LEAST_LEAD_STEPS, lead)
+
+    def version_in_force(self):
+        """Return the version of the map that the newest begun step used."""
+        return self.member.knowledge.version_at(self.step)
+
+    def map_in_force(self):
+        """Return the packed map that the newest begun step used."""
+        return self.member.knowledge.map_by_version[self.version_in_force()]
+
+    def record_behind(self):
+        """Return whether the store's record may lack the map in force."""
+        return self.recorded_version != self.version_in_force()
+
+    def verdict(self, coordinator):
+        """Return whether a switch was committed; None while that is open."""
+        member = self.member
+        if coordinator.generation != member.generation:
+            return False
+        place = (coordinator.version, coordinator.step)
+        outcome = member.outcome_by_switch.get(place)
+        if outcome is None or member.is_open():
+            return None
+        return outcome is Outcome.COMMITTED
+
+    async def read_counts(self):
+        """Return the rank's counts since the last time, or None if it is silent."""
+        try:
+            counts = await self.orders.counts()
+        except MagnoliagradeError:
+            return None
+        self._sequence += 1
+        return ExpertCounts(
+            group=self.group,
+            rank=self.member.rank,
+            sequence=self._sequence,
+            experts=counts.counts.shape[1],
+            counts=counts.counts.ravel().tolist(),
+            step=counts.step,
+            step_seconds=counts.step_s,
+            work_seconds=counts.work_s,
+            seconds=counts.seconds,
+        )
+
+    def take_counts(self, message):
+        """Take a rank's counts into the balance that this coordinator keeps."""
+        if self.member.is_running:
+            self.balance.add(message, unpack_placement(self.map_in_force()))
+
     async def keep_peer_links(self):
         """Dial the agents of all higher ranks and keep linked to them."""
         node = self.node
@@ -178,17 +254,11 @@
         ]
         await asyncio.gather(*dials)
 
-    def note_heard(self, link):
-        """Note a sign of life of a peer's agent."""
-        if link.hello.group == self.group:
-            self._heard_by_rank[link.hello.rank] = self.node.clock.monotonic()
-
     def on_link_up(self, link):
         """Introduce this rank to a peer's agent, its state to an entry."""
         if link.hello.role == Role.ENTRY.value:
             link.send(self._state())
         elif link.hello.group == self.group:
-            self.note_heard(link)
             member = self.member
             join = GenerationJoin(
                 group=self.group,
@@ -257,3 +327,16 @@
     """
     milliseconds = int(clock.now().timestamp() * 1000)
     return (milliseconds << 20) | rng.getrandbits(20)
+
+
+def group_serving(node):
+    """Return the context in which an agent serves one request.
+
+    Parameters
+    ----------
+    node : AgentInstance
+        The agent; without a group nothing is added.
+    """
+    if node.group_service is None:
+        return contextlib.nullcontext()
+    return node.group_service.serving()
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
@@ -12,6 +12,8 @@
 from magnoliagrade_agent.capacity import CreditBook, limit_policies
 from magnoliagrade_agent.door import make_data_app
 from magnoliagrade_agent.engine import EngineClient
+from magnoliagrade_agent.group import handlers as group_handlers  # noqa: F401
+from magnoliagrade_agent.group.service import GroupService
 from magnoliagrade_agent.handlers import agent_handlers, agent_tasks
 from magnoliagrade_agent.load_watch import LoadWatch, send_grants
 
@@ -38,6 +40,7 @@
         "attempts",
         "credits",
         "engine",
+        "group_service",
         "is_listed_leaving",
         "load_watch",
         "pool",
@@ -64,12 +67,15 @@
         self.is_listed_leaving = False
         self._was_refusing = False
         self.pool = None
+        self.group_service = None
         self.configuration.listeners.append(lambda _: self.apply_configuration())
 
     async def start(self):
         """Open every listener and start the background tasks."""
         self.open_clients()
         self.engine = EngineClient(url=self.settings.url, session=self.session)
+        if self.settings.group:
+            self.group_service = GroupService(node=self)
         await self.listen_http("data", make_data_app(self), self.settings.data_address)
         await self.listen_admin()
         await self.listen_links()
@@ -141,7 +147,11 @@
                 return
 
     def on_link_up(self, link):
-        """Tell an entry what the endpoint bears."""
+        """Tell an entry what the endpoint bears, a peer which rank this is."""
+        if self.group_service is not None:
+            self.group_service.on_link_up(link)
+        if link.hello.role != Role.ENTRY.value:
+            return
         self.credits.grants.forget_asks(link.peer_instance)
         self.load_watch.send_to(self, link)
 
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
@@ -20,6 +20,7 @@
     make_platform_app,
 )
 from magnoliagrade_standins.proxy import FaultProxy, make_proxy_app
+from magnoliagrade_standins.ranks.command import ranks_command
 from magnoliagrade_standins.service import PlainService, make_service_app
 from magnoliagrade_standins.slopes import slopes_command
 from magnoliagrade_standins.trials import run_trial
@@ -92,6 +93,10 @@
         paths = {"json_path": json_path, "plot_path": plot_path}
         sys.exit(slopes_command(families=families, **paths, **durations))
 
+    def ranks(self, address=LOOPBACK, **profile):
+        """Serve a group of ranks in lock-step, each on a port of its own."""
+        ranks_command(address, **profile)
+
     def service(self, address=LOOPBACK, service_s=0.005):
         """Serve a plain service."""
 
--- /dev/null
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/ranks/server.py
@@ -0,0 +1,252 @@
+"""A group of ranks as a process: one HTTP listener for each rank."""
+
+import asyncio
+import base64
+import dataclasses
+from dataclasses import dataclass
+
+import numpy as np
+from aiohttp import web
+from magnoliagrade.algorithms.balance import rank_times, unpack_placement
+from magnoliagrade_agent.group.rank_client import decode_knowledge, encode_knowledge
+
+from magnoliagrade_standins.balance.drift import DriftingPopularity
+from magnoliagrade_standins.engine import Engine, EngineProfile, make_engine_app
+from magnoliagrade_standins.ranks.group import RankGroup
+from magnoliagrade_standins.ranks.loads import RankLoads
+from magnoliagrade_standins.ranks.rank import Rank, StaleFence
+from magnoliagrade_standins.weights import WeightStore
+
+__all__ = ["GroupProfile", "RankProcess"]
+
+TOKENS_PER_S = 2000.0
+
+
+@dataclass(slots=True, kw_only=True)
+class GroupProfile:
+    """Sizes and speeds of the group.
+
+    Parameters
+    ----------
+    ranks, experts, layers : int
+        Sizes.
+    step_s : float
+        Length of a step when all ranks are equally loaded.
+    seed : int
+        Seed of the experts' popularity.
+    expert_bytes : int
+        Size of one expert of one layer.
+    weight_bytes_per_s : float
+        Rate of the weight store.
+    honours_fence : bool
+        Whether ranks refuse orders with an old fencing number.
+    """
+
+    ranks: int = 4
+    experts: int = 16
+    layers: int = 2
+    step_s: float = 0.02
+    seed: int = 1
+    expert_bytes: int = 1_000_000
+    weight_bytes_per_s: float = 1e9
+    honours_fence: bool = True
+
+
+class RankProcess:
+    """A group in lock-step with its engines.
+
+    Parameters
+    ----------
+    profile : GroupProfile
+        Sizes and speeds.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, *, profile, clock):
+        self.profile = profile
+        self.clock = clock
+        self.weights = WeightStore(clock=clock, bytes_per_s=profile.weight_bytes_per_s)
+        rng = np.random.default_rng(profile.seed)
+        self.popularity = DriftingPopularity(
+            layers=profile.layers, experts=profile.experts, rng=rng
+        )
+        self.loads = [
+            RankLoads(index=i, store=self.weights, expert_bytes=profile.expert_bytes)
+            for i in range(profile.ranks)
+        ]
+        ranks = [
+            Rank(index=i, honours_fence=profile.honours_fence, load=k.load)
+            for i, k in enumerate(self.loads)
+        ]
+        self.group = RankGroup(ranks=ranks)
+        self.engines = [
+            Engine(profile=EngineProfile(), clock=clock, name=f"rank-{i}")
+            for i in range(profile.ranks)
+        ]
+        self.speeds = np.ones(profile.ranks)
+        self.stalled = set()
+        self.stall_s = 0.0
+        self.counted_at = [clock.monotonic()] * profile.ranks
+
+    async def run(self):
+        """Step for ever."""
+        while True:
+            started = self.clock.monotonic()
+            for _ in range(2):
+                moved = [
+                    self.group.advance(rank)
+                    for rank in range(self.profile.ranks)
+                    if rank not in self.stalled
+                ]
+            if not any(moved) and self.group.ranks[0].is_running:
+                self.stall_s += self.profile.step_s
+            length = self.profile.step_s * self.skew()
+            await self.clock.sleep(length - (self.clock.monotonic() - started))
+
+    def times(self):
+        """Return the work of each rank by layer, under rank 0's map."""
+        known = self.group.ranks[0].knowledge
+        version = known.version_at(self.group.ranks[0].begun)
+        packed_map = known.map_by_version.get(version)
+        if not packed_map:
+            return np.ones((self.profile.layers, self.profile.ranks))
+        rates = self.popularity.at(0.0)
+        return rank_times(unpack_placement(packed_map), rates, self.speeds)
+
+    def skew(self):
+        """Return the slowest over the mean time of ranks."""
+        times = self.times()
+        return float(times.max(axis=1).sum() / times.mean(axis=1).sum())
+
+    def counts(self, index):
+        """Return what a rank counted since it was last asked."""
+        now = self.clock.monotonic()
+        seconds = max(1e-3, now - self.counted_at[index])
+        self.counted_at[index] = now
+        counts = self.popularity.at(0.0) * TOKENS_PER_S * seconds
+        times = self.times()
+        share = times.sum(axis=0)[index] / times.max(axis=1).sum()
+        return {
+            "counts": counts.round(1).tolist(),
+            "seconds": seconds,
+            "work_s": seconds * float(share),
+            "step": self.group.ranks[index].begun,
+            "step_s": self.profile.step_s * self.skew(),
+        }
+
+    def restart(self, index):
+        """Restart one rank: its gate, its experts and its engine."""
+        self.group.ranks[index].restart()
+        self.loads[index].forget()
+        self.engines[index].restart()
+
+    def record(self):
+        """Return the record of the maps used, as the check needs it."""
+        return {
+            "records": [dataclasses.asdict(r) for r in self.group.records],
+            "stall_s": self.stall_s,
+            "skew": self.skew(),
+            "completed": [r.completed for r in self.group.ranks],
+            "bytes": self.weights.bytes_loaded_by_kind,
+        }
+
+    def make_app(self, index):
+        """Return the application of one rank: its engine and its orders."""
+        app = make_engine_app(self.engines[index])
+        rank = self.group.ranks[index]
+
+        async def state(_request):
+            return web.json_response(_state_fields(rank.state()))
+
+        async def order(request):
+            fields = await request.json()
+            try:
+                rank.check_fence(int(request.headers.get("X-Fence", "0")))
+            except StaleFence:
+                return web.Response(status=409)
+            name = request.match_info["name"]
+            if name == "counts":
+                return web.json_response(self.counts(index))
+            return web.json_response(await _ORDER_BY_NAME[name](rank, fields))
+
+        async def record(_request):
+            return web.json_response(self.record())
+
+        async def control(request):
+            fields = await request.json()
+            if fields.get("restart"):
+                self.restart(index)
+            if "stall" in fields:
+                change = self.stalled.add if fields["stall"] else self.stalled.discard
+                change(index)
+            self.speeds[index] = fields.get("speed", self.speeds[index])
+            return web.Response()
+
+        app.router.add_get("/rank/state", state)
+        app.router.add_get("/rank/record", record)
+        app.router.add_post("/rank/control", control)
+        app.router.add_post("/rank/{name}", order)
+        return app
+
+    def start(self):
+        """Start stepping; return the tasks, to be kept referenced."""
+        runs = [self.run(), *(engine.run() for engine in self.engines)]
+        return [asyncio.create_task(run) for run in runs]
+
+
+async def _pause(rank, fields):
+    return _state_fields(await rank.pause())
+
+
+async def _stage(rank, fields):
+    packed_map = _bytes(fields["map"])
+    return {"accepted": await rank.stage(fields["version"], packed_map)}
+
+
+async def _hold(rank, fields):
+    knowledge = decode_knowledge(fields["knowledge"])
+    accepted = await rank.hold(knowledge, after_step=fields["after_step"])
+    return {"accepted": accepted}
+
+
+async def _outcome(rank, fields):
+    await rank.note_outcome(decode_knowledge(fields["knowledge"]))
+    return {}
+
+
+async def _release(rank, fields):
+    await rank.release(fields["step"])
+    return {}
+
+
+async def _settle(rank, fields):
+    await rank.settle(decode_knowledge(fields["knowledge"]))
+    return {}
+
+
+async def _run(rank, fields):
+    return {"accepted": await rank.run(int(fields["generation"]), fields["step"])}
+
+
+_ORDER_BY_NAME = {
+    "hold": _hold,
+    "outcome": _outcome,
+    "pause": _pause,
+    "release": _release,
+    "run": _run,
+    "settle": _settle,
+    "stage": _stage,
+}
+
+
+def _state_fields(state):
+    return {
+        "boot_id": state.boot_id,
+        "begun": state.begun,
+        "knowledge": encode_knowledge(state.knowledge),
+    }
+
+
+def _bytes(text):
+    return base64.b64decode(text)
--- a/packages/magnoliagrade/magnoliagrade/wire/group.capnp
+++ b/packages/magnoliagrade/magnoliagrade/wire/group.capnp
@@ -94,7 +94,8 @@
   counts @4 :List(Float32);  # layers x experts, row-major
   step @5 :UInt64;
   stepSeconds @6 :Float32;
-  seconds @7 :Float32;       # work time of the rank without waiting
+  seconds @7 :Float32;       # time that was counted
+  workSeconds @8 :Float32;   # work of the rank without waiting for others
 }
 
 struct GenerationSettled {
--- a/packages/magnoliagrade/magnoliagrade/wire/group.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/group.py
@@ -165,6 +165,7 @@
     step: int = 0
     step_seconds: float = 0.0
     seconds: float = 0.0
+    work_seconds: float = 0.0
 
 
 @message("group", "countsRequest")
