Run groups end to end: agents, ranks, store record, entries

Cause: the decisions of the switch and of balance had no processes around them, and entries could send requests to a group that was forming.

An agent tells entries when its generation is complete; an entry takes a group's endpoints only if all that it sees name one generation.

Measured: `nose2 tests.test_group_path`: four ranks behind the fault proxy switch to a balanced map, then a rank, an agent and both restart; the ranks' own record shows one map for each step, and a completion is served after each; 6.7 s.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/group/balancing.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/group/balancing.py
@@ -51,7 +51,8 @@
 
     def option(self, name):
         """Return an option of the group's configuration, or its default."""
-        return float(self.group.options.get(name, DEFAULT_BY_OPTION[name]))
+        default = DEFAULT_BY_OPTION[name]
+        return float(self.group.options.get(f"option.{name}", default))
 
     def add(self, message, holds):
         """Take a rank's report of counts and work.
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
@@ -8,7 +8,11 @@
 from magnoliagrade.platform import HttpInstanceList
 from magnoliagrade.world import Role
 
-from magnoliagrade_entry import configuration_watch, credit_watch  # noqa: F401
+from magnoliagrade_entry import (  # noqa: F401
+    configuration_watch,
+    credit_watch,
+    group_watch,
+)
 from magnoliagrade_entry.configuration_duty import WatchDuty
 from magnoliagrade_entry.configuration_routes import configuration_routes
 from magnoliagrade_entry.doors import make_caller_app, make_peer_app
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/routing/endpoints.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/endpoints.py
@@ -273,6 +273,8 @@
         endpoint = contact.endpoint
         if endpoint.state is not EndpointState.READY:
             return False
+        if endpoint.group and not endpoint.is_group_complete:
+            return False
         if self._departures.is_leaving(endpoint.name, endpoint.incarnation):
             return False
         return labels.get("state") != "draining"
--- /dev/null
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/ranks/site.py
@@ -0,0 +1,115 @@
+"""A site whose model endpoints are the ranks of one group."""
+
+from magnoliagrade_standins.harness import (
+    CONFIGURATION,
+    Site,
+    SitePlan,
+    binary_command,
+    standin_command,
+)
+
+__all__ = ["GROUP", "GroupSite", "group_plan"]
+
+GROUP = "experts"
+
+
+def group_plan(*, ranks, policy="weighed", interval_s=1.0):
+    """Return the plan of a site with one data centre and one group.
+
+    Parameters
+    ----------
+    ranks : int
+        Number of ranks.
+    policy : str
+        Rebalancing policy.
+    interval_s : float
+        Seconds between plans.
+    """
+    group = f"""
+[group {GROUP}]
+ranks = {ranks}
+experts = 16
+layers = 2
+slots_per_rank = {16 // ranks + 2}
+rebalancing = {policy}
+option.interval_s = {interval_s}
+option.expert_bytes = 1000000
+option.store_bytes_per_s = 1000000000
+"""
+    return SitePlan(
+        entries_by_data_centre={"kamloops": 1},
+        configuration=CONFIGURATION + group,
+        has_proxy=True,
+    )
+
+
+class GroupSite(Site):
+    """Running processes of a site with one group behind the fault proxy.
+
+    Parameters
+    ----------
+    plan : SitePlan
+        Made by `group_plan`.
+    ranks : int
+        Number of ranks.
+    """
+
+    __slots__ = ("ranks",)
+
+    def __init__(self, *, plan, ranks):
+        super().__init__(plan=plan)
+        self.ranks = ranks
+
+    def name_of(self, rank):
+        """Return the name of a rank's endpoint."""
+        return f"kamloops-rank-{rank}"
+
+    async def group_record(self):
+        """Return the group's own record of the maps that it used."""
+        async with self.session.get(f"{self._rank_url(0)}/rank/record") as response:
+            return await response.json()
+
+    async def control_rank(self, rank, **fields):
+        """Restart, stall or slow a rank."""
+        url = f"{self._rank_url(rank)}/rank/control"
+        async with self.session.post(url, json=fields) as response:
+            response.raise_for_status()
+
+    async def restart_agent(self, rank):
+        """Kill a rank's agent and start it anew."""
+        agent = self.agent_by_name[self.name_of(rank)]
+        await agent.kill()
+        await self.start_listed(agent, "agent")
+
+    def _rank_url(self, rank):
+        return f"http://{self.back_end_by_name['ranks'].addresses[f'rank{rank}']}"
+
+    def _back_end_starts(self):
+        yield self._start_group()
+
+    async def _start_group(self):
+        command = standin_command("ranks", ranks=self.ranks)
+        process = self._process("ranks", command)
+        self.back_end_by_name["ranks"] = process
+        await process.start()
+        names = [self.name_of(rank) for rank in range(self.ranks)]
+        addresses = [await self._open(f"{name}/control") for name in names]
+        for rank, name in enumerate(names):
+            await self._start_rank_agent(rank, name, ",".join(addresses))
+
+    async def _start_rank_agent(self, rank, name, addresses):
+        sections = {
+            "instance": {"name": name, "data_centre": "kamloops"},
+            "listen": await self._listen_settings(name),
+            "platform": {"store_url": self.platform_url_seen},
+            "endpoint": {
+                "url": self._rank_url(rank),
+                "work": "model",
+                "labels": "work=model",
+            },
+            "group": {"group": GROUP, "rank": rank, "group_addresses": addresses},
+        }
+        path = self._write_settings(name, sections, self.plan.agent_settings)
+        command = binary_command("magnoliagrade-agent", "serve", path)
+        self.agent_by_name[name] = self._process(name, command)
+        await self.start_listed(self.agent_by_name[name], "agent")
--- a/packages/magnoliagrade/magnoliagrade/world/endpoint.py
+++ b/packages/magnoliagrade/magnoliagrade/world/endpoint.py
@@ -65,6 +65,10 @@
         Newest load report.
     group : str
         Name of the expert-parallel group it belongs to, or empty.
+    group_generation : int
+        Generation that its agent runs in; 0 while the group is not complete.
+    is_group_complete : bool
+        Whether all ranks of the group that are seen run in one generation.
     """
 
     name: str
@@ -75,3 +79,5 @@
     state: EndpointState = EndpointState.READY
     report: LoadReport = field(default_factory=LoadReport)
     group: str = ""
+    group_generation: int = 0
+    is_group_complete: bool = False
