--- a/packages/magnoliagrade/magnoliagrade/wire/group.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/group.py
@@ -7,6 +7,7 @@
 __all__ = [
     "ArmAck",
     "ArmSwitch",
+    "CountsRequest",
     "ExpertCounts",
     "GenerationAnswer",
     "GenerationJoin",
@@ -164,3 +165,13 @@
     step: int = 0
     step_seconds: float = 0.0
     seconds: float = 0.0
+    work_seconds: float = 0.0
+
+
+@message("group", "countsRequest")
+class CountsRequest:
+    """The coordinator says that it lives, and may ask for token counts."""
+
+    group: str = ""
+    fence: int = 0
+    is_beat: bool = False
