Put a rank group into the main job and report its skew

Cause: the report could only say that there was no group; groups of real processes exist now. Change: four of the model endpoints are ranks of one group in the first data centre; its skew is read from its own record each second, and the verdict also wants one map in each step. GroupSite starts the group beside other endpoints, in any data centre and without the fault proxy.

--- a/packages/magnoliagrade-standins/magnoliagrade_standins/demo/command.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/demo/command.py
@@ -63,7 +63,7 @@
         f"peak {peaks[-1]:.0%} of what the busiest bore"
         if peaks
         else "engines            none",
-        "skew               not measured: the site has no rank group",
+        f"skew               {_skew_text(result.skew)}",
         f"processes          {len(result.exit_codes)} stopped, "
         f"{sum(map(bool, result.exit_codes))} with an error",
         f"verdict            {'all kept' if result.is_clean else 'NOT kept'}",
@@ -71,6 +71,14 @@
     return "\n".join(lines)
 
 
+def _skew_text(skew):
+    if skew is None:
+        return "not measured: the site has no rank group"
+    if not skew.values:
+        return "not measured: the group did not run"
+    return skew.as_text()
+
+
 def _shown(count_by_name):
     return ", ".join(f"{name} {count}" for name, count in count_by_name.items())
 
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/demo/plan.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/demo/plan.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass
 
-from magnoliagrade_standins.harness import SitePlan
+from magnoliagrade_standins.harness import CONFIGURATION, Site, SitePlan
+from magnoliagrade_standins.ranks.site import GroupSite, group_configuration
 
 __all__ = ["DemoPlan"]
 
@@ -19,6 +20,11 @@
         Entry instances over all data centres.
     engines : int
         Model endpoints over all data centres.
+    ranks : int
+        How many of the model endpoints are ranks of one expert-parallel group in the
+        first data centre; 0 for none. A site with fewer model endpoints has none.
+    drift : float
+        Seconds of the day of experts' popularity that pass in a second.
     services : int
         Plain-service endpoints over all data centres.
 
@@ -31,19 +37,59 @@
     data_centres: object = "kamloops,kelowna,vernon"
     entries: int = 7
     engines: int = 12
+    ranks: int = 4
+    drift: float = 300.0
     services: int = 3
 
+    @property
+    def group_ranks(self):
+        """Ranks of the group that the site has, or 0."""
+        return self.ranks if self.engines >= self.ranks else 0
+
+    @property
+    def process_count(self):
+        """Processes of the site."""
+        endpoints = self.engines + self.services
+        single_engines = self.engines - self.group_ranks
+        back_ends = single_engines + self.services + bool(self.group_ranks)
+        return 1 + self.entries + endpoints + back_ends
+
     def site_plan(self):
         """Return the plan of a site of these sizes."""
-        names = self.data_centres
-        if isinstance(names, str):
-            names = [name.strip() for name in names.split(",")]
+        names = self._data_centre_names()
+        configuration = CONFIGURATION
+        if self.group_ranks:
+            configuration += group_configuration(ranks=self.group_ranks)
         return SitePlan(
             entries_by_data_centre=_spread(self.entries, names),
-            engines_by_data_centre=_spread(self.engines, names),
+            engines_by_data_centre=self._engines_by_data_centre(names),
             services_by_data_centre=_spread(self.services, names),
+            configuration=configuration,
+        )
+
+    def make_site(self):
+        """Return the site, not started yet."""
+        if not self.group_ranks:
+            return Site(plan=self.site_plan())
+        return GroupSite(
+            plan=self.site_plan(),
+            ranks=self.group_ranks,
+            options={"drift": self.drift},
+            data_centre=self._data_centre_names()[0],
         )
 
+    def _data_centre_names(self):
+        if isinstance(self.data_centres, str):
+            return [name.strip() for name in self.data_centres.split(",")]
+        return list(self.data_centres)
+
+    def _engines_by_data_centre(self, names):
+        # The group counts as the first data centre's part.
+        single = self.engines - self.group_ranks
+        if not self.group_ranks or len(names) == 1:
+            return _spread(single, names)
+        return {names[0]: 0, **_spread(single, names[1:])}
+
 
 def _spread(count, names):
     whole, rest = divmod(count, len(names))
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/demo/run.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/demo/run.py
@@ -1,12 +1,11 @@
 """Running the demonstration: start, load, stop, report."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-from magnoliagrade_standins.harness import Site
+from magnoliagrade_standins.demo.skew import SkewReport, watch_skew
 from magnoliagrade_standins.load import (
     LoadPlan,
-    fetch_executions,
     judge_orders,
     run_load,
     summarise,
@@ -31,13 +30,16 @@
         Greatest part of what each engine bore at the time.
     exit_codes : list of int
         Of entries and agents, which were told to stop.
+    skew : SkewReport or None
+        Of the group's ranks, if the site has a group.
     """
 
     report: object
     executions_by_service: dict
     falls_by_engine: dict
     peak_load_by_engine: dict
-    exit_codes: list
+    exit_codes: list = field(default_factory=list)
+    skew: SkewReport | None = None
 
     @property
     def is_clean(self):
@@ -48,6 +50,7 @@
             and not self.report.foreign
             and not any(self.falls_by_engine.values())
             and not any(self.exit_codes)
+            and (self.skew is None or not self.skew.has_two_maps)
         )
 
 
@@ -72,17 +75,17 @@
     result : DemoResult
         Counted from callers' outcomes and the stand-ins' records.
     """
-    site_plan = plan.site_plan()
-    say(f"starting {_process_count(plan)} processes")
-    async with Site(plan=site_plan) as site:
+    say(f"starting {plan.process_count} processes")
+    async with plan.make_site() as site:
         for name in sorted(site.entry_by_name):
             say(f"entry {name} {site.caller_url(name)}")
         urls = [site.caller_url(name) for name in sorted(site.entry_by_name)]
         load = LoadPlan(urls=urls, **load_fields)
         say(f"sending {load.rate_per_s:g} requests/s for {load.duration_s:g} s")
         try:
-            outcomes = await run_load(load, on_progress=on_progress)
+            outcomes, skew = await _load_and_watch(plan, site, load, on_progress)
             result = await _read_records(site, load, outcomes)
+            result.skew = skew
             if hold:
                 say("the site stays up; Ctrl-C stops it")
                 await asyncio.Event().wait()
@@ -93,34 +96,52 @@
         return result
 
 
-def _process_count(plan):
-    endpoints = plan.engines + plan.services
-    return 1 + plan.entries + 2 * endpoints
+async def _load_and_watch(plan, site, load, on_progress):
+    if not plan.group_ranks:
+        return await run_load(load, on_progress=on_progress), None
+    report = SkewReport()
+    watch = asyncio.create_task(watch_skew(site, report))
+    try:
+        outcomes = await run_load(load, on_progress=on_progress)
+    finally:
+        watch.cancel()
+    await report.read_maps(site)
+    return outcomes, report
 
 
 async def _read_records(site, load, outcomes):
-    record_by_name = {name: await site.record(name) for name in site.back_end_by_name}
-    service_urls = [
-        f"http://{process.addresses['http']}"
-        for name, process in site.back_end_by_name.items()
-        if "executions" in record_by_name[name]
-    ]
-    executions = await fetch_executions(site.session, service_urls)
+    url_by_name = _back_end_urls(site)
+    record_by_name = {
+        name: await _fetch_record(site, url) for name, url in url_by_name.items()
+    }
+    services = [n for n, record in record_by_name.items() if "executions" in record]
+    executions = [e for n in services for e in record_by_name[n]["executions"]]
     orders = judge_orders(outcomes, executions)
     engines = {n: r for n, r in record_by_name.items() if "falls" in r}
     return DemoResult(
         report=summarise(outcomes, duration_s=load.duration_s, orders=orders),
         executions_by_service={
-            name: len(record["executions"])
-            for name, record in record_by_name.items()
-            if "executions" in record
+            name: len(record_by_name[name]["executions"]) for name in services
         },
         falls_by_engine={n: r["falls"] for n, r in engines.items()},
         peak_load_by_engine={n: r["peak_load"] for n, r in engines.items()},
-        exit_codes=[],
     )
 
 
+def _back_end_urls(site):
+    # A process of ranks has an address for each of them.
+    return {
+        name if listener == "http" else f"{name} {listener}": f"http://{address}"
+        for name, process in site.back_end_by_name.items()
+        for listener, address in process.addresses.items()
+    }
+
+
+async def _fetch_record(site, url):
+    async with site.session.get(f"{url}/record") as response:
+        return await response.json()
+
+
 async def _stop(site):
     # Entries first: they finish what they have in flight through the agents.
     entries = [p.stop() for p in site.entry_by_name.values()]
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/demo/tests/test_demo.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/demo/tests/test_demo.py
@@ -4,6 +4,11 @@
 import signal
 import sys
 
+from magnoliagrade_standins.demo import DemoPlan, DemoResult
+from magnoliagrade_standins.demo.command import result_text
+from magnoliagrade_standins.demo.skew import SkewReport
+from magnoliagrade_standins.load import OrderVerdicts, summarise
+
 SMALL = ("--data_centres=vernon", "--entries=1", "--engines=1", "--services=1")
 STEP_TIMEOUT_S = 60
 
@@ -31,7 +36,7 @@
 
 def test_report_of_a_short_run():
     async def main():
-        process = await _start("--duration_s=2", "--rate_per_s=15")
+        process = await _start("--engines=4", "--duration_s=3", "--rate_per_s=15")
         async with asyncio.timeout(STEP_TIMEOUT_S):
             out, progress = await process.communicate()
         text = out.decode()
@@ -39,12 +44,47 @@
         assert "0 lost, 0 doubled, 0 run though refused" in text
         assert "verdict            all kept" in text
         assert re.search(r"first token +[\d.]+ ms / [\d.]+ ms / [\d.]+ ms", text)
-        assert "skew               not measured" in text
+        assert re.search(r"skew +mean [\d.]+, [\d.]+ at 95 %", text), text
+        assert "one map in each step" in text
         assert " s  sent " in progress.decode()
 
     asyncio.run(main())
 
 
+def test_site_without_a_group_says_so_and_counts_its_processes():
+    plan = DemoPlan(data_centres="vernon", entries=1, engines=1, services=1)
+    assert (plan.group_ranks, plan.process_count) == (0, 6)
+    full = DemoPlan()
+    assert (full.group_ranks, full.process_count) == (4, 35)
+    site_plan = full.site_plan()
+    assert site_plan.engines_by_data_centre == {
+        "kamloops": 0,
+        "kelowna": 4,
+        "vernon": 4,
+    }
+    result = DemoResult(
+        report=summarise([], duration_s=1.0),
+        executions_by_service={},
+        falls_by_engine={},
+        peak_load_by_engine={},
+    )
+    assert "the site has no rank group" in result_text(result)
+
+
+def test_verdict_needs_good_answers_and_one_map_in_each_step():
+    result = DemoResult(
+        report=summarise([], duration_s=1.0, orders=OrderVerdicts()),
+        executions_by_service={},
+        falls_by_engine={},
+        peak_load_by_engine={},
+    )
+    assert not result.is_clean
+    result.report.good = 1
+    assert result.is_clean
+    result.skew = SkewReport(has_two_maps=True)
+    assert not result.is_clean
+
+
 def test_interrupt_stops_every_process():
     async def main():
         process = await _start("--duration_s=600")
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/ranks/site.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/ranks/site.py
@@ -1,4 +1,6 @@
-"""A site whose model endpoints are the ranks of one group."""
+"""A site with one group of ranks beside its other endpoints."""
+
+import socket
 
 from magnoliagrade_standins.harness import (
     CONFIGURATION,
@@ -8,13 +10,13 @@
     standin_command,
 )
 
-__all__ = ["GROUP", "GroupSite", "group_plan"]
+__all__ = ["GROUP", "GroupSite", "group_configuration", "group_plan"]
 
 GROUP = "experts"
 
 
-def group_plan(*, ranks, policy="weighed", interval_s=1.0):
-    """Return the plan of a site with one data centre and one group.
+def group_configuration(*, ranks, policy="weighed", interval_s=1.0):
+    """Return the section of the configuration that describes the group.
 
     Parameters
     ----------
@@ -25,7 +27,7 @@
     interval_s : float
         Seconds between plans.
     """
-    group = f"""
+    return f"""
 [group {GROUP}]
 ranks = {ranks}
 experts = 16
@@ -36,36 +38,49 @@
 option.expert_bytes = 1000000
 option.store_bytes_per_s = 1000000000
 """
+
+
+def group_plan(**fields):
+    """Return the plan of a site with one data centre and one group.
+
+    Parameters
+    ----------
+    **fields
+        Parameters of `group_configuration`.
+    """
     return SitePlan(
         entries_by_data_centre={"kamloops": 1},
-        configuration=CONFIGURATION + group,
+        configuration=CONFIGURATION + group_configuration(**fields),
         has_proxy=True,
     )
 
 
 class GroupSite(Site):
-    """Running processes of a site with one group behind the fault proxy.
+    """Running processes of a site with one group.
 
     Parameters
     ----------
     plan : SitePlan
-        Made by `group_plan`.
+        Its configuration has the section of `group_configuration`.
     ranks : int
         Number of ranks.
     options : dict, optional
         Further fields of the group's `GroupProfile`.
+    data_centre : str
+        Where the group stands.
     """
 
-    __slots__ = ("options", "ranks")
+    __slots__ = ("data_centre", "options", "ranks")
 
-    def __init__(self, *, plan, ranks, options=None):
+    def __init__(self, *, plan, ranks, options=None, data_centre="kamloops"):
         super().__init__(plan=plan)
+        self.data_centre = data_centre
         self.options = options or {}
         self.ranks = ranks
 
     def name_of(self, rank):
         """Return the name of a rank's endpoint."""
-        return f"kamloops-rank-{rank}"
+        return f"{self.data_centre}-rank-{rank}"
 
     async def group_record(self):
         """Return the group's own record of the maps that it used."""
@@ -93,6 +108,7 @@
         return f"http://{self.back_end_by_name['ranks'].addresses[f'rank{rank}']}"
 
     def _back_end_starts(self):
+        yield from super()._back_end_starts()
         yield self._start_group()
 
     async def _start_group(self):
@@ -101,21 +117,36 @@
         self.back_end_by_name["ranks"] = process
         await process.start()
         names = [self.name_of(rank) for rank in range(self.ranks)]
-        addresses = [await self._open(f"{name}/control") for name in names]
+        addresses = [await self._address_for_control(name) for name in names]
         for rank, name in enumerate(names):
-            await self._start_rank_agent(rank, name, ",".join(addresses))
+            await self._start_rank_agent(rank, name, addresses)
+
+    async def _address_for_control(self, name):
+        # Agents of a group name each other in their settings, before they listen.
+        if self.proxy is not None:
+            return await self._open(f"{name}/control")
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            return f"127.0.0.1:{free.getsockname()[1]}"
 
     async def _start_rank_agent(self, rank, name, addresses):
+        listen = await self._listen_settings(name)
+        if self.proxy is None:
+            listen = {"control_address": addresses[rank]}
         sections = {
-            "instance": {"name": name, "data_centre": "kamloops"},
-            "listen": await self._listen_settings(name),
+            "instance": {"name": name, "data_centre": self.data_centre},
+            "listen": listen,
             "platform": {"store_url": self.platform_url_seen},
             "endpoint": {
                 "url": self._rank_url(rank),
                 "work": "model",
                 "labels": "work=model",
             },
-            "group": {"group": GROUP, "rank": rank, "group_addresses": addresses},
+            "group": {
+                "group": GROUP,
+                "rank": rank,
+                "group_addresses": ",".join(addresses),
+            },
         }
         path = self._write_settings(name, sections, self.plan.agent_settings)
         command = binary_command("magnoliagrade-agent", "serve", path)
