--- a/packages/magnoliagrade-entry/magnoliagrade_entry/doors.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/doors.py
@@ -30,6 +30,12 @@
     "Time from arrival to the end of the answer",
     ["door"],
 )
+FIRST_BYTE = Histogram(
+    "magnoliagrade_first_byte_seconds",
+    "Time from arrival to the first byte of the answer's body",
+    ["door"],
+    buckets=(0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.84, 1.5, 3, 6, 12, 30),
+)
 _tracer = get_tracer(__name__)
 _log = logging.getLogger(__name__)
 
@@ -45,8 +51,10 @@
 
     async def handle(http_request):
         request_id = request_id_of(http_request.headers)
-        sink = AnswerSink(
-            http_request=http_request, added_headers={"X-Request-Id": request_id}
+        sink = _TimedSink(
+            http_request=http_request,
+            added_headers={"X-Request-Id": request_id},
+            clock=node.clock,
         )
         with _server_span("caller", http_request) as span:
             try:
@@ -103,6 +111,23 @@
     return _counted(node, handle, "peer")
 
 
+class _TimedSink(AnswerSink):
+    """Sink that measures the time to the first byte of the body."""
+
+    __slots__ = ("_arrived_at", "_clock")
+
+    def __init__(self, *, clock, **fields):
+        super().__init__(**fields)
+        self._clock = clock
+        self._arrived_at = clock.monotonic()
+
+    async def write(self, data, **fields):
+        if not self.bytes_written:
+            elapsed_s = self._clock.monotonic() - self._arrived_at
+            FIRST_BYTE.labels("caller").observe(elapsed_s)
+        await super().write(data, **fields)
+
+
 def _counted(node, handle, door):
     async def counted(http_request):
         started = node.clock.monotonic()
