Prove orders not run by revocation and take over broken answers

Cause: an order whose connection was lost before the agent read it was answered OUTCOME_UNKNOWN, and the HTTP library sends PUT, DELETE and GET again on a kept connection that turns out to be closed, and any method again after a redirect, whatever the caller marked. Change: a lost non-repeatable attempt is revoked over the control link, through the peer entry for forwarded ones; only the incarnation that it was sent to may say that it never started, and requests name the incarnation they are meant for. Every hop sends once. An order goes over a connection of its own to the endpoint and on to its end when its caller leaves. Retries and hedges take from a budget per pool (baselines: none, naive). Once an attempt may have run, no later refusal says that the request did not. Conclusion: an order stalled on its way to the agent is served elsewhere, once.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
@@ -3,12 +3,11 @@
 import logging
 
 from magnoliagrade.algorithms import parse_selector
-from magnoliagrade.node import Node
+from magnoliagrade.node import AttemptBook, Node
 from magnoliagrade.observability import log_event
 from magnoliagrade.wire import Label
 from magnoliagrade.world import LoadReport, Role
 
-from magnoliagrade_agent.attempts import AttemptBook
 from magnoliagrade_agent.capacity import CreditBook, limit_policies
 from magnoliagrade_agent.door import make_data_app
 from magnoliagrade_agent.engine import EngineClient
@@ -30,7 +29,7 @@
         Source of time; the system's by default.
     """
 
-    __slots__ = ("attempts", "credits", "engine", "pool", "report")
+    __slots__ = ("attempts", "credits", "engine", "order_session", "pool", "report")
 
     role = Role.AGENT
 
@@ -51,8 +50,19 @@
     async def start(self):
         """Open every listener and start the background tasks."""
         self.open_clients()
-        self.engine = EngineClient(url=self.settings.url, session=self.session)
-        await self.listen_http("data", make_data_app(self), self.settings.data_address)
+        self.order_session = self.make_session(keeps_connections=False)
+        self.engine = EngineClient(
+            url=self.settings.url,
+            session=self.session,
+            order_session=self.order_session,
+            work=self.settings.work,
+        )
+        await self.listen_http(
+            "data",
+            make_data_app(self),
+            self.settings.data_address,
+            handler_cancellation=True,
+        )
         await self.listen_admin()
         await self.listen_links()
         self.start_tasks()
@@ -65,6 +75,7 @@
         await self.say_leaving()
         await self.wait_for_requests(lambda: self.credits.count_in_flight)
         await self.close()
+        await self.order_session.close()
         log_event(_log, "agent.stopped")
 
     def hello(self):
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/doors.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/doors.py
@@ -6,7 +6,12 @@
 
 from aiohttp import web
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
-from magnoliagrade.http import AnswerSink, error_response, read_request_headers
+from magnoliagrade.http import (
+    AnswerSink,
+    check_incarnation,
+    error_response,
+    read_request_headers,
+)
 from magnoliagrade.http import headers as names
 from magnoliagrade.observability import extract_context, log_event
 from opentelemetry import trace
@@ -52,7 +57,7 @@
                 )
                 request_id = request.id
                 sink.added_headers["X-Request-Id"] = request_id
-                await _serve_admitted(node, request, sink)
+                await _serve_to_end(node, request, sink, _serve_admitted(node))
             except MagnoliagradeError as exc:
                 return _answer_error(exc, sink, request_id, door="caller")
             REQUESTS.labels("caller", "whole").inc()
@@ -72,18 +77,23 @@
 
     async def handle(http_request):
         request_id = ""
-        sink = AnswerSink(http_request=http_request, added_headers={names.RAN: "yes"})
+        headers = http_request.headers
+        added = {names.RAN: "yes", names.ATTEMPT: headers.get(names.ATTEMPT, "")}
+        sink = AnswerSink(http_request=http_request, added_headers=added)
         with _server_span("peer", http_request):
             try:
+                sink.tokens_written = int(headers.get(names.RESUME_TOKENS, "0"))
+                body = await http_request.read()
+                check_incarnation(headers, incarnation=node.identity.incarnation)
                 request = read_request_headers(
-                    http_request.headers,
+                    headers,
                     method=http_request.method,
                     path=http_request.path_qs,
-                    body=await http_request.read(),
+                    body=body,
                     now=node.clock.monotonic(),
                 )
                 request_id = request.id
-                await node.dispatcher.serve(request, sink)
+                await _serve_to_end(node, request, sink, node.dispatcher.serve)
             except MagnoliagradeError as exc:
                 return _answer_error(exc, sink, request_id, door="peer")
             REQUESTS.labels("peer", "whole").inc()
@@ -114,12 +124,39 @@
     return app
 
 
-async def _serve_admitted(node, request, sink):
-    await node.admission.admit(request)
+async def _serve_to_end(node, request, sink, serve):
+    """Serve a request; only a repeatable one is cancelled when its caller goes."""
+    if request.repeatable:
+        await serve(request, sink)
+        return
+    sink.ignores_lost_reader = True
+    work = _error_of(node, serve(request, sink))
+    task = node.tasks.start(work, name=f"order {request.id}")
+    error = await asyncio.shield(task)
+    if error is not None:
+        raise error
+
+
+async def _error_of(node, work):
+    node.requests_in_flight += 1
     try:
-        await node.dispatcher.serve(request, sink)
+        await work
+    except MagnoliagradeError as exc:
+        return exc
     finally:
-        node.admission.release(request)
+        node.requests_in_flight -= 1
+    return None
+
+
+def _serve_admitted(node):
+    async def serve(request, sink):
+        await node.admission.admit(request)
+        try:
+            await node.dispatcher.serve(request, sink)
+        finally:
+            node.admission.release(request)
+
+    return serve
 
 
 @contextlib.contextmanager
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
@@ -12,7 +12,12 @@
 from magnoliagrade_entry.doors import make_caller_app, make_peer_app
 from magnoliagrade_entry.handlers import entry_handlers, entry_tasks
 from magnoliagrade_entry.membership import LinkKeeper
-from magnoliagrade_entry.requests import Dispatcher, admission_policies
+from magnoliagrade_entry.requests import (
+    Dispatcher,
+    ForwardedBook,
+    Revocations,
+    admission_policies,
+)
 from magnoliagrade_entry.routing import EndpointDirectory, PeerDirectory, Router
 from magnoliagrade_entry.status import status_routes
 
@@ -36,11 +41,13 @@
         "admission",
         "dispatcher",
         "endpoints",
+        "forwarded",
         "instance_list",
         "link_keeper",
         "peers",
         "repository",
         "requests_in_flight",
+        "revocations",
         "router",
     )
 
@@ -68,6 +75,8 @@
         )
         self.admission = admission_policies.get("capped")(node=self)
         self.dispatcher = Dispatcher(node=self)
+        self.forwarded = ForwardedBook(node=self)
+        self.revocations = Revocations(node=self)
         self.link_keeper = LinkKeeper(node=self)
 
     async def start(self):
@@ -80,6 +89,7 @@
         self.repository = ConfigurationRepository(store=self.store)
         limit = settings.header_limit_bytes
         limits = {"max_line_size": limit, "max_field_size": limit}
+        limits["handler_cancellation"] = True
         await self.listen_http(
             "data", make_peer_app(self), settings.data_address, **limits
         )
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/requests/__init__.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/requests/__init__.py
@@ -4,11 +4,15 @@
 from magnoliagrade_entry.requests.arrival import read_arrival
 from magnoliagrade_entry.requests.attempt import AttemptFailed, run_attempt
 from magnoliagrade_entry.requests.dispatch import Dispatcher
+from magnoliagrade_entry.requests.forwarded import ForwardedBook
+from magnoliagrade_entry.requests.revocation import Revocations
 
 __all__ = [
     "Admission",
     "AttemptFailed",
     "Dispatcher",
+    "ForwardedBook",
+    "Revocations",
     "admission_policies",
     "read_arrival",
     "run_attempt",
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/requests/dispatch.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/requests/dispatch.py
@@ -2,19 +2,28 @@
 
 import logging
 
-from magnoliagrade.errors import ErrorKind, MagnoliagradeError, Ran
+from magnoliagrade.errors import ErrorKind, MagnoliagradeError, Ran, answer_of
 from magnoliagrade.observability.logs import log_event
+from magnoliagrade.world import Pool, Work
 from prometheus_client import Counter
 
 from magnoliagrade_entry.requests.attempt import AttemptFailed, run_attempt
+from magnoliagrade_entry.requests.hedging import Race, hedge_policies
+from magnoliagrade_entry.requests.retries import backoff_s, retry_policies
 
 __all__ = ["Dispatcher"]
 
-MAX_ATTEMPTS = 3
+RETRY_AFTER_S = 1.0
+LOOKUP_METHODS = ("GET", "HEAD")
 
 ATTEMPTS = Counter(
     "magnoliagrade_attempts_total", "Attempts by result", ["application", "result"]
 )
+RETRIES = Counter(
+    "magnoliagrade_retries_total",
+    "Further attempts by reason and whether the budget allowed them",
+    ["reason", "allowed"],
+)
 _log = logging.getLogger(__name__)
 
 
@@ -27,10 +36,12 @@
         The entry.
     """
 
-    __slots__ = ("_node",)
+    __slots__ = ("_hedging_by_pool", "_node", "_retries_by_pool")
 
     def __init__(self, *, node):
         self._node = node
+        self._retries_by_pool = {}
+        self._hedging_by_pool = {}
 
     async def serve(self, request, sink):
         """Serve a request, writing its answer to a sink.
@@ -45,30 +56,95 @@
         Raises
         ------
         MagnoliagradeError
-            If no attempt gave a whole answer.
+            If no attempt gave a whole answer; raised as soon as that is known.
         """
-        excluded = set()
+        pool = self._node.configuration.in_force.pool_of(request.labels)
+        retries = self._retries_of(pool)
+        retries.note_request()
+        tried = set()
         failure = None
         while True:
+            placement = await self._place(request, tried, failure)
             try:
-                placement = await self._node.router.place(request, excluded=excluded)
-            except MagnoliagradeError as exc:
-                raise (failure or exc) from exc
-            try:
-                await self._attempt(request, placement, sink)
+                await self._try(request, pool, placement, sink, tried)
                 return
             except AttemptFailed as exc:
-                failure = exc
-            excluded.add(placement.name)
-            if not self._may_retry(request, failure, sink):
-                raise failure
+                newest = exc
+            # Once an attempt may have run, the request may have run.
+            if failure is None or failure.ran is Ran.NO:
+                failure = newest
+            tried.add(placement.name)
+            if not _may_repeat(request, newest, sink):
+                raise _final(failure)
+            allowed = retries.take(request.attempt_count)
+            RETRIES.labels(newest.kind.value, str(allowed).lower()).inc()
+            if not allowed:
+                raise _final(failure)
+            await self._pause(request, failure)
+
+    async def _place(self, request, tried, failure):
+        try:
+            return await self._node.router.place(request, excluded=tried)
+        except MagnoliagradeError as exc:
+            raise _final(failure or exc) from exc
+
+    async def _try(self, request, pool, placement, sink, tried):
+        delay_s = self._hedge_delay_s(request, pool)
+        started = self._node.clock.monotonic()
+        if delay_s is None or request.attempt_count:
+            await self._attempt(request, placement, sink)
+        else:
+            await self._race(request, pool, placement, sink, tried, delay_s)
+        if _is_lookup(request):
+            taken = self._node.clock.monotonic() - started
+            self._hedging_of(pool).note(taken)
+
+    async def _race(self, request, pool, placement, sink, tried, delay_s):
+        async def first(lane):
+            await self._attempt(request, placement, lane)
+
+        async def second(lane):
+            other = await self._place_hedge(request, pool, {*tried, placement.name})
+            tried.add(other.name)
+            await self._attempt(request, other, lane)
+
+        await Race(sink=sink).run(first, second, delay_s)
+
+    async def _place_hedge(self, request, pool, tried):
+        try:
+            placement = await self._node.router.place(request, excluded=tried)
+        except MagnoliagradeError as exc:
+            raise AttemptFailed(exc.kind, exc.detail, ran=Ran.NO) from exc
+        allowed = self._retries_of(pool).take(request.attempt_count)
+        RETRIES.labels("hedge", str(allowed).lower()).inc()
+        if not allowed:
+            detail = "the retry budget is used up"
+            raise AttemptFailed(ErrorKind.NOT_RUN, detail, ran=Ran.NO)
+        return placement
 
     async def _attempt(self, request, placement, sink):
-        request.attempt_count += 1
         attempt = self._node.identity.new_attempt_id()
+        self._node.forwarded.begin(request, placement, attempt)
+        request.attempt_count += 1
         if placement.endpoint:
             placement.endpoint.begin(request)
-        result = "whole"
+        result = "cancelled"
+        ran = Ran.UNKNOWN
+        try:
+            await self._run(request, placement, attempt, sink)
+            result = "whole"
+        except AttemptFailed as exc:
+            result = exc.kind.value
+            ran = exc.ran
+            raise
+        finally:
+            if placement.endpoint:
+                placement.endpoint.end(request)
+            self._node.forwarded.end(request, is_not_run=ran is Ran.NO)
+            self._note(request, placement, attempt, result)
+
+    async def _run(self, request, placement, attempt, sink):
+        """Run an attempt; a lost order is withdrawn before its outcome is told."""
         try:
             await run_attempt(
                 node=self._node,
@@ -78,27 +154,78 @@
                 sink=sink,
             )
         except AttemptFailed as exc:
-            result = exc.kind.value
-            raise
-        finally:
-            if placement.endpoint:
-                placement.endpoint.end(request)
-            ATTEMPTS.labels(request.application, result).inc()
-            log_event(
-                _log,
-                "attempt.ended",
-                request_id=request.id,
-                organisation=request.organisation,
-                endpoint=placement.name,
-                attempt=attempt,
-                reason=placement.reason,
-                result=result,
-                configuration_revision=self._node.configuration.revision,
+            if request.repeatable or exc.ran is not Ran.UNKNOWN:
+                raise
+            if not await self._node.revocations.never_started(
+                placement, attempt, deadline=request.deadline
+            ):
+                raise
+            detail = f"{exc.detail}; withdrawn before it started"
+            raise AttemptFailed(ErrorKind.NOT_RUN, detail, ran=Ran.NO) from exc
+
+    def _note(self, request, placement, attempt, result):
+        ATTEMPTS.labels(request.application, result).inc()
+        log_event(
+            _log,
+            "attempt.ended",
+            request_id=request.id,
+            organisation=request.organisation,
+            endpoint=placement.name,
+            attempt=attempt,
+            reason=placement.reason,
+            result=result,
+            configuration_revision=self._node.configuration.revision,
+        )
+
+    async def _pause(self, request, failure):
+        pause = backoff_s(request.attempt_count, self._node.rng)
+        if self._node.clock.monotonic() + pause >= request.deadline:
+            raise _final(failure)
+        await self._node.clock.sleep(pause)
+
+    def _retries_of(self, pool):
+        pool = pool or Pool(name="", endpoint_selector="")
+        policy = pool.options.get("retry.policy", "budget")
+        key = (pool.name, policy, pool.retry_budget)
+        if key not in self._retries_by_pool:
+            make = retry_policies.get(policy)
+            self._retries_by_pool[key] = make(
+                clock=self._node.clock, fraction=pool.retry_budget
             )
-
-    def _may_retry(self, request, failure, sink):
-        if request.attempt_count >= MAX_ATTEMPTS or sink.has_started:
-            return False
-        if failure.kind is ErrorKind.DEADLINE:
-            return False
-        return failure.ran is Ran.NO or request.repeatable
+        return self._retries_by_pool[key]
+
+    def _hedging_of(self, pool):
+        policy = pool.options.get("hedge.policy", "p95")
+        key = (pool.name, policy)
+        if key not in self._hedging_by_pool:
+            self._hedging_by_pool[key] = hedge_policies.get(policy)()
+        return self._hedging_by_pool[key]
+
+    def _hedge_delay_s(self, request, pool):
+        if pool is None or not _is_lookup(request) or request.forwarded_from:
+            return None
+        application = self._node.configuration.in_force.application_by_name.get(
+            request.application
+        )
+        if application is None or application.work is not Work.SERVICE:
+            return None
+        return self._hedging_of(pool).delay_s()
+
+
+def _is_lookup(request):
+    return request.repeatable and request.method in LOOKUP_METHODS
+
+
+def _may_repeat(request, failure, sink):
+    if failure.kind is ErrorKind.DEADLINE:
+        return False
+    if sink.has_started and not (sink.is_event_stream and request.repeatable):
+        return False
+    return failure.ran is Ran.NO or request.repeatable
+
+
+def _final(failure):
+    """Return the error that a caller gets, with the time to come back."""
+    if answer_of(failure.kind).retryable and failure.retry_after is None:
+        failure.retry_after = RETRY_AFTER_S
+    return failure
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/routing/router.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/router.py
@@ -34,6 +34,13 @@
         """Return the name of the endpoint or peer."""
         return self.endpoint.endpoint.name if self.endpoint else self.peer.name
 
+    @property
+    def incarnation(self):
+        """Return the incarnation of the agent or peer that it was chosen as."""
+        if self.endpoint:
+            return self.endpoint.endpoint.incarnation
+        return self.peer.link.peer_incarnation
+
     @property
     def data_address(self):
         """Return the `host:port` that the attempt is sent to."""
--- a/packages/magnoliagrade/magnoliagrade/http/answers.py
+++ b/packages/magnoliagrade/magnoliagrade/http/answers.py
@@ -1,5 +1,6 @@
 """Answers: the sink that an answer is written to, and error answers."""
 
+import contextlib
 import math
 
 from aiohttp import web
@@ -19,15 +20,33 @@
         The incoming HTTP request.
     added_headers : dict of str to str
         Headers that this hop adds to the answer.
+    resume_tokens : int
+        Tokens that the caller had before this hop began to answer.
+
+    Notes
+    -----
+    `ignores_lost_reader` is set for requests that go on to their end when nobody
+    waits for the answer any more.
     """
 
-    __slots__ = ("_http_request", "added_headers", "response", "bytes_written")
+    __slots__ = (
+        "_http_request",
+        "added_headers",
+        "bytes_written",
+        "ignores_lost_reader",
+        "is_event_stream",
+        "response",
+        "tokens_written",
+    )
 
-    def __init__(self, *, http_request, added_headers=None):
+    def __init__(self, *, http_request, added_headers=None, resume_tokens=0):
         self._http_request = http_request
         self.added_headers = added_headers or {}
         self.response = None
         self.bytes_written = 0
+        self.ignores_lost_reader = False
+        self.is_event_stream = False
+        self.tokens_written = resume_tokens
 
     @property
     def has_started(self):
@@ -50,17 +69,31 @@
         response = web.StreamResponse(status=status, headers=kept)
         if length is not None:
             response.content_length = int(length)
+        kind = headers.get("Content-Type", "").partition(";")[0].strip()
+        self.is_event_stream = kind == "text/event-stream"
         self.response = response
-        await response.prepare(self._http_request)
+        with self._lost_reader_ignored():
+            await response.prepare(self._http_request)
 
-    async def write(self, data):
-        """Send a part of the body."""
+    async def write(self, data, *, tokens=0):
+        """Send a part of the body.
+
+        Parameters
+        ----------
+        data : bytes
+            The part.
+        tokens : int
+            Tokens that it holds.
+        """
         self.bytes_written += len(data)
-        await self.response.write(data)
+        self.tokens_written += tokens
+        with self._lost_reader_ignored():
+            await self.response.write(data)
 
     async def finish(self):
         """End the answer cleanly."""
-        await self.response.write_eof()
+        with self._lost_reader_ignored():
+            await self.response.write_eof()
 
     def abort(self):
         """Cut the connection, so that a broken answer never looks whole."""
@@ -68,6 +101,11 @@
         if transport is not None:
             transport.abort()
 
+    def _lost_reader_ignored(self):
+        if self.ignores_lost_reader:
+            return contextlib.suppress(ConnectionError)
+        return contextlib.nullcontext()
+
 
 def error_response(error, *, request_id="", is_internal=False):
     """Return the answer to an error.
--- /dev/null
+++ b/packages/magnoliagrade/magnoliagrade/http/client.py
@@ -0,0 +1,69 @@
+"""Sending a request to another process once, whatever the library would do."""
+
+import aiohttp
+
+__all__ = ["CONNECT_TIMEOUT_S", "send_once"]
+
+CONNECT_TIMEOUT_S = 2.0
+
+
+async def send_once(session, method, url, *, data, headers, stall_s=None):
+    """Send a request and return the open response.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Session whose connections are used.
+    method : str
+        HTTP method.
+    url : str
+        Where it goes.
+    data : bytes or None
+        Body.
+    headers : dict of str to str
+        Headers.
+    stall_s : float, optional
+        Longest time without a byte of the answer.
+
+    Returns
+    -------
+    response : aiohttp.ClientResponse
+        Status and headers have been read.
+
+    Raises
+    ------
+    aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError
+        If no byte of the request was sent.
+    aiohttp.ClientError, OSError
+        If the connection was lost later.
+
+    Notes
+    -----
+    The library sends an idempotent method again when a kept connection turns out
+    to be closed, and any method again after a redirect. Both could run a request
+    twice: methods say nothing about what a caller marked as not repeatable.
+    """
+    return await session.request(
+        method,
+        url,
+        data=data,
+        headers=headers,
+        allow_redirects=False,
+        timeout=aiohttp.ClientTimeout(
+            total=None, connect=CONNECT_TIMEOUT_S, sock_read=stall_s
+        ),
+        middlewares=(_refuse_second_send(),),
+    )
+
+
+def _refuse_second_send():
+    is_sent = False
+
+    async def middleware(request, handler):
+        nonlocal is_sent
+        if is_sent:
+            raise aiohttp.ServerDisconnectedError("the request has been sent before")
+        is_sent = True
+        return await handler(request)
+
+    return middleware
--- a/packages/magnoliagrade/magnoliagrade/http/headers.py
+++ b/packages/magnoliagrade/magnoliagrade/http/headers.py
@@ -8,9 +8,12 @@
 
 __all__ = [
     "ATTEMPT",
+    "CODE",
     "ENTRY",
+    "INCARNATION",
     "RAN",
     "RESUME_TOKENS",
+    "check_incarnation",
     "end_to_end_headers",
     "read_request_headers",
     "write_request_headers",
@@ -19,6 +22,7 @@
 PREFIX = "x-magnoliagrade-"
 ATTEMPT = PREFIX + "attempt"
 ENTRY = PREFIX + "entry"
+INCARNATION = PREFIX + "incarnation"
 RAN = PREFIX + "ran"
 CODE = PREFIX + "code"
 RESUME_TOKENS = PREFIX + "resume-tokens"
@@ -69,7 +73,35 @@
     return kept
 
 
-def write_request_headers(request, *, attempt, entry, now, forwarded_from=""):
+def check_incarnation(headers, *, incarnation):
+    """Refuse a request that is meant for another incarnation of this process.
+
+    Parameters
+    ----------
+    headers : mapping of str to str
+        Headers as received.
+    incarnation : int
+        Incarnation of this process.
+
+    Raises
+    ------
+    MagnoliagradeError
+        `NOT_RUN` if the request names another one.
+
+    Notes
+    -----
+    A process that restarted has lost its books, so a copy that was withdrawn from
+    its predecessor must not start here.
+    """
+    named = headers.get(INCARNATION, "")
+    if named != f"{incarnation:016x}":
+        detail = f"meant for incarnation {named!r}, this is {incarnation:016x}"
+        raise MagnoliagradeError(ErrorKind.NOT_RUN, detail, retry_after=1)
+
+
+def write_request_headers(
+    request, *, attempt, entry, incarnation, now, forwarded_from="", resume_tokens=0
+):
     """Return the headers that carry a request to an agent or a peer entry.
 
     Parameters
@@ -80,10 +112,14 @@
         Id of this attempt.
     entry : str
         Name of the sending entry.
+    incarnation : int
+        Incarnation of the receiver that the request is meant for.
     now : float
         Monotonic time here, so that the deadline travels as time left.
     forwarded_from : str
         Data centre of this entry if the receiver is a peer entry.
+    resume_tokens : int
+        Tokens that the caller has already; the stream goes on after them.
 
     Returns
     -------
@@ -108,6 +144,9 @@
     header_by_name = dict(request.header_by_name)
     header_by_name[ATTEMPT] = attempt
     header_by_name[ENTRY] = entry
+    header_by_name[INCARNATION] = f"{incarnation:016x}"
+    if resume_tokens:
+        header_by_name[RESUME_TOKENS] = str(resume_tokens)
     header_by_name[_REQUEST] = quote(json.dumps(carried, separators=(",", ":")))
     return header_by_name
 
@@ -158,6 +197,7 @@
             output_tokens=carried["output_tokens"],
             prefix_hash=carried["prefix_hash"],
             forwarded_from=carried["forwarded_from"],
+            forwarded_attempt=headers[ATTEMPT],
         )
     except (KeyError, ValueError, TypeError) as exc:
         detail = f"internal request headers cannot be read: {exc!r}"
--- /dev/null
+++ b/packages/magnoliagrade/magnoliagrade/http/tests/test_client.py
@@ -0,0 +1,64 @@
+"""The library's own resends, against a server that drops kept connections."""
+
+import asyncio
+
+import aiohttp
+
+from magnoliagrade.http import send_once
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+REDIRECT = b"HTTP/1.1 307 Go\r\nLocation: /there\r\nContent-Length: 0\r\n\r\n"
+
+
+async def _serve(answers):
+    """Answer requests in turn; None closes the connection instead."""
+    seen = []
+
+    async def on_connection(reader, writer):
+        while head := await reader.readuntil(b"\r\n\r\n"):
+            seen.append(head.split(b"\r\n")[0])
+            answer = answers[len(seen) - 1] if len(seen) <= len(answers) else ANSWER
+            if answer is None:
+                break
+            writer.write(answer)
+        writer.close()
+
+    server = await asyncio.start_server(on_connection, "127.0.0.1", 0)
+    return server, server.sockets[0].getsockname()[1], seen
+
+
+async def _put_twice(send):
+    server, port, seen = await _serve([ANSWER, None])
+    async with server, aiohttp.ClientSession() as session:
+        url = f"http://127.0.0.1:{port}/order"
+        async with await send(session, url) as response:
+            await response.read()
+        try:
+            async with await send(session, url) as response:
+                await response.read()
+        except aiohttp.ServerDisconnectedError:
+            pass
+    return len(seen)
+
+
+def test_library_resends_on_a_kept_connection_and_send_once_does_not():
+    async def by_library(session, url):
+        return await session.put(url)
+
+    async def once(session, url):
+        return await send_once(session, "PUT", url, data=None, headers={})
+
+    assert asyncio.run(_put_twice(by_library)) == 3
+    assert asyncio.run(_put_twice(once)) == 2
+
+
+def test_redirect_is_an_answer():
+    async def post():
+        server, port, seen = await _serve([REDIRECT])
+        async with server, aiohttp.ClientSession() as session:
+            url = f"http://127.0.0.1:{port}/order"
+            response = await send_once(session, "POST", url, data=None, headers={})
+            async with response:
+                return response.status, len(seen)
+
+    assert asyncio.run(post()) == (307, 1)
--- a/packages/magnoliagrade/magnoliagrade/node/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/node/__init__.py
@@ -1,5 +1,6 @@
 """What the entry and the agent have in common as running processes."""
 
+from magnoliagrade.node.attempts import AttemptBook
 from magnoliagrade.node.commands import (
     EXIT_INVALID,
     check_settings,
@@ -15,6 +16,7 @@
 
 __all__ = [
     "EXIT_INVALID",
+    "AttemptBook",
     "ConfigurationState",
     "HandlerTable",
     "LinkBook",
--- a/packages/magnoliagrade/magnoliagrade/node/node.py
+++ b/packages/magnoliagrade/magnoliagrade/node/node.py
@@ -86,13 +86,30 @@
             otlp_url=settings.otlp_url,
             sampling=settings.sampling,
         )
-        source = (settings.source_address, 0) if settings.source_address else None
-        self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, local_addr=source),
+        self.session = self.make_session()
+        self.store = HttpStore(url=settings.store_url, session=self.session)
+
+    def make_session(self, *, keeps_connections=True):
+        """Return an HTTP session.
+
+        Parameters
+        ----------
+        keeps_connections : bool
+            Whether a connection serves further requests.
+        """
+        address = self.settings.source_address
+        connector = aiohttp.TCPConnector(
+            limit=0,
+            local_addr=(address, 0) if address else None,
+            force_close=not keeps_connections,
+        )
+        return aiohttp.ClientSession(
+            connector=connector,
             timeout=aiohttp.ClientTimeout(total=None),
             auto_decompress=False,
+            # Cookies belong to callers; a jar would send them with others' requests.
+            cookie_jar=aiohttp.DummyCookieJar(),
         )
-        self.store = HttpStore(url=settings.store_url, session=self.session)
 
     async def listen_http(self, name, app, address, **runner_options):
         """Serve an application and note its bound address under a name."""
--- a/packages/magnoliagrade/magnoliagrade/world/request.py
+++ b/packages/magnoliagrade/magnoliagrade/world/request.py
@@ -45,6 +45,8 @@
         Hash of the head of the prompt, for prefix affinity.
     forwarded_from : str
         Data centre of the peer entry that forwarded it, or empty.
+    forwarded_attempt : str
+        Id of that peer's attempt, or empty.
     attempt_count : int
         Attempts made so far.
     """
@@ -66,6 +68,7 @@
     output_tokens: int = 0
     prefix_hash: int = 0
     forwarded_from: str = ""
+    forwarded_attempt: str = ""
     attempt_count: int = 0
 
     @property
