--- a/packages/magnoliagrade-agent/magnoliagrade_agent/door.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/door.py
@@ -75,8 +75,9 @@
 
 
 async def _serve(node, request, headers, sink):
-    if node.is_leaving:
-        raise MagnoliagradeError(ErrorKind.SHUTTING_DOWN, "the endpoint is leaving")
+    reason = node.reason_to_refuse()
+    if reason:
+        raise MagnoliagradeError(ErrorKind.SHUTTING_DOWN, reason)
     node.credits.take(request, entry=headers[names.ENTRY])
     work = _call_endpoint(node, request, headers, sink)
     if request.repeatable:
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
@@ -7,7 +7,9 @@
 from magnoliagrade.clock import SystemClock
 from magnoliagrade.node import announce_ready, run_until_signal, start_site
 
+from magnoliagrade_standins.demo import demo_command
 from magnoliagrade_standins.engine import Engine, EngineProfile, make_engine_app
+from magnoliagrade_standins.load import load_command
 from magnoliagrade_standins.platform import (
     ListedInstances,
     MemoryStore,
@@ -33,6 +35,10 @@
 
         _serve(make, address)
 
+    def demo(self, hold=False, **sizes):
+        """Run the main job: a site, a load, a report; Ctrl-C stops it."""
+        sys.exit(demo_command(hold=hold, **sizes))
+
     def engine(self, address=LOOPBACK, name="engine", **profile):
         """Serve a model engine; further flags are fields of its profile."""
 
@@ -46,6 +52,11 @@
 
         _serve(make, address)
 
+    def load(self, urls, records="", json_path="", plot_path="", **plan):
+        """Put a load on entries; further flags are fields of its plan."""
+        paths = {"json_path": json_path, "plot_path": plot_path}
+        sys.exit(load_command(urls, records=records, **paths, **plan))
+
     def proxy(self, address=LOOPBACK):
         """Serve a fault-injecting TCP proxy."""
         _serve(lambda: make_proxy_app(FaultProxy(clock=SystemClock())), address)
