Claim idempotency keys in the store before an order is dispatched

Cause: a caller's retry of a keyed order through another entry ran a second time; the header was read and not used. Change: only the creator of a key's claim dispatches; copies get the recorded outcome or ALREADY_CLAIMED, another body KEY_REUSED. The batched keeper writes a shard's claims together by one entry of the data centre, the single keeper (baseline) writes each by itself. Lost answers are resolved by the claim's operation. With the store down keyed orders are refused as not run and unkeyed ones run. A full shard first refused copies of claims that it holds for a second: shown by test_full_shard_drops_bodies_and_refuses_rather_than_forget, mended. Conclusion: safety rests on the compare-and-swap alone; who writes a shard is an optimisation.

--- /dev/null
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/claims/guard.py
@@ -0,0 +1,177 @@
+"""Serving a request with an idempotency key at most once."""
+
+import dataclasses
+import logging
+
+from magnoliagrade.errors import ErrorKind, MagnoliagradeError, Ran, answer_of
+from magnoliagrade.observability import log_event
+from prometheus_client import Counter
+
+from magnoliagrade_entry.claims.keeper import claim_keepers
+from magnoliagrade_entry.claims.records import NOT_RECORDED, claim_of
+
+__all__ = ["ClaimGuard"]
+
+RECORDED_BODY_BYTES = 512
+RETRY_AFTER_S = 1.0
+CLAIMS = Counter(
+    "magnoliagrade_claims_total", "Requests with an idempotency key", ["result"]
+)
+_log = logging.getLogger(__name__)
+
+
+class ClaimGuard:
+    """Dispatches a keyed request only for the creator of the key's claim.
+
+    Parameters
+    ----------
+    node : EntryInstance
+        The entry.
+    """
+
+    __slots__ = ("_node", "keeper")
+
+    def __init__(self, *, node):
+        self._node = node
+        self.keeper = claim_keepers.get(node.settings.claims_keeper)(node=node)
+
+    async def serve(self, request, sink, dispatch):
+        """Serve a request, under a claim if it has a key and may run only once.
+
+        Parameters
+        ----------
+        request : Request
+            The request.
+        sink : AnswerSink
+            Where the answer goes.
+        dispatch : coroutine function
+            Called with request and sink.
+
+        Raises
+        ------
+        MagnoliagradeError
+            `ALREADY_CLAIMED`, `KEY_REUSED`, `STORE_UNAVAILABLE`, or what
+            `dispatch` raises.
+        """
+        if request.repeatable or not request.idempotency_key:
+            await dispatch(request, sink)
+            return
+        claim = self._claim_of(request)
+        held = await self._claim(request, claim)
+        if held.operation != claim.operation:
+            await _answer_copy(claim, held, sink)
+            return
+        CLAIMS.labels("created").inc()
+        await self._dispatch(request, claim, sink, dispatch)
+
+    def _claim_of(self, request):
+        clock = self._node.clock
+        return claim_of(
+            request,
+            operation=self._node.identity.new_attempt_id(),
+            now=clock.now().timestamp(),
+            left_s=request.deadline - clock.monotonic(),
+            lifetime_s=self._node.settings.claims_lifetime_s,
+        )
+
+    async def _claim(self, request, claim):
+        try:
+            return await self.keeper.claim(claim)
+        except MagnoliagradeError as exc:
+            CLAIMS.labels("refused").inc()
+            log_event(_log, "claim.refused", request_id=request.id, detail=exc.detail)
+            # The write may still land; nobody dispatches under it.
+            self._later(self.keeper.release(claim))
+            detail = f"the key could not be claimed: {exc.detail}"
+            raise MagnoliagradeError(
+                ErrorKind.STORE_UNAVAILABLE, detail, retry_after=RETRY_AFTER_S
+            ) from exc
+
+    async def _dispatch(self, request, claim, sink, dispatch):
+        recording = _RecordingSink(sink=sink)
+        try:
+            await dispatch(request, recording)
+        except MagnoliagradeError as exc:
+            if answer_of(exc.kind).ran is Ran.NO:
+                self._later(self.keeper.release(claim))
+            raise
+        settled = dataclasses.replace(
+            claim,
+            status=recording.status,
+            content_type=recording.content_type,
+            body=recording.body,
+        )
+        self._later(self.keeper.settle(settled))
+
+    def _later(self, work):
+        self._node.tasks.start(_ignoring_store(work), name="claim record")
+
+
+async def _ignoring_store(work):
+    try:
+        await work
+    except MagnoliagradeError as exc:
+        log_event(_log, "claim.unrecorded", code=exc.kind.value, detail=exc.detail)
+
+
+async def _answer_copy(claim, held, sink):
+    if held.digest != claim.digest:
+        CLAIMS.labels("key-reused").inc()
+        detail = "the idempotency key was used for another request"
+        raise MagnoliagradeError(ErrorKind.KEY_REUSED, detail)
+    if not held.status or held.content_type == NOT_RECORDED:
+        CLAIMS.labels("already-claimed").inc()
+        what = f"ended with {held.status}" if held.status else "was dispatched"
+        detail = f"the request of this idempotency key {what}"
+        raise MagnoliagradeError(ErrorKind.ALREADY_CLAIMED, detail)
+    CLAIMS.labels("replayed").inc()
+    headers = {"Content-Length": str(len(held.body))}
+    if held.content_type:
+        headers["Content-Type"] = held.content_type
+    await sink.start(held.status, headers)
+    await sink.write(held.body)
+    await sink.finish()
+
+
+class _RecordingSink:
+    """Passes an answer on and keeps it if it is short."""
+
+    __slots__ = ("_sink", "body", "content_type", "status")
+
+    def __init__(self, *, sink):
+        self._sink = sink
+        self.status = 0
+        self.content_type = ""
+        self.body = b""
+
+    @property
+    def has_started(self):
+        return self._sink.has_started
+
+    @property
+    def is_event_stream(self):
+        return self._sink.is_event_stream
+
+    @property
+    def bytes_written(self):
+        return self._sink.bytes_written
+
+    @property
+    def tokens_written(self):
+        return self._sink.tokens_written
+
+    async def start(self, status, headers):
+        self.status = status
+        self.content_type = headers.get("Content-Type", "")
+        await self._sink.start(status, headers)
+
+    async def write(self, data, *, tokens=0):
+        if len(self.body) + len(data) > RECORDED_BODY_BYTES:
+            self.content_type = NOT_RECORDED
+            self.body = b""
+        elif self.content_type != NOT_RECORDED:
+            self.body += data
+        await self._sink.write(data, tokens=tokens)
+
+    async def finish(self):
+        await self._sink.finish()
--- /dev/null
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/claims/tests/test_keepers.py
@@ -0,0 +1,137 @@
+"""Both keepers against the store stand-in, with lost answers and other writers."""
+
+import asyncio
+import random
+from datetime import timedelta
+from types import SimpleNamespace
+from unittest import mock
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from magnoliagrade.clock import SystemClock
+from magnoliagrade.errors import MagnoliagradeError
+from magnoliagrade.identity import InstanceIdentity
+from magnoliagrade.node import Tasks
+from magnoliagrade_standins.platform import MemoryStore, StoreFaults
+
+from magnoliagrade_entry.claims import Claim, claim_keepers, shard
+
+LIFETIME_S = 3600.0
+
+
+class ShiftedClock(SystemClock):
+    """Wall clock of one entry; only its sleeps are real, and short."""
+
+    def __init__(self):
+        self.shift_s = 0.0
+
+    def now(self):
+        return super().now() + timedelta(seconds=self.shift_s)
+
+    async def sleep(self, seconds):
+        await asyncio.sleep(min(seconds, 0.001))
+
+
+def _node(store, number=0):
+    return SimpleNamespace(
+        clock=ShiftedClock(),
+        store=store,
+        rng=random.Random(number),
+        tasks=Tasks(),
+        identity=InstanceIdentity(
+            instance=f"entry-{number}", incarnation=number, data_centre="kamloops"
+        ),
+        links=SimpleNamespace(of_role=lambda role: []),
+        settings=SimpleNamespace(claims_lifetime_s=LIFETIME_S, claims_shards=1),
+    )
+
+
+def _claim(node, key="k"):
+    until = node.clock.now().timestamp() + LIFETIME_S
+    operation = node.identity.new_attempt_id()
+    return Claim(key=key, digest="d", operation=operation, until=until)
+
+
+async def _claim_or_none(keeper, claim):
+    try:
+        return await keeper.claim(claim)
+    except MagnoliagradeError:
+        return None
+
+
+async def _race(name, copies, lost):
+    store = MemoryStore(clock=SystemClock())
+    store.set_faults(StoreFaults(lose_write_answers=lost))
+    nodes = [_node(store, i) for i in range(3)]
+    keepers = [claim_keepers.get(name)(node=node) for node in nodes]
+    claims = [_claim(nodes[i % 3], key=f"k{i % 2}") for i in range(copies)]
+    held = await asyncio.gather(
+        *(_claim_or_none(keepers[i % 3], c) for i, c in enumerate(claims))
+    )
+    return [(c, h) for c, h in zip(claims, held, strict=True) if h is not None]
+
+
+@settings(max_examples=15, deadline=None)
+@given(st.sampled_from(["single", "batched"]), st.integers(2, 12), st.integers(0, 6))
+def test_one_creator_for_each_key(name, copies, lost):
+    answers = asyncio.run(_race(name, copies, lost))
+    for key in ("k0", "k1"):
+        of_key = [(c, h) for c, h in answers if c.key == key]
+        creators = [c for c, h in of_key if h.operation == c.operation]
+        assert len(creators) <= 1
+        assert len({h.operation for _, h in of_key}) <= 1
+        assert creators or not of_key
+
+
+def test_outcome_is_kept_and_release_frees_the_key():
+    async def run(name):
+        node = _node(MemoryStore(clock=SystemClock()))
+        keeper = claim_keepers.get(name)(node=node)
+        first = await keeper.claim(_claim(node))
+        first.status, first.body = 200, b"3 books"
+        await keeper.settle(first)
+        copy = await keeper.claim(_claim(node))
+        assert (copy.operation, copy.status) == (first.operation, 200)
+        assert copy.body == b"3 books"
+        await keeper.release(first)
+        fresh = _claim(node)
+        assert (await keeper.claim(fresh)).operation == fresh.operation
+
+    for name in claim_keepers.names():
+        asyncio.run(run(name))
+
+
+def test_shard_drops_claims_only_after_their_time():
+    async def run():
+        node = _node(MemoryStore(clock=SystemClock()))
+        keeper = claim_keepers.get("batched")(node=node)
+        first = await keeper.claim(_claim(node))
+        node.clock.shift_s = LIFETIME_S - 1
+        assert (await keeper.claim(_claim(node))).operation == first.operation
+        node.clock.shift_s = LIFETIME_S + 1
+        again = _claim(node)
+        assert (await keeper.claim(again)).operation == again.operation
+
+    asyncio.run(run())
+
+
+@mock.patch.object(shard, "VALUE_LIMIT_BYTES", 2000)
+def test_full_shard_drops_bodies_and_refuses_rather_than_forget():
+    async def fill():
+        node = _node(MemoryStore(clock=SystemClock()))
+        keeper = claim_keepers.get("batched")(node=node)
+        kept = []
+        for i in range(100):
+            claim = await _claim_or_none(keeper, _claim(node, key=f"k{i}"))
+            if claim is None:
+                break
+            claim.status, claim.content_type, claim.body = 200, "text/plain", b"x" * 99
+            await keeper.settle(claim)
+            kept.append(claim)
+        assert 5 < len(kept) < 100
+        for claim in kept:
+            copy = await keeper.claim(_claim(node, key=claim.key))
+            assert copy.operation == claim.operation
+            assert copy.body == b"x" * 99 or copy.content_type == "-"
+
+    asyncio.run(fill())
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/doors.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/doors.py
@@ -152,7 +152,7 @@
     async def serve(request, sink):
         await node.admission.admit(request)
         try:
-            await node.dispatcher.serve(request, sink)
+            await node.claims.serve(request, sink, node.dispatcher.serve)
         finally:
             node.admission.release(request)
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
@@ -9,6 +9,7 @@
 from magnoliagrade.world import Role
 
 from magnoliagrade_entry import configuration_watch  # noqa: F401
+from magnoliagrade_entry.claims import ClaimGuard
 from magnoliagrade_entry.doors import make_caller_app, make_peer_app
 from magnoliagrade_entry.handlers import entry_handlers, entry_tasks
 from magnoliagrade_entry.membership import Departures, KnownInstances, LinkKeeper
@@ -40,6 +41,7 @@
 
     __slots__ = (
         "admission",
+        "claims",
         "departures",
         "dispatcher",
         "endpoints",
@@ -81,6 +83,7 @@
         )
         self.admission = admission_policies.get("capped")(node=self)
         self.dispatcher = Dispatcher(node=self)
+        self.claims = ClaimGuard(node=self)
         self.forwarded = ForwardedBook(node=self)
         self.revocations = Revocations(node=self)
         self.link_keeper = LinkKeeper(node=self)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/settings.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/settings.py
@@ -105,6 +105,29 @@
         low=0.1,
         high=3600,
     )
+    claims_keeper: str = setting(
+        section="claims",
+        doc="how claims on idempotency keys are written: many of a shard at once, "
+        "or each by itself",
+        choices=("batched", "single"),
+        default="batched",
+    )
+    claims_lifetime_s: float = setting(
+        section="claims",
+        doc="how long a claim on an idempotency key holds at least",
+        unit="s",
+        default=86400.0,
+        low=60,
+        high=604800,
+    )
+    claims_shards: int = setting(
+        section="claims",
+        doc="values of the store that batched claims are spread over; the same on "
+        "every entry",
+        default=64,
+        low=1,
+        high=4096,
+    )
     drain_lag_s: float = setting(
         section="shutdown",
         doc="how long new requests are still served after SIGTERM, while the "
--- a/packages/magnoliagrade/magnoliagrade/wire/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/__init__.py
@@ -38,12 +38,19 @@
     PeerSummary,
     PoolSummary,
 )
-from magnoliagrade.wire.outcome import Revoke, RevokeAnswer
+from magnoliagrade.wire.outcome import (
+    ClaimAnswer,
+    ClaimChange,
+    Revoke,
+    RevokeAnswer,
+)
 
 __all__ = [
     "MAX_MESSAGE_BYTES",
     "ArmAck",
     "ArmSwitch",
+    "ClaimAnswer",
+    "ClaimChange",
     "ConfigurationChunk",
     "ConfigurationOffer",
     "ConfigurationPull",
--- a/packages/magnoliagrade/magnoliagrade/wire/outcome.capnp
+++ b/packages/magnoliagrade/magnoliagrade/wire/outcome.capnp
@@ -10,9 +10,34 @@
   neverStarted @1 :Bool;
 }
 
+struct ClaimChange {
+  action @0 :Text;           # claim, settle or release
+  operation @1 :Text;
+  key @2 :Text;
+  digest @3 :Text;
+  until @4 :Float64;         # wall-clock seconds after which it may be dropped
+  status @5 :UInt16;         # HTTP status of the recorded outcome; 0 for none
+  contentType @6 :Text;
+  body @7 :Data;
+}
+
+struct ClaimAnswer {
+  asked @0 :Text;            # operation that asked
+  isAvailable @1 :Bool;      # false: the store did not take the claim
+  operation @2 :Text;        # of the claim that holds
+  key @3 :Text;
+  digest @4 :Text;
+  until @5 :Float64;
+  status @6 :UInt16;
+  contentType @7 :Text;
+  body @8 :Data;
+}
+
 struct OutcomeMessage {
   union {
     revoke @0 :Revoke;
     revokeAnswer @1 :RevokeAnswer;
+    claimChange @2 :ClaimChange;
+    claimAnswer @3 :ClaimAnswer;
   }
 }
--- a/packages/magnoliagrade/magnoliagrade/wire/outcome.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/outcome.py
@@ -2,7 +2,7 @@
 
 from magnoliagrade.wire.message_table import message
 
-__all__ = ["Revoke", "RevokeAnswer"]
+__all__ = ["ClaimAnswer", "ClaimChange", "Revoke", "RevokeAnswer"]
 
 
 @message("outcome", "revoke")
@@ -18,3 +18,32 @@
 
     attempt: str = ""
     never_started: bool = False
+
+
+@message("outcome", "claimChange")
+class ClaimChange:
+    """An entry asks the writer of a shard of claims for a change."""
+
+    action: str = ""
+    operation: str = ""
+    key: str = ""
+    digest: str = ""
+    until: float = 0.0
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
+
+
+@message("outcome", "claimAnswer")
+class ClaimAnswer:
+    """The writer of a shard says which claim holds."""
+
+    asked: str = ""
+    is_available: bool = False
+    operation: str = ""
+    key: str = ""
+    digest: str = ""
+    until: float = 0.0
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
