Bring about truncated, dropped, crossed, repeated and trailing answers

Cause: nothing showed that answers stay whole and own when a back end breaks them. Change: the back-end stand-ins give faulty answers on request and count them; tests compare every answer with the engine's expected text, cut the stream at four places, and check that the engine's work ends when a caller goes. The stand-ins notice a closed connection, as docs/PLATFORM.md says of engines; before, a stand-in that wrote nothing did not, and the test blamed the product for it. Conclusion: streams are resumed and short answers asked for again from another endpoint; what cannot be resumed is aborted.

--- a/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
@@ -88,7 +88,9 @@
     runners = []
 
     async def start():
-        runner, bound = await start_site(make(), address, shutdown_timeout=0.1)
+        runner, bound = await start_site(
+            make(), address, shutdown_timeout=0.1, handler_cancellation=True
+        )
         runners.append(runner)
         announce_ready(http=bound)
 
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/engine/server.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/engine/server.py
@@ -5,13 +5,24 @@
 from aiohttp import web
 from magnoliagrade.algorithms import hash64
 
-from magnoliagrade_standins.engine.engine import EngineFell, EngineRequest
+from magnoliagrade_standins.engine.engine import (
+    EngineFell,
+    EngineRequest,
+    expected_text,
+)
+from magnoliagrade_standins.faults import (
+    AnswerFaults,
+    abort,
+    send_stale_copy,
+    send_truncated,
+)
 
 __all__ = ["make_engine_app"]
 
 BYTES_PER_TOKEN = 4
 DEFAULT_OUTPUT_TOKENS = 128
 PREFIX_BYTES = 256
+TOKENS_BEFORE_FAULT = 3
 
 
 def make_engine_app(engine):
@@ -22,6 +33,7 @@
     engine : Engine
         A running engine.
     """
+    faults = AnswerFaults()
 
     async def complete(http_request):
         fields = await http_request.json()
@@ -29,8 +41,8 @@
         engine.submit(request)
         try:
             if fields.get("stream"):
-                return await _stream(http_request, request)
-            return await _whole(http_request, request)
+                return await _stream(http_request, request, faults)
+            return await _whole(http_request, request, faults)
         finally:
             engine.cancel(request)
 
@@ -38,12 +50,14 @@
         return web.json_response(engine.load_report())
 
     async def record(_request):
-        return web.json_response(_record(engine))
+        return web.json_response({**_record(engine), "faults": faults.given})
 
     async def control(http_request):
         order = await http_request.json()
         if order.get("restart"):
             engine.restart()
+        if "faults" in order:
+            faults.set(order["faults"])
         if "step_scale" in order:
             engine.step_scale = float(order["step_scale"])
         return web.Response()
@@ -73,27 +87,44 @@
     )
 
 
-async def _stream(http_request, request):
+async def _stream(http_request, request, faults):
+    owner = "other" if faults.take("cross") else request.id
+    is_dropped = faults.take("drop")
+    is_truncated = is_dropped or faults.take("truncate")
     response = web.StreamResponse(
         headers={
             "Content-Type": "text/event-stream",
-            "X-Request-Id": request.id,
+            "X-Request-Id": owner,
             "X-Attempt-Id": request.attempt,
         }
     )
     await response.prepare(http_request)
+    sent = 0
     while (text := await request.tokens.get()) is not None:
         if isinstance(text, EngineFell):
             http_request.transport.abort()
             return response
-        event = {"id": request.id, "choices": [{"delta": {"content": text}}]}
-        await response.write(f"data: {json.dumps(event)}\n\n".encode())
+        await response.write(_event(owner, text if owner == request.id else "?"))
+        sent += 1
+        if is_truncated and sent == TOKENS_BEFORE_FAULT:
+            if is_dropped:
+                http_request.transport.abort()
+            return response
     await response.write(b"data: [DONE]\n\n")
+    if faults.take("trail"):
+        await response.write(_event(owner, expected_text("other", 0)))
     await response.write_eof()
+    if faults.take("repeat"):
+        send_stale_copy(http_request)
     return response
 
 
-async def _whole(http_request, request):
+def _event(request_id, text):
+    event = {"id": request_id, "choices": [{"delta": {"content": text}}]}
+    return f"data: {json.dumps(event)}\n\n".encode()
+
+
+async def _whole(http_request, request, faults):
     parts = []
     while (text := await request.tokens.get()) is not None:
         if isinstance(text, EngineFell):
@@ -104,13 +135,21 @@
         "id": request.id,
         "choices": [{"message": {"role": "assistant", "content": "".join(parts)}}],
     }
-    headers = {"X-Request-Id": request.id, "X-Attempt-Id": request.attempt}
+    if faults.take("drop"):
+        return abort(http_request)
+    owner = "other" if faults.take("cross") else request.id
+    headers = {"X-Request-Id": owner, "X-Attempt-Id": request.attempt}
+    if faults.take("truncate"):
+        return await send_truncated(http_request, answer, headers)
+    if faults.take("repeat"):
+        send_stale_copy(http_request)
     return web.json_response(answer, headers=headers)
 
 
 def _record(engine):
     return {
         "boot_id": engine.boot_id,
+        "running": len(engine.running),
         "falls": engine.falls,
         "peak_load": engine.peak_load,
         "cache_hits": engine.cache_hits,
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/harness/site.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/harness/site.py
@@ -163,6 +163,13 @@
         async with self.session.get(f"http://{address}/record") as response:
             return await response.json()
 
+    async def control_back_end(self, back_end, order):
+        """Send an order to the control of a back end."""
+        address = self.back_end_by_name[back_end].addresses["http"]
+        url = f"http://{address}/control"
+        async with self.session.post(url, json=order) as response:
+            response.raise_for_status()
+
     async def control_platform(self, path, body):
         """Set faults, lag or rows of the platform's stand-in."""
         url = f"{self.platform_url}/control/{path}"
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/service/service.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/service/service.py
@@ -2,6 +2,13 @@
 
 from aiohttp import web
 
+from magnoliagrade_standins.faults import (
+    AnswerFaults,
+    abort,
+    send_stale_copy,
+    send_truncated,
+)
+
 __all__ = ["PlainService", "make_service_app"]
 
 
@@ -61,6 +68,7 @@
     service : PlainService
         The service.
     """
+    faults = AnswerFaults()
 
     async def call(request):
         answer = await service.execute(
@@ -70,16 +78,30 @@
             request.path_qs,
             (await request.read()).decode(errors="replace"),
         )
-        headers = {"X-Request-Id": answer["id"]}
+        if faults.take("drop"):
+            return abort(request)
+        owner = "other" if faults.take("cross") else answer["id"]
+        headers = {"X-Request-Id": owner}
+        if faults.take("truncate"):
+            return await send_truncated(request, answer, headers)
+        if faults.take("repeat"):
+            send_stale_copy(request)
         return web.json_response(answer, headers=headers)
 
     async def record(_request):
         return web.json_response(
-            {"executions": service.executions, "peak": service.peak_in_flight}
+            {
+                "executions": service.executions,
+                "peak": service.peak_in_flight,
+                "faults": faults.given,
+            }
         )
 
     async def control(request):
-        service.service_s = float((await request.json())["service_s"])
+        order = await request.json()
+        service.service_s = float(order.get("service_s", service.service_s))
+        if "faults" in order:
+            faults.set(order["faults"])
         return web.Response()
 
     app = web.Application(client_max_size=64 * 1024 * 1024)
--- /dev/null
+++ b/tests/test_whole_answers.py
@@ -0,0 +1,175 @@
+"""Truncated, dropped, crossed, repeated and trailing answers of the back ends."""
+
+import asyncio
+import json
+
+import aiohttp
+from magnoliagrade_standins.engine import expected_text
+from magnoliagrade_standins.harness import Site, SitePlan, call_service
+from magnoliagrade_standins.harness.configurations import CONFIGURATION
+
+# What is tested is each answer, not the budget.
+GENEROUS = CONFIGURATION.replace("_limit = 16", "_limit = 16\nretry_budget = 1")
+GENEROUS = GENEROUS.replace("_limit = 600\n", "_limit = 600\nretry_budget = 1\n")
+PLAN = SitePlan(
+    entries_by_data_centre={"kamloops": 1, "kelowna": 1},
+    engines_by_data_centre={"kamloops": 2, "kelowna": 1},
+    services_by_data_centre={"kamloops": 2},
+    configuration=GENEROUS,
+    has_proxy=True,
+)
+ENTRY = "kamloops-entry-0"
+HEADERS = {"Authorization": "Bearer key-0"}
+TOKENS = 12
+FAULTS = ("truncate", "drop", "cross", "repeat", "trail")
+
+
+def test_every_answer_is_whole_and_own():
+    asyncio.run(_every_answer())
+
+
+async def _every_answer():
+    async with Site(plan=PLAN) as site:
+        for fault in FAULTS:
+            await _check_models(site, fault)
+            await _check_services(site, fault)
+        for name in ("kamloops-model-0", "kamloops-service-0"):
+            assert (await site.record(name))["faults"] >= 3, name
+        await _check_cut(site)
+
+
+async def _check_models(site, fault):
+    """One engine is faulty: streams are resumed, short answers asked for again."""
+    await _set(site, "kamloops-model-0", fault, 100)
+    for number in range(6):
+        await _check_stream(site, f"{fault}-stream-{number}")
+        await _check_text(site, f"{fault}-text-{number}")
+    await _set(site, "kamloops-model-0", fault, 0)
+
+
+async def _check_services(site, fault):
+    """Lookups are asked for again, orders are never run again."""
+    await _set(site, "kamloops-service-0", fault, 100)
+    for number in range(6):
+        found = await call_service(site, ENTRY, method="GET", path="/orders/stock")
+        assert found.status == 200 and found.body["id"] == found.request_id, found
+        name = f"{fault}-order-{number}"
+        order = await call_service(site, ENTRY, headers={"X-Request-Id": name})
+        if order.status == 200:
+            assert order.body["id"] == name
+        else:
+            assert order.ran in ("yes", "unknown"), order
+        assert await _count(site, name) == 1
+    await _set(site, "kamloops-service-0", fault, 0)
+
+
+async def _check_cut(site):
+    """The connection to an agent is cut at many places of the stream."""
+    for limit in (150, 400, 700, 1000):
+        target = "kamloops-model-0/data"
+        await site.set_rules({"target": target, "cut_after_bytes": limit})
+        for number in range(4):
+            await _check_stream(site, f"cut-{limit}-{number}")
+    await site.set_rules()
+
+
+async def _set(site, back_end, fault, count):
+    await site.control_back_end(back_end, {"faults": {fault: count}})
+
+
+async def _count(site, name):
+    ids = []
+    for service in ("kamloops-service-0", "kamloops-service-1"):
+        record = await site.record(service)
+        ids += [e["id"] for e in record["executions"]]
+    return ids.count(name)
+
+
+async def _check_stream(site, name):
+    body = await _complete(site, name, is_stream=True)
+    lines = [line for line in body.splitlines() if line.startswith(b"data: ")]
+    assert lines.pop() == b"data: [DONE]"
+    events = [json.loads(line[6:]) for line in lines]
+    assert {e["id"] for e in events} == {name}
+    texts = [e["choices"][0]["delta"]["content"] for e in events]
+    assert texts == [expected_text(name, i) for i in range(TOKENS)], name
+
+
+async def _check_text(site, name):
+    answer = json.loads(await _complete(site, name, is_stream=False))
+    assert answer["id"] == name
+    expected = "".join(expected_text(name, i) for i in range(TOKENS))
+    assert answer["choices"][0]["message"]["content"] == expected
+
+
+async def _complete(site, name, *, is_stream):
+    url = site.caller_url(ENTRY) + "/v1/completions"
+    body = {
+        "model": "swatch",
+        "stream": is_stream,
+        "max_tokens": TOKENS,
+        "prompt": name,
+    }
+    headers = {**HEADERS, "X-Request-Id": name}
+    async with site.session.post(url, json=body, headers=headers) as response:
+        text = await response.read()
+        assert response.status == 200, text
+        assert response.headers["X-Request-Id"] == name
+        return text
+
+
+def test_stream_that_cannot_be_resumed_never_ends_cleanly():
+    asyncio.run(_abort())
+
+
+async def _abort():
+    plan = SitePlan(
+        entries_by_data_centre={"kamloops": 1},
+        engines_by_data_centre={"kamloops": 1},
+    )
+    async with Site(plan=plan) as site:
+        for fault in ("truncate", "drop"):
+            await _set(site, "kamloops-model-0", fault, 100)
+            try:
+                body = await _complete(site, fault, is_stream=True)
+            except aiohttp.ClientError:
+                continue
+            raise AssertionError(f"{fault}: clean end after {body}")
+
+
+def test_engine_work_ends_when_its_caller_goes():
+    asyncio.run(_leave())
+
+
+async def _leave():
+    async with Site(plan=PLAN) as site:
+        url = site.caller_url(ENTRY) + "/v1/completions"
+        for name in site.back_end_by_name:
+            if "model" in name:
+                await site.control_back_end(name, {"step_scale": 50})
+        for is_stream in (True, False):
+            body = {"model": "swatch", "max_tokens": 500, "prompt": "p"}
+            body["stream"] = is_stream
+            call = site.session.post(url, json=body, headers=HEADERS)
+            task = asyncio.create_task(_read(call))
+            await _until_running(site, 1)
+            task.cancel()
+            await _until_running(site, 0)
+
+
+async def _read(call):
+    async with call as response:
+        await response.read()
+
+
+async def _until_running(site, count):
+    names = [n for n in site.back_end_by_name if "model" in n]
+    for _ in range(100):
+        if await _running(site, names) == count:
+            return
+        await asyncio.sleep(0.02)
+    raise AssertionError(f"{await _running(site, names)} requests run, not {count}")
+
+
+async def _running(site, names):
+    return sum([(await site.record(name))["running"] for name in names])
