--- a/packages/magnoliagrade-agent/magnoliagrade_agent/door.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/door.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-from dataclasses import dataclass
 
 import aiohttp
 from aiohttp import web
@@ -78,14 +77,14 @@
     reason = node.reason_to_refuse()
     if reason:
         raise MagnoliagradeError(ErrorKind.SHUTTING_DOWN, reason)
-    node.credits.take(request, entry=headers[names.ENTRY])
-    work = _call_endpoint(node, request, headers, sink)
     if request.repeatable:
-        await work
+        await _admit_and_follow(node, request, headers, sink)
         return
+    node.attempts.check(headers[names.ATTEMPT])
     sink.ignores_lost_reader = True
+    work = _error_of(_admit_and_follow(node, request, headers, sink))
     # An order that was handed over goes on to its end when the entry is gone.
-    task = node.tasks.start(_error_of(work), name=f"order {request.id}")
+    task = node.tasks.start(work, name=f"order {request.id}")
     error = await asyncio.shield(task)
     if error is not None:
         raise error
@@ -99,36 +98,35 @@
     return None
 
 
-async def _call_endpoint(node, request, headers, sink):
-    call = _Call(started=node.clock.monotonic())
-    try:
-        with _tracer.start_as_current_span("endpoint.call") as span:
-            attempt = headers[names.ATTEMPT]
-            span.set_attribute("magnoliagrade.attempt", attempt)
-            inject_context(request.header_by_name)
-            response = await _open(node, request, attempt, headers)
-            async with response:
-                await _copy(node, call, response, sink)
-        call.failed = False
-    except (aiohttp.ClientError, OSError) as exc:
-        detail = f"endpoint broke off after {sink.bytes_written} bytes"
-        raise MagnoliagradeError(ErrorKind.ANSWER_BROKEN, detail) from exc
-    finally:
-        node.credits.give_back(request)
-        node.credits.limit_policy.on_completion(
-            cost=request.cost,
-            first_byte_s=call.first_byte_s,
-            total_s=node.clock.monotonic() - call.started,
-            in_flight=node.credits.in_flight,
-            failed=call.failed,
-        )
-
-
-@dataclass(slots=True, kw_only=True)
-class _Call:
-    started: float
-    first_byte_s: float = None
-    failed: bool = True
+async def _admit_and_follow(node, request, headers, sink):
+    work = await node.credits.admit(request, entry=headers[names.ENTRY])
+    with node.credits.following(work):
+        try:
+            await _exchange(node, request, work, headers, sink)
+        except aiohttp.ClientConnectionResetError:
+            # The entry has gone; the endpoint may go on for a moment.
+            raise
+        except (aiohttp.ClientPayloadError, aiohttp.ClientConnectionError) as exc:
+            detail = f"endpoint broke off after {sink.bytes_written} bytes"
+            raise MagnoliagradeError(ErrorKind.ANSWER_BROKEN, detail) from exc
+
+
+async def _exchange(node, request, work, headers, sink):
+    attempt = headers[names.ATTEMPT]
+    with _tracer.start_as_current_span("endpoint.call") as span:
+        span.set_attribute("magnoliagrade.attempt", attempt)
+        span.set_attribute("magnoliagrade.limit", node.credits.limit)
+        inject_context(request.header_by_name)
+        response = await _open(node, request, attempt, headers)
+        async with response:
+            node.credits.confirm(work)
+            work.has_failed = response.status >= 500
+            await sink.start(response.status, response.headers)
+            async for part in response.content.iter_any():
+                node.credits.note_part(work, part)
+                await sink.write(part)
+            await sink.finish()
+    work.is_whole = True
 
 
 async def _open(node, request, attempt, headers):
@@ -146,15 +144,6 @@
         raise
 
 
-async def _copy(node, call, response, sink):
-    await sink.start(response.status, response.headers)
-    async for part in response.content.iter_any():
-        if call.first_byte_s is None:
-            call.first_byte_s = node.clock.monotonic() - call.started
-        await sink.write(part)
-    await sink.finish()
-
-
 def _answer_error(error, request, sink):
     REQUESTS.labels(error.kind.value).inc()
     request_id = request.id if request else ""
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
@@ -6,15 +6,18 @@
 from magnoliagrade.node import AttemptBook, Node
 from magnoliagrade.observability import log_event
 from magnoliagrade.wire import Label
-from magnoliagrade.world import LoadReport, Role
+from magnoliagrade.world import Role, Work
 
 from magnoliagrade_agent.capacity import CreditBook, limit_policies
 from magnoliagrade_agent.door import make_data_app
 from magnoliagrade_agent.engine import EngineClient
 from magnoliagrade_agent.handlers import agent_handlers, agent_tasks
+from magnoliagrade_agent.load_watch import LoadWatch, send_grants
 
 __all__ = ["AgentInstance"]
 
+DEFAULT_LIMIT_POLICY = "evidence"
+LIMIT_POLICY_OPTION = "option.limit.policy"
 _log = logging.getLogger(__name__)
 
 
@@ -35,12 +38,13 @@
         "credits",
         "engine",
         "is_listed_leaving",
+        "load_watch",
         "order_session",
         "pool",
-        "report",
     )
 
     role = Role.AGENT
+    unused_kinds = ("organisation",)
 
     def __init__(self, *, settings, clock=None):
         super().__init__(
@@ -51,12 +55,16 @@
         )
         self.attempts = AttemptBook()
         self.credits = CreditBook(
-            limit_policy=limit_policies.get("fixed-cold")(), clock=self.clock
+            limit_policy=limit_policies.get(DEFAULT_LIMIT_POLICY)(),
+            clock=self.clock,
+            has_reports=settings.work == Work.MODEL.value,
         )
-        self.report = LoadReport()
+        self.credits.on_free = lambda: send_grants(self)
+        self.load_watch = LoadWatch()
         self.is_listed_leaving = False
         self._was_refusing = False
         self.pool = None
+        self.configuration.listeners.append(lambda _: self.apply_configuration())
 
     async def start(self):
         """Open every listener and start the background tasks."""
@@ -131,7 +139,7 @@
         """Take a new configuration: limits, and a cold start after coming back."""
         is_refusing = bool(self.reason_to_refuse())
         if self._was_refusing and not is_refusing:
-            self.credits.limit_policy.on_cold()
+            self.credits.drop_to_cold("admitted-again")
         self._was_refusing = is_refusing
         self._apply_pool()
 
@@ -141,7 +149,28 @@
         for _, pool in sorted(configuration.pool_by_name.items()):
             if parse_selector(pool.endpoint_selector).matches(labels):
                 self.pool = pool
-                self.credits.limit_policy.configure(
-                    cold_limit=pool.cold_limit, full_limit=pool.full_limit
-                )
+                self._configure_limit(pool)
                 return
+
+    def on_link_up(self, link):
+        """Tell an entry what the endpoint bears."""
+        self.credits.grants.forget_asks(link.peer_instance)
+        self.load_watch.send_to(self, link)
+
+    def on_link_down(self, link):
+        """Forget what an entry asked for; its credit lapses with the lease."""
+        if link.peer_instance not in self.links.by_instance:
+            self.credits.grants.forget_asks(link.peer_instance)
+
+    def _configure_limit(self, pool):
+        name = pool.options.get(LIMIT_POLICY_OPTION, DEFAULT_LIMIT_POLICY)
+        make = limit_policies.get(name)
+        if name != self.load_watch.limit_policy_name:
+            self.credits.limit_policy = make()
+            self.load_watch.limit_policy_name = name
+        self.credits.limit_policy.configure(
+            cold_limit=pool.cold_limit,
+            full_limit=pool.full_limit,
+            options=pool.options,
+        )
+        self.load_watch.send_changes(self)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/requests/dispatch.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/requests/dispatch.py
@@ -86,6 +86,14 @@
         try:
             return await self._node.router.place(request, excluded=tried)
         except MagnoliagradeError as exc:
+            log_event(
+                _log,
+                "attempt.unplaced",
+                request_id=request.id,
+                attempts=request.attempt_count,
+                code=exc.kind.value,
+                detail=exc.detail,
+            )
             raise _final(failure or exc) from exc
 
     async def _try(self, request, pool, placement, sink, tried):
@@ -111,35 +119,34 @@
         await Race(sink=sink).run(first, second, delay_s)
 
     async def _place_hedge(self, request, pool, tried):
-        try:
-            placement = await self._node.router.place(request, excluded=tried)
-        except MagnoliagradeError as exc:
-            raise AttemptFailed(exc.kind, exc.detail, ran=Ran.NO) from exc
         allowed = self._retries_of(pool).take(request.attempt_count)
         RETRIES.labels("hedge", str(allowed).lower()).inc()
         if not allowed:
             detail = "the retry budget is used up"
             raise AttemptFailed(ErrorKind.NOT_RUN, detail, ran=Ran.NO)
-        return placement
+        try:
+            return await self._node.router.place(request, excluded=tried)
+        except MagnoliagradeError as exc:
+            raise AttemptFailed(exc.kind, exc.detail, ran=Ran.NO) from exc
 
     async def _attempt(self, request, placement, sink):
         attempt = self._node.identity.new_attempt_id()
-        self._node.forwarded.begin(request, placement, attempt)
         request.attempt_count += 1
         if placement.endpoint:
             placement.endpoint.begin(request)
         result = "cancelled"
         ran = Ran.UNKNOWN
         try:
+            self._node.forwarded.begin(request, placement, attempt)
             await self._run(request, placement, attempt, sink)
             result = "whole"
-        except AttemptFailed as exc:
+        except MagnoliagradeError as exc:
             result = exc.kind.value
-            ran = exc.ran
+            ran = getattr(exc, "ran", Ran.UNKNOWN)
             raise
         finally:
             if placement.endpoint:
-                placement.endpoint.end(request)
+                placement.endpoint.end(request, result)
             self._node.forwarded.end(request, is_not_run=ran is Ran.NO)
             self._note(request, placement, attempt, result)
 
@@ -185,7 +192,7 @@
 
     def _retries_of(self, pool):
         pool = pool or Pool(name="", endpoint_selector="")
-        policy = pool.options.get("retry.policy", "budget")
+        policy = _policy_of(pool, "option.retry.policy", retry_policies, "budget")
         key = (pool.name, policy, pool.retry_budget)
         if key not in self._retries_by_pool:
             make = retry_policies.get(policy)
@@ -195,7 +202,7 @@
         return self._retries_by_pool[key]
 
     def _hedging_of(self, pool):
-        policy = pool.options.get("hedge.policy", "p95")
+        policy = _policy_of(pool, "option.hedge.policy", hedge_policies, "p95")
         key = (pool.name, policy)
         if key not in self._hedging_by_pool:
             self._hedging_by_pool[key] = hedge_policies.get(policy)()
@@ -212,6 +219,14 @@
         return self._hedging_of(pool).delay_s()
 
 
+def _policy_of(pool, option, registry, default):
+    name = pool.options.get(option, default)
+    if name in registry.by_name:
+        return name
+    log_event(_log, "policy.unknown", pool=pool.name, option=option, name_given=name)
+    return default
+
+
 def _is_lookup(request):
     return request.repeatable and request.method in LOOKUP_METHODS
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/requests/forwarded.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/requests/forwarded.py
@@ -65,7 +65,9 @@
             Whether it is proven that this attempt did not run.
         """
         if _is_tracked(request):
-            del self._sent_by_attempt[request.forwarded_attempt]
+            sent = self._sent_by_attempt.pop(request.forwarded_attempt, None)
+            if sent is None:
+                return
             if is_not_run and request.forwarded_attempt in self._relayed:
                 self._attempts.undo(request.forwarded_attempt)
             elif is_not_run:
--- a/packages/magnoliagrade/magnoliagrade/node/attempts.py
+++ b/packages/magnoliagrade/magnoliagrade/node/attempts.py
@@ -63,6 +63,11 @@
             `NOT_RUN` if it was revoked, `OUTCOME_UNKNOWN` if it has started before
             or is older than the book.
         """
+        self.check(attempt)
+        self._remember(attempt, _State.STARTED)
+
+    def check(self, attempt):
+        """Raise what `begin` would raise, and note nothing."""
         state = self._state_by_attempt.get(attempt)
         if state is _State.REVOKED:
             detail = f"attempt {attempt} was revoked"
@@ -73,7 +78,6 @@
         if self._is_forgotten(attempt):
             detail = f"attempt {attempt} is older than the book of attempts"
             raise MagnoliagradeError(ErrorKind.OUTCOME_UNKNOWN, detail)
-        self._remember(attempt, _State.STARTED)
 
     def undo(self, attempt):
         """Note that an attempt which began did not reach the endpoint.
