--- a/packages/magnoliagrade-entry/magnoliagrade_entry/doors.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/doors.py
@@ -13,7 +13,7 @@
     read_request_headers,
 )
 from magnoliagrade.http import headers as names
-from magnoliagrade.observability import extract_context, log_event
+from magnoliagrade.observability import extract_context, get_tracer, log_event
 from opentelemetry import trace
 from prometheus_client import Counter, Histogram
 
@@ -31,7 +31,7 @@
     "Time from arrival to the end of the answer",
     ["door"],
 )
-_tracer = trace.get_tracer(__name__)
+_tracer = get_tracer(__name__)
 _log = logging.getLogger(__name__)
 
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/requests/attempt.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/requests/attempt.py
@@ -6,14 +6,13 @@
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError, Ran
 from magnoliagrade.http import EventCutter, send_once, write_request_headers
 from magnoliagrade.http import headers as names
-from magnoliagrade.observability import inject_context
-from opentelemetry import trace
+from magnoliagrade.observability import get_tracer, inject_context
 
 __all__ = ["AttemptFailed", "run_attempt"]
 
 HELD_ANSWER_BYTES = 256 * 1024
 STALL_LIMIT_S = 10.0
-_tracer = trace.get_tracer(__name__)
+_tracer = get_tracer(__name__)
 
 
 class AttemptFailed(MagnoliagradeError):
