Finish records and close doors first when a process leaves

Cause: an entry that ended at once cancelled the recording of outcomes it had answered, so a copy was told ALREADY_CLAIMED; links and tasks were closed before the HTTP doors, and an unexpected exception after the start of an answer wrote a second answer behind the first. Change: after the balancer's lag answers close their connection; records are awaited for at most 5 s; doors close before links and tasks; a leaving entry writes no shard for others; an answer that has started is aborted. The test of records fails without `wait_for_records`.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/claims/batched.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/claims/batched.py
@@ -99,12 +99,17 @@
         link_by_name = {
             link.peer_instance: link
             for link in self._node.links.of_role(Role.ENTRY)
-            if link.hello.data_centre == own.data_centre and not link.is_closing
+            if link.hello.data_centre == own.data_centre and self._may_write(link)
         }
         names = [own.instance, *link_by_name]
         order = rendezvous_order(hash64(self._shard_key(claim)), names)
         return link_by_name.get(order[0])
 
+    def _may_write(self, link):
+        departures = self._node.departures
+        is_leaving = departures.is_leaving(link.peer_instance, link.peer_incarnation)
+        return not is_leaving and not link.is_closing
+
     def _shard_key(self, claim):
         number = hash64(claim.key) % self._node.settings.claims_shards
         return f"claims/by-shard/{number:04d}"
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/claims/guard.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/claims/guard.py
@@ -14,6 +14,8 @@
 
 RECORDED_BODY_BYTES = 512
 RETRY_AFTER_S = 1.0
+RECORDS_LIMIT_S = 5.0
+RECORDS_POLL_S = 0.02
 CLAIMS = Counter(
     "magnoliagrade_claims_total", "Requests with an idempotency key", ["result"]
 )
@@ -29,10 +31,11 @@
         The entry.
     """
 
-    __slots__ = ("_node", "keeper")
+    __slots__ = ("_node", "_records_in_flight", "keeper")
 
     def __init__(self, *, node):
         self._node = node
+        self._records_in_flight = 0
         self.keeper = claim_keepers.get(node.settings.claims_keeper)(node=node)
 
     async def serve(self, request, sink, dispatch):
@@ -64,6 +67,12 @@
         CLAIMS.labels("created").inc()
         await self._dispatch(request, claim, sink, dispatch)
 
+    async def wait_for_records(self):
+        """Wait until the outcomes of answered requests are recorded, for a while."""
+        limit = self._node.clock.monotonic() + RECORDS_LIMIT_S
+        while self._records_in_flight and self._node.clock.monotonic() < limit:
+            await self._node.clock.sleep(RECORDS_POLL_S)
+
     def _claim_of(self, request):
         clock = self._node.clock
         return claim_of(
@@ -104,14 +113,16 @@
         self._later(self.keeper.settle(settled))
 
     def _later(self, work):
-        self._node.tasks.start(_ignoring_store(work), name="claim record")
-
+        self._node.tasks.start(self._record(work), name="claim record")
 
-async def _ignoring_store(work):
-    try:
-        await work
-    except MagnoliagradeError as exc:
-        log_event(_log, "claim.unrecorded", code=exc.kind.value, detail=exc.detail)
+    async def _record(self, work):
+        self._records_in_flight += 1
+        try:
+            await work
+        except MagnoliagradeError as exc:
+            log_event(_log, "claim.unrecorded", code=exc.kind.value, detail=exc.detail)
+        finally:
+            self._records_in_flight -= 1
 
 
 async def _answer_copy(claim, held, sink):
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/doors.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/doors.py
@@ -33,6 +33,7 @@
 )
 _tracer = get_tracer(__name__)
 _log = logging.getLogger(__name__)
+_SINK = "sink"
 
 
 def make_caller_app(node):
@@ -46,7 +47,7 @@
 
     async def handle(http_request):
         request_id = http_request.headers.get("X-Request-Id", "")
-        sink = AnswerSink(http_request=http_request)
+        sink = http_request[_SINK] = AnswerSink(http_request=http_request)
         with _server_span("caller", http_request):
             try:
                 request = await read_arrival(
@@ -80,6 +81,7 @@
         headers = http_request.headers
         added = {names.RAN: "yes", names.ATTEMPT: headers.get(names.ATTEMPT, "")}
         sink = AnswerSink(http_request=http_request, added_headers=added)
+        http_request[_SINK] = sink
         with _server_span("peer", http_request):
             try:
                 sink.tokens_written = int(headers.get(names.RESUME_TOKENS, "0"))
@@ -114,13 +116,19 @@
         except Exception as exc:
             _log.exception("request.failed")
             error = MagnoliagradeError(ErrorKind.INTERNAL, type(exc).__name__)
-            return error_response(error, is_internal=door == "peer")
+            return _answer_error(error, http_request[_SINK], "", door=door)
         finally:
             node.requests_in_flight -= 1
             DURATION.labels(door).observe(node.clock.monotonic() - started)
 
     app = web.Application(client_max_size=node.settings.body_limit_bytes)
+
+    async def close_when_leaving(_http_request, response):
+        if node.closes_connections:
+            response.force_close()
+
     app.router.add_route("*", "/{tail:.*}", counted)
+    app.on_response_prepare.append(close_when_leaving)
     return app
 
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
@@ -44,6 +44,7 @@
     __slots__ = (
         "admission",
         "claims",
+        "closes_connections",
         "departures",
         "dispatcher",
         "duty",
@@ -69,6 +70,7 @@
             clock=clock,
         )
         self.requests_in_flight = 0
+        self.closes_connections = False
         where = {
             "configuration": self.configuration,
             "data_centre": settings.data_centre,
@@ -123,7 +125,9 @@
         log_event(_log, "entry.leaving", requests_in_flight=self.requests_in_flight)
         await self.say_leaving()
         await self.clock.sleep(self.settings.drain_lag_s)
+        self.closes_connections = True
         await self.wait_for_requests(lambda: self.requests_in_flight)
+        await self.claims.wait_for_records()
         await self.close()
         log_event(_log, "entry.stopped")
 
--- a/packages/magnoliagrade/magnoliagrade/node/node.py
+++ b/packages/magnoliagrade/magnoliagrade/node/node.py
@@ -173,12 +173,18 @@
             await self.clock.sleep(DRAIN_POLL_S)
 
     async def close(self):
-        """Close listeners, links, tasks and clients."""
+        """Close listeners, links, tasks and clients.
+
+        Notes
+        -----
+        The HTTP listeners go first: what still arrives on an open connection is
+        served, and that may need links and tasks.
+        """
         self._server.close()
+        await asyncio.gather(*(runner.cleanup() for runner in self._runners))
         await self.tasks.stop()
         for link in list(self.links.by_instance.values()):
             link.close()
-        await asyncio.gather(*(runner.cleanup() for runner in self._runners))
         await self.session.close()
         self._tracing.shutdown()
 
--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,122 @@
+"""SIGTERM of each role while streams, forwards, lookups and orders are in flight."""
+
+import asyncio
+import json
+
+from magnoliagrade.clock import SystemClock
+from magnoliagrade_standins.engine import expected_text
+from magnoliagrade_standins.harness import Site, SitePlan, call_service, call_until
+
+PLAN = SitePlan(
+    entries_by_data_centre={"kamloops": 2, "kelowna": 1},
+    engines_by_data_centre={"kamloops": 2},
+    services_by_data_centre={"kamloops": 2},
+)
+ENTRIES = ("kamloops-entry-0", "kamloops-entry-1", "kelowna-entry-0")
+HEADERS = {"Authorization": "Bearer key-0"}
+TOKENS = 100
+LAG_S = 0.6  # of the balancer, less than the entries' drain_lag_s
+LOAD_S = 2.5
+
+
+def test_entry_leaves_without_cutting_anything():
+    asyncio.run(_leave("kamloops-entry-1"))
+
+
+def test_agent_of_an_engine_leaves_without_cutting_anything():
+    asyncio.run(_leave("kamloops-model-0"))
+
+
+def test_agent_of_a_service_leaves_without_cutting_anything():
+    asyncio.run(_leave("kamloops-service-0"))
+
+
+async def _leave(name):
+    async with Site(plan=PLAN) as site:
+        clock = SystemClock()
+        await _warm_up(site)
+        entries = [e for e in ENTRIES if e != name]
+        streams = [asyncio.create_task(_stream(site, i)) for i in range(6)]
+        # Callers reach the leaving entry for as long as the balancer lags.
+        lagging = clock.monotonic() + 0.3 + LAG_S
+        loads = [
+            _load(site, clock, lagging, ENTRIES),
+            _load(site, clock, clock.monotonic() + LOAD_S, entries),
+        ]
+        load = asyncio.gather(*loads)
+        await clock.sleep(0.3)
+        process = {**site.entry_by_name, **site.agent_by_name}[name]
+        code = await process.stop()
+        outcomes = [o for part in await load for o in part]
+        await asyncio.gather(*streams)
+        assert code == 0
+        assert len(outcomes) > 60
+        failed = [o for o in outcomes if o.status != 200]
+        assert not failed, failed[:3]
+        await _check_runs(site, outcomes)
+
+
+def test_outcomes_of_keyed_orders_are_recorded_before_an_entry_ends():
+    asyncio.run(_record_outcomes())
+
+
+async def _record_outcomes():
+    plan = SitePlan(
+        entries_by_data_centre={"kamloops": 2},
+        services_by_data_centre={"kamloops": 1},
+        entry_settings={"shutdown": {"drain_lag_s": 0}},
+    )
+    async with Site(plan=plan) as site:
+        await site.control_platform("faults", {"latency_s": 0.3})
+        keys = [f"key-{i}" for i in range(6)]
+        first = [await _keyed(site, "kamloops-entry-0", key) for key in keys]
+        assert await site.entry_by_name["kamloops-entry-0"].stop() == 0
+        again = [await _keyed(site, "kamloops-entry-1", key) for key in keys]
+        numbers = [outcome.body["number"] for outcome in first]
+        assert [outcome.body.get("number") for outcome in again] == numbers
+
+
+async def _keyed(site, entry, key):
+    return await call_service(site, entry, headers={"Idempotency-Key": key})
+
+
+async def _load(site, clock, until, entries):
+    orders = call_until(site, clock, until, entries=entries, rate_per_s=30)
+    lookups = call_until(
+        site, clock, until, entries=entries, rate_per_s=30, method="GET"
+    )
+    parts = await asyncio.gather(orders, lookups)
+    return [outcome for part in parts for outcome in part]
+
+
+async def _warm_up(site):
+    """Wait until every entry serves, so that only the leaving can fail a call."""
+    for entry in ENTRIES * 4:
+        for _ in range(100):
+            if (await call_service(site, entry)).status == 200:
+                break
+            await asyncio.sleep(0.05)
+
+
+async def _stream(site, number):
+    """Stream through each entry in turn; kelowna's are forwarded."""
+    request_id = f"stream-{number}"
+    url = site.caller_url(ENTRIES[number % 3]) + "/v1/completions"
+    body = {"model": "swatch", "stream": True, "max_tokens": TOKENS, "prompt": "p"}
+    headers = {**HEADERS, "X-Request-Id": request_id}
+    async with site.session.post(url, json=body, headers=headers) as response:
+        text = await response.read()
+        assert response.status == 200, text
+    lines = [line for line in text.splitlines() if line.startswith(b"data: ")]
+    assert lines.pop() == b"data: [DONE]"
+    texts = [json.loads(k[6:])["choices"][0]["delta"]["content"] for k in lines]
+    assert texts == [expected_text(request_id, i) for i in range(TOKENS)]
+
+
+async def _check_runs(site, outcomes):
+    records = [
+        await site.record(name) for name in site.back_end_by_name if "service" in name
+    ]
+    runs = [e["id"] for record in records for e in record["executions"]]
+    orders = [o.request_id for o in outcomes]
+    assert all(runs.count(i) == 1 for i in orders)
