--- a/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
@@ -96,7 +96,9 @@
         """Serve a plain service."""
 
         def make():
-            service = PlainService(clock=SystemClock(), service_s=service_s)
+            service = PlainService(
+                clock=SystemClock(), service_s=service_s, journal=sys.stderr
+            )
             return make_service_app(service)
 
         _serve(make, address)
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/harness/site.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/harness/site.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import configparser
+import json
 import os
 import tempfile
 from dataclasses import dataclass, field
@@ -166,6 +167,28 @@
         async with self.session.get(f"http://{address}/record") as response:
             return await response.json()
 
+    def journal(self, service):
+        """Return every execution of a plain service, also of its killed processes.
+
+        Parameters
+        ----------
+        service : str
+            Name of the endpoint.
+
+        Returns
+        -------
+        executions : list of dict
+            As in the service's record.
+        """
+        with open(self.back_end_by_name[service].log_path, encoding="utf-8") as file:
+            return [json.loads(line) for line in file if line.startswith('{"id"')]
+
+    async def restart_back_end(self, name):
+        """Start a killed back end again where its agent looks for it."""
+        back_end = self.back_end_by_name[name]
+        await back_end.start()
+        await self._point(f"{name}/back-end", back_end.addresses["http"])
+
     async def control_back_end(self, back_end, order):
         """Send an order to the control of a back end."""
         address = self.back_end_by_name[back_end].addresses["http"]
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/service/service.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/service/service.py
@@ -1,5 +1,7 @@
 """A plain service that records every execution."""
 
+import json
+
 from aiohttp import web
 
 from magnoliagrade_standins.faults import (
@@ -21,12 +23,23 @@
         Source of time.
     service_s : float
         Time that one execution takes.
+    journal : text file, optional
+        Takes a line of JSON for each execution as it begins, so that the record
+        outlives a kill.
     """
 
-    __slots__ = ("_clock", "executions", "peak_in_flight", "service_s", "_in_flight")
+    __slots__ = (
+        "_clock",
+        "_in_flight",
+        "_journal",
+        "executions",
+        "peak_in_flight",
+        "service_s",
+    )
 
-    def __init__(self, *, clock, service_s=0.005):
+    def __init__(self, *, clock, service_s=0.005, journal=None):
         self._clock = clock
+        self._journal = journal
         self.service_s = service_s
         self.executions = []
         self.peak_in_flight = 0
@@ -41,16 +54,17 @@
             Echo of the request id and the number of the execution.
         """
         number = len(self.executions) + 1
-        self.executions.append(
-            {
-                "id": request_id,
-                "attempt": attempt,
-                "method": method,
-                "path": path,
-                "body": body,
-                "at": self._clock.monotonic(),
-            }
-        )
+        execution = {
+            "id": request_id,
+            "attempt": attempt,
+            "method": method,
+            "path": path,
+            "body": body,
+            "at": self._clock.monotonic(),
+        }
+        self.executions.append(execution)
+        if self._journal is not None:
+            print(json.dumps(execution), file=self._journal, flush=True)
         self._in_flight += 1
         self.peak_in_flight = max(self.peak_in_flight, self._in_flight)
         try:
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/trials/registry.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/trials/registry.py
@@ -12,7 +12,11 @@
 trials = Registry(family="trial")
 
 # Modules that register trials when they are imported.
-TRIAL_MODULES = ("magnoliagrade_standins.trials.data_centre_move",)
+TRIAL_MODULES = (
+    "magnoliagrade_standins.trials.claim_cost",
+    "magnoliagrade_standins.trials.data_centre_move",
+    "magnoliagrade_standins.trials.outcomes",
+)
 
 
 @dataclass(slots=True, kw_only=True)
