--- a/packages/magnoliagrade-entry/magnoliagrade_entry/claims/shard.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/claims/shard.py
@@ -1,6 +1,7 @@
 """One shard of claims: a value of the store that is written in batches."""
 
 import asyncio
+import contextlib
 import logging
 from dataclasses import dataclass
 
@@ -15,6 +16,7 @@
 __all__ = ["Shard"]
 
 BATCH_DELAY_S = 0.005
+RECORD_DELAY_S = 0.25
 CLAIM_WAIT_S = 3.0
 RECORD_WAIT_S = 60.0
 RETRY_PAUSE_S = 0.05
@@ -67,6 +69,7 @@
 
     __slots__ = (
         "_claim_by_key",
+        "_has_claim",
         "_key",
         "_line_by_key",
         "_node",
@@ -80,6 +83,7 @@
         self._node = node
         self._key = key
         self._claim_by_key = {}
+        self._has_claim = asyncio.Event()
         self._line_by_key = {}
         self._revision = None
         self._refuse_until = 0.0
@@ -114,6 +118,8 @@
         self._waiting.append(
             _Change(action=action, claim=claim, until=now + wait_s, done=done)
         )
+        if action == "claim":
+            self._has_claim.set()
         if self._writer is None:
             self._writer = self._node.tasks.start(self._write_all(), name=self._key)
         return await done
@@ -121,19 +127,29 @@
     async def _write_all(self):
         try:
             pause = RETRY_PAUSE_S
-            await self._node.clock.sleep(BATCH_DELAY_S)
             while self._waiting:
+                await self._gather_batch()
                 batch, self._waiting = self._waiting, []
+                self._has_claim.clear()
                 if await self._write(batch):
                     pause = RETRY_PAUSE_S
                     continue
                 self._waiting = [c for c in batch if not c.done.done()] + self._waiting
+                if any(c.action == "claim" for c in self._waiting):
+                    self._has_claim.set()
                 await self._node.clock.sleep(pause * self._node.rng.uniform(0.5, 1))
                 pause = min(RETRY_PAUSE_MAX_S, pause * 2)
                 self._fail_overdue()
         finally:
             self._writer = None
 
+    async def _gather_batch(self):
+        """Wait for more changes; outcomes wait for a claim to be written with."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(RECORD_DELAY_S):
+                await self._has_claim.wait()
+        await self._node.clock.sleep(BATCH_DELAY_S)
+
     async def _write(self, batch):
         """Write a batch; return whether all its changes are done."""
         try:
