--- a/packages/magnoliagrade-entry/magnoliagrade_entry/claims/batched.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/claims/batched.py
@@ -17,6 +17,7 @@
 __all__ = ["BatchedKeeper"]
 
 WRITER_WAIT_S = 0.5
+SILENT_PAUSE_S = 5.0
 
 
 @claim_keepers.register("batched")
@@ -30,17 +31,26 @@
 
     Notes
     -----
-    Rendezvous hashing over the linked entries of the data centre names the writer.
-    A writer that does not answer is passed over after half a second: making the
-    same change twice gives one claim, because a claim is told by its operation.
+    Rendezvous hashing names a data centre for each shard and in it an entry that
+    writes; a change goes there over at most two links. Where data centres cannot
+    reach each other, each writes its own changes, and the compare-and-swap keeps
+    them in order. An entry that does not answer is passed over after half a second
+    and for some seconds: making the same change twice gives one claim, because a
+    claim is told by its operation.
     """
 
-    __slots__ = ("_answer_by_operation", "_node", "_shard_by_key")
+    __slots__ = (
+        "_answer_by_operation",
+        "_node",
+        "_shard_by_key",
+        "_silent_until_by_name",
+    )
 
     def __init__(self, *, node):
         self._node = node
         self._shard_by_key = {}
         self._answer_by_operation = {}
+        self._silent_until_by_name = {}
 
     async def claim(self, claim):
         """Create a claim unless the key has one; return the claim that holds."""
@@ -57,12 +67,27 @@
         """Drop a claim whose request did not run."""
         await self._change("release", claim)
 
-    async def change_here(self, action, claim):
-        """Make a change as the writer of its shard."""
-        key = self._shard_key(claim)
-        if key not in self._shard_by_key:
-            self._shard_by_key[key] = Shard(node=self._node, key=key)
-        return await self._shard_by_key[key].change(action, claim)
+    async def change_for(self, link, action, claim):
+        """Make a change that another entry asked for.
+
+        Parameters
+        ----------
+        link : Link
+            Link to that entry.
+        action : str
+            `claim`, `settle` or `release`.
+        claim : Claim
+            The claim.
+
+        Returns
+        -------
+        held : Claim or None
+            The claim that holds afterwards.
+        """
+        own = self._node.identity.data_centre
+        if link.hello.data_centre == own:
+            return await self._change_here(action, claim)
+        return await self._change_through(self._local_writer(claim), action, claim)
 
     def on_answer(self, message):
         """Take the answer of a shard's writer."""
@@ -71,17 +96,26 @@
             answer.set_result(message)
 
     async def _change(self, action, claim):
-        link = self._writer_link(claim)
+        writer = self._remote_writer(claim) or self._local_writer(claim)
+        return await self._change_through(writer, action, claim)
+
+    async def _change_here(self, action, claim):
+        key = self._shard_key(claim)
+        if key not in self._shard_by_key:
+            self._shard_by_key[key] = Shard(node=self._node, key=key)
+        return await self._shard_by_key[key].change(action, claim)
+
+    async def _change_through(self, link, action, claim):
         if link is None:
-            return await self.change_here(action, claim)
+            return await self._change_here(action, claim)
         link.send(ClaimChange(action=action, **_fields(claim)))
         if action != "claim":
             return None
         answer = await self._wait_for_answer(claim)
-        if answer is None:
-            return await self.change_here(action, claim)
-        if not answer.is_available:
-            raise StoreUnavailable(f"the writer of {self._shard_key(claim)} failed")
+        if answer is None or not answer.is_available:
+            now = self._node.clock.monotonic()
+            self._silent_until_by_name[link.peer_instance] = now + SILENT_PAUSE_S
+            return await self._change_here(action, claim)
         return Claim(**{f.name: getattr(answer, f.name) for f in _FIELDS})
 
     async def _wait_for_answer(self, claim):
@@ -93,22 +127,44 @@
         finally:
             del self._answer_by_operation[claim.operation]
 
-    def _writer_link(self, claim):
-        """Return the link to the shard's writer, or None if it is this entry."""
+    def _remote_writer(self, claim):
+        """Return a link towards the shard's data centre, or None if it is here."""
+        own = self._node.identity.data_centre
+        links = self._writable_links()
+        places = {own, *(link.hello.data_centre for link in links)}
+        place = rendezvous_order(hash64(self._shard_key(claim)), sorted(places))[0]
+        link_by_name = {
+            link.peer_instance: link
+            for link in links
+            if link.hello.data_centre == place != own
+        }
+        return self._first_of(link_by_name, list(link_by_name), claim)
+
+    def _local_writer(self, claim):
+        """Return the link to this data centre's writer, or None if it is here."""
         own = self._node.identity
         link_by_name = {
             link.peer_instance: link
-            for link in self._node.links.of_role(Role.ENTRY)
-            if link.hello.data_centre == own.data_centre and self._may_write(link)
+            for link in self._writable_links()
+            if link.hello.data_centre == own.data_centre
         }
-        names = [own.instance, *link_by_name]
+        return self._first_of(link_by_name, [own.instance, *link_by_name], claim)
+
+    def _first_of(self, link_by_name, names, claim):
         order = rendezvous_order(hash64(self._shard_key(claim)), names)
-        return link_by_name.get(order[0])
+        return link_by_name.get(order[0]) if order else None
+
+    def _writable_links(self):
+        return [k for k in self._node.links.of_role(Role.ENTRY) if self._may_write(k)]
 
     def _may_write(self, link):
-        departures = self._node.departures
-        is_leaving = departures.is_leaving(link.peer_instance, link.peer_incarnation)
-        return not is_leaving and not link.is_closing
+        name = link.peer_instance
+        if link.is_closing:
+            return False
+        if self._node.departures.is_leaving(name, link.peer_incarnation):
+            return False
+        silent_until = self._silent_until_by_name.get(name, 0.0)
+        return silent_until <= self._node.clock.monotonic()
 
     def _shard_key(self, claim):
         number = hash64(claim.key) % self._node.settings.claims_shards
@@ -132,15 +188,18 @@
 async def _change_for(node, link, message):
     claim = Claim(**{f.name: getattr(message, f.name) for f in _FIELDS})
     try:
-        held = await node.claims.keeper.change_here(message.action, claim)
+        held = await node.claims.keeper.change_for(link, message.action, claim)
     except MagnoliagradeError:
         held = None
-    if message.action == "claim":
-        asked = message.operation
-        if held is None:
-            link.send(ClaimAnswer(asked=asked, is_available=False))
-        else:
-            link.send(ClaimAnswer(asked=asked, is_available=True, **_fields(held)))
+    if message.action != "claim":
+        return
+    if held is None:
+        answer = ClaimAnswer(asked=message.operation, is_available=False)
+    else:
+        answer = ClaimAnswer(
+            asked=message.operation, is_available=True, **_fields(held)
+        )
+    link.send(answer)
 
 
 @entry_handlers.on(ClaimAnswer)
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/trials/registry.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/trials/registry.py
@@ -16,6 +16,7 @@
     "magnoliagrade_standins.trials.claim_cost",
     "magnoliagrade_standins.trials.data_centre_move",
     "magnoliagrade_standins.trials.outcomes",
+    "magnoliagrade_standins.trials.retries",
 )
 
 
