--- a/packages/magnoliagrade-agent/magnoliagrade_agent/door.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/door.py
@@ -4,7 +4,6 @@
 import logging
 
 import aiohttp
-from aiohttp import web
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
 from magnoliagrade.http import (
     AnswerSink,
@@ -22,9 +21,11 @@
 from opentelemetry import trace
 from prometheus_client import Counter
 
-__all__ = ["make_data_app"]
+from magnoliagrade_agent.group.service import group_serving
+from magnoliagrade_agent.probe import block_endpoint
+
+__all__ = ["make_data_door"]
 
-BODY_LIMIT_BYTES = 1024**3
 REQUESTS = Counter(
     "magnoliagrade_agent_requests_total", "Requests from entries by result", ["result"]
 )
@@ -32,8 +33,8 @@
 _log = logging.getLogger(__name__)
 
 
-def make_data_app(node):
-    """Return the application that entries send requests to.
+def make_data_door(node):
+    """Return the handler of the listener that entries send requests to.
 
     Parameters
     ----------
@@ -57,9 +58,7 @@
         REQUESTS.labels("whole").inc()
         return sink.response
 
-    app = web.Application(client_max_size=BODY_LIMIT_BYTES)
-    app.router.add_route("*", "/{tail:.*}", handle)
-    return app
+    return handle
 
 
 def _attempt_of(http_request):
@@ -104,6 +103,11 @@
 
 
 async def _admit_and_follow(node, request, headers, sink):
+    with group_serving(node):
+        await _serve_attempt(node, request, headers, sink)
+
+
+async def _serve_attempt(node, request, headers, sink):
     work = await node.credits.admit(request, entry=headers[names.ENTRY])
     with node.credits.following(work):
         try:
@@ -135,17 +139,20 @@
 
 
 async def _open(node, request, attempt, headers):
+    resume_tokens = 0
     if request.repeatable:
         resume_tokens = int(headers.get(names.RESUME_TOKENS, "0"))
+    else:
+        node.attempts.begin(attempt)
+    try:
         return await node.engine.open(
             request, attempt=attempt, resume_tokens=resume_tokens
         )
-    node.attempts.begin(attempt)
-    try:
-        return await node.engine.open(request, attempt=attempt)
     except MagnoliagradeError as exc:
         if exc.kind is ErrorKind.NOT_RUN:
-            node.attempts.undo(attempt)
+            block_endpoint(node)
+            if not request.repeatable:
+                node.attempts.undo(attempt)
         raise
 
 
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/engine.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/engine.py
@@ -1,6 +1,7 @@
 """Client of the endpoint: its requests, load reports and orders."""
 
 import asyncio
+from urllib.parse import urlsplit
 
 import aiohttp
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
@@ -98,6 +99,26 @@
             detail = "answer has neither a length nor an explicit end"
             raise MagnoliagradeError(ErrorKind.ANSWER_BROKEN, detail)
 
+    async def takes_connections(self, *, source=""):
+        """Return whether the endpoint accepts a connection now.
+
+        Parameters
+        ----------
+        source : str
+            Local address to connect from; empty leaves it to the system.
+        """
+        url = urlsplit(self._url)
+        local = (source, 0) if source else None
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(
+                    url.hostname, url.port or 80, local_addr=local
+                )
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return True
+
     async def load_report(self):
         """Return the engine's newest load report.
 
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
@@ -9,8 +9,10 @@
 from magnoliagrade.world import Role, Work
 
 from magnoliagrade_agent.capacity import CreditBook, limit_policies
-from magnoliagrade_agent.door import make_data_app
+from magnoliagrade_agent.door import make_data_door
 from magnoliagrade_agent.engine import EngineClient
+from magnoliagrade_agent.group import handlers as group_handlers  # noqa: F401
+from magnoliagrade_agent.group.service import GroupService
 from magnoliagrade_agent.handlers import agent_handlers, agent_tasks
 from magnoliagrade_agent.load_watch import LoadWatch, send_grants
 
@@ -37,6 +39,7 @@
         "attempts",
         "credits",
         "engine",
+        "group_service",
         "is_listed_leaving",
         "load_watch",
         "order_session",
@@ -64,6 +67,7 @@
         self.is_listed_leaving = False
         self._was_refusing = False
         self.pool = None
+        self.group_service = None
         self.configuration.listeners.append(lambda _: self.apply_configuration())
 
     async def start(self):
@@ -76,11 +80,10 @@
             order_session=self.order_session,
             work=self.settings.work,
         )
-        await self.listen_http(
-            "data",
-            make_data_app(self),
-            self.settings.data_address,
-            handler_cancellation=True,
+        if self.settings.group:
+            self.group_service = GroupService(node=self)
+        await self.listen_door(
+            "data", make_data_door(self), self.settings.data_address, is_internal=True
         )
         await self.listen_admin()
         await self.listen_links()
@@ -153,7 +156,11 @@
                 return
 
     def on_link_up(self, link):
-        """Tell an entry what the endpoint bears."""
+        """Tell an entry what the endpoint bears, a peer which rank this is."""
+        if self.group_service is not None:
+            self.group_service.on_link_up(link)
+        if link.hello.role != Role.ENTRY.value:
+            return
         self.credits.grants.forget_asks(link.peer_instance)
         self.load_watch.send_to(self, link)
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/doors.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/doors.py
@@ -4,7 +4,6 @@
 import contextlib
 import logging
 
-from aiohttp import web
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
 from magnoliagrade.http import (
     AnswerSink,
@@ -17,9 +16,9 @@
 from opentelemetry import trace
 from prometheus_client import Counter, Histogram
 
-from magnoliagrade_entry.requests import read_arrival
+from magnoliagrade_entry.requests import read_arrival, request_id_of
 
-__all__ = ["make_caller_app", "make_peer_app"]
+__all__ = ["make_caller_door", "make_peer_door"]
 
 REQUESTS = Counter(
     "magnoliagrade_requests_total",
@@ -33,11 +32,10 @@
 )
 _tracer = get_tracer(__name__)
 _log = logging.getLogger(__name__)
-_SINK = "sink"
 
 
-def make_caller_app(node):
-    """Return the application that callers connect to.
+def make_caller_door(node):
+    """Return the handler of the listener that callers connect to.
 
     Parameters
     ----------
@@ -46,29 +44,34 @@
     """
 
     async def handle(http_request):
-        request_id = http_request.headers.get("X-Request-Id", "")
-        sink = http_request[_SINK] = AnswerSink(http_request=http_request)
-        with _server_span("caller", http_request):
+        request_id = request_id_of(http_request.headers)
+        sink = AnswerSink(
+            http_request=http_request,
+            added_headers={"X-Request-Id": request_id},
+            closes_connection=node.closes_connections,
+        )
+        with _server_span("caller", http_request) as span:
             try:
                 request = await read_arrival(
                     http_request,
+                    request_id=request_id,
                     configuration=node.configuration.in_force,
                     settings=node.settings,
                     clock=node.clock,
+                    budget=node.body_budget,
                 )
-                request_id = request.id
-                sink.added_headers["X-Request-Id"] = request_id
+                _describe(span, request)
                 await _serve_to_end(node, request, sink, _serve_admitted(node))
             except MagnoliagradeError as exc:
                 return _answer_error(exc, sink, request_id, door="caller")
             REQUESTS.labels("caller", "whole").inc()
             return sink.response
 
-    return _make_app(node, handle, "caller")
+    return _counted(node, handle, "caller")
 
 
-def make_peer_app(node):
-    """Return the application that peer entries forward requests to.
+def make_peer_door(node):
+    """Return the handler of the listener that peer entries forward requests to.
 
     Parameters
     ----------
@@ -79,10 +82,15 @@
     async def handle(http_request):
         request_id = ""
         headers = http_request.headers
-        added = {names.RAN: "yes", names.ATTEMPT: headers.get(names.ATTEMPT, "")}
-        sink = AnswerSink(http_request=http_request, added_headers=added)
-        http_request[_SINK] = sink
-        with _server_span("peer", http_request):
+        sink = AnswerSink(
+            http_request=http_request,
+            added_headers={
+                names.RAN: "yes",
+                names.ATTEMPT: headers.get(names.ATTEMPT, ""),
+            },
+            closes_connection=node.closes_connections,
+        )
+        with _server_span("peer", http_request) as span:
             try:
                 sink.tokens_written = int(headers.get(names.RESUME_TOKENS, "0"))
                 body = await http_request.read()
@@ -95,41 +103,36 @@
                     now=node.clock.monotonic(),
                 )
                 request_id = request.id
+                _describe(span, request)
                 await _serve_to_end(node, request, sink, node.dispatcher.serve)
             except MagnoliagradeError as exc:
                 return _answer_error(exc, sink, request_id, door="peer")
             REQUESTS.labels("peer", "whole").inc()
             return sink.response
 
-    return _make_app(node, handle, "peer")
+    return _counted(node, handle, "peer")
 
 
-def _make_app(node, handle, door):
+def _counted(node, handle, door):
     async def counted(http_request):
         started = node.clock.monotonic()
         node.requests_in_flight += 1
         try:
-            return await handle(http_request)
+            response = await handle(http_request)
+            if node.closes_connections and not response.prepared:
+                response.force_close()
+            return response
         except (ConnectionError, asyncio.CancelledError):
             REQUESTS.labels(door, "caller-gone").inc()
             raise
-        except Exception as exc:
-            _log.exception("request.failed")
-            error = MagnoliagradeError(ErrorKind.INTERNAL, type(exc).__name__)
-            return _answer_error(error, http_request[_SINK], "", door=door)
+        except Exception:
+            REQUESTS.labels(door, ErrorKind.INTERNAL.value).inc()
+            raise
         finally:
             node.requests_in_flight -= 1
             DURATION.labels(door).observe(node.clock.monotonic() - started)
 
-    app = web.Application(client_max_size=node.settings.body_limit_bytes)
-
-    async def close_when_leaving(_http_request, response):
-        if node.closes_connections:
-            response.force_close()
-
-    app.router.add_route("*", "/{tail:.*}", counted)
-    app.on_response_prepare.append(close_when_leaving)
-    return app
+    return counted
 
 
 async def _serve_to_end(node, request, sink, serve):
@@ -158,11 +161,14 @@
 
 def _serve_admitted(node):
     async def serve(request, sink):
-        await node.admission.admit(request)
         try:
-            await node.claims.serve(request, sink, node.dispatcher.serve)
+            await node.admission.admit(request)
+            try:
+                await node.claims.serve(request, sink, node.dispatcher.serve)
+            finally:
+                node.admission.release(request)
         finally:
-            node.admission.release(request)
+            node.body_budget.give_back(len(request.body))
 
     return serve
 
@@ -176,6 +182,13 @@
         yield span
 
 
+def _describe(span, request):
+    if span.is_recording():
+        span.set_attribute("magnoliagrade.request_id", request.id)
+        span.set_attribute("magnoliagrade.organisation", request.organisation)
+        span.set_attribute("magnoliagrade.application", request.application)
+
+
 def _answer_error(error, sink, request_id, *, door):
     REQUESTS.labels(door, error.kind.value).inc()
     log_event(
--- a/packages/magnoliagrade/magnoliagrade/http/answers.py
+++ b/packages/magnoliagrade/magnoliagrade/http/answers.py
@@ -20,11 +20,12 @@
         The incoming HTTP request.
     added_headers : dict of str to str
         Headers that this hop adds to the answer.
-    resume_tokens : int
-        Tokens that the caller had before this hop began to answer.
+    closes_connection : bool
+        Whether the connection ends with this answer.
 
     Notes
     -----
+    `tokens_written` starts above 0 where the caller has tokens of another attempt.
     `ignores_lost_reader` is set for requests that go on to their end when nobody
     waits for the answer any more.
     """
@@ -33,20 +34,22 @@
         "_http_request",
         "added_headers",
         "bytes_written",
+        "closes_connection",
         "ignores_lost_reader",
         "is_event_stream",
         "response",
         "tokens_written",
     )
 
-    def __init__(self, *, http_request, added_headers=None, resume_tokens=0):
+    def __init__(self, *, http_request, added_headers=None, closes_connection=False):
         self._http_request = http_request
         self.added_headers = added_headers or {}
+        self.closes_connection = closes_connection
         self.response = None
         self.bytes_written = 0
         self.ignores_lost_reader = False
         self.is_event_stream = False
-        self.tokens_written = resume_tokens
+        self.tokens_written = 0
 
     @property
     def has_started(self):
@@ -71,6 +74,8 @@
             response.content_length = int(length)
         kind = headers.get("Content-Type", "").partition(";")[0].strip()
         self.is_event_stream = kind == "text/event-stream"
+        if self.closes_connection:
+            response.force_close()
         self.response = response
         with self._lost_reader_ignored():
             await response.prepare(self._http_request)
