--- a/packages/magnoliagrade/magnoliagrade/http/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/http/__init__.py
@@ -10,7 +10,13 @@
     read_request_headers,
     write_request_headers,
 )
-from magnoliagrade.http.server import DoorLimits, coded_errors, start_door
+from magnoliagrade.http.server import (
+    DoorLimits,
+    coded_errors,
+    listen,
+    log_refusal,
+    start_door,
+)
 
 __all__ = [
     "AnswerSink",
@@ -22,6 +28,8 @@
     "coded_errors",
     "end_to_end_headers",
     "error_response",
+    "listen",
+    "log_refusal",
     "read_body",
     "read_request_headers",
     "send_once",
