--- a/packages/magnoliagrade-entry/magnoliagrade_entry/requests/__init__.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/requests/__init__.py
@@ -1,6 +1,7 @@
 """What happens to one request: arrival, admission, attempts."""
 
 from magnoliagrade_entry.requests.admission import Admission, admission_policies
+from magnoliagrade_entry.requests.admission_fair import FairAdmission
 from magnoliagrade_entry.requests.arrival import read_arrival, request_id_of
 from magnoliagrade_entry.requests.attempt import AttemptFailed, run_attempt
 from magnoliagrade_entry.requests.dispatch import Dispatcher
@@ -11,6 +12,7 @@
     "Admission",
     "AttemptFailed",
     "Dispatcher",
+    "FairAdmission",
     "ForwardedBook",
     "Revocations",
     "admission_policies",
