Ask the next peer when a pull of the configuration is of no use

Cause: changes 0.75 s apart came into force after up to 2.38 s with 7 entries and 0.02 s with one: a pull whose answer was older than what the store had brought meanwhile was never ended, so the next change waited for the pull's timeout and then for a heartbeat. Change: every answer ends the pull; a peer that was ahead during a pull is asked when the pull ends or times out.

--- a/packages/magnoliagrade-standins/magnoliagrade_standins/slopes/watching.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/slopes/watching.py
@@ -5,7 +5,7 @@
 from types import SimpleNamespace
 
 from magnoliagrade.configuration import ConfigurationRepository, SetLabels
-from magnoliagrade.node import ConfigurationSpread, ConfigurationState
+from magnoliagrade.node import ConfigurationSpread, ConfigurationState, Tasks
 from magnoliagrade.wire import ConfigurationOffer, ConfigurationPull, ConfigurationWatch
 from magnoliagrade.world import Role
 from magnoliagrade_entry.configuration_duty import WatchDuty
@@ -57,6 +57,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*(node.tasks.stop() for node in self.nodes))
 
     async def change(self, value):
         """Make a change as an operator does."""
@@ -88,6 +89,7 @@
             configuration=ConfigurationState(clock=self._clock),
             repository=self._repository(seed),
             links=_Links(),
+            tasks=Tasks(),
         )
         node.spread = ConfigurationSpread(node=node)
         node.duty = WatchDuty(node=node)
--- a/packages/magnoliagrade/magnoliagrade/node/configuration_spread.py
+++ b/packages/magnoliagrade/magnoliagrade/node/configuration_spread.py
@@ -46,10 +46,17 @@
     its links. A node that got ahead says so at once with a heartbeat.
     """
 
-    __slots__ = ("_content_by_digest", "_node", "_pulled_at", "_refused_revision")
+    __slots__ = (
+        "_content_by_digest",
+        "_node",
+        "_other_link",
+        "_pulled_at",
+        "_refused_revision",
+    )
 
     def __init__(self, *, node):
         self._node = node
+        self._other_link = None
         self._pulled_at = None
         self._refused_revision = 0
         self._content_by_digest = {}
@@ -62,8 +69,11 @@
             return
         now = self._node.clock.monotonic()
         if self._pulled_at is not None and now - self._pulled_at < PULL_TIMEOUT_S:
+            self._other_link = link
             return
         self._pulled_at = now
+        self._other_link = None
+        self._node.tasks.start(self._ask_another(now), name="configuration-pull")
         link.send(
             ConfigurationPull(
                 known_revision=self._node.configuration.revision,
@@ -83,7 +93,7 @@
     async def on_offer(self, link, message):
         """Put a peer's configuration in force once all of its chunks are here."""
         if message.revision <= self._node.configuration.revision:
-            self._content_by_digest.clear()
+            self._end_pull()
             return
         root = ConfigurationRoot.from_bytes(message.root)
         held = self._held()
@@ -94,12 +104,11 @@
         wanted = {r.digest for r in root.chunk_by_name.values()}
         if not wanted <= held.keys():
             return
-        self._content_by_digest.clear()
-        self._pulled_at = None
         stored = StoredConfiguration(
             root=root, content_by_digest={d: held[d] for d in wanted}
         )
         await self.put_in_force(stored, source="peer")
+        self._end_pull()
 
     async def put_in_force(self, stored, *, source):
         """Put a configuration in force if it is valid and newer, and say so.
@@ -135,6 +144,19 @@
             if parsed >= FREEZE_FROM_CHUNKS:
                 _spare_from_collection()
 
+    async def _ask_another(self, pulled_at):
+        # Whoever was ahead during a pull that failed may not speak again for long.
+        await self._node.clock.sleep(PULL_TIMEOUT_S)
+        if self._pulled_at == pulled_at:
+            self._end_pull()
+
+    def _end_pull(self):
+        self._content_by_digest.clear()
+        self._pulled_at = None
+        other, self._other_link = self._other_link, None
+        if other is not None:
+            self.on_message(other)
+
     def _held(self):
         stored = self._node.configuration.stored
         held = dict(stored.content_by_digest) if stored is not None else {}
