--- a/packages/magnoliagrade-agent/magnoliagrade_agent/door.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/door.py
@@ -3,7 +3,6 @@
 import logging
 
 import aiohttp
-from aiohttp import web
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
 from magnoliagrade.http import AnswerSink, error_response, read_request_headers
 from magnoliagrade.http import headers as names
@@ -16,9 +15,10 @@
 from opentelemetry import trace
 from prometheus_client import Counter
 
-__all__ = ["make_data_app"]
+from magnoliagrade_agent.group.service import group_serving
+
+__all__ = ["make_data_door"]
 
-BODY_LIMIT_BYTES = 1024**3
 REQUESTS = Counter(
     "magnoliagrade_agent_requests_total", "Requests from entries by result", ["result"]
 )
@@ -26,8 +26,8 @@
 _log = logging.getLogger(__name__)
 
 
-def make_data_app(node):
-    """Return the application that entries send requests to.
+def make_data_door(node):
+    """Return the handler of the listener that entries send requests to.
 
     Parameters
     ----------
@@ -50,9 +50,7 @@
         REQUESTS.labels("whole").inc()
         return sink.response
 
-    app = web.Application(client_max_size=BODY_LIMIT_BYTES)
-    app.router.add_route("*", "/{tail:.*}", handle)
-    return app
+    return handle
 
 
 async def _read_request(node, http_request):
@@ -70,6 +68,11 @@
     reason = node.reason_to_refuse()
     if reason:
         raise MagnoliagradeError(ErrorKind.SHUTTING_DOWN, reason)
+    with group_serving(node):
+        await _serve_attempt(node, request, attempt, headers, sink)
+
+
+async def _serve_attempt(node, request, attempt, headers, sink):
     node.attempts.begin(attempt)
     work = await node.credits.admit(request, entry=headers[names.ENTRY])
     with node.credits.following(work):
--- a/packages/magnoliagrade/magnoliagrade/wire/group.capnp
+++ b/packages/magnoliagrade/magnoliagrade/wire/group.capnp
@@ -94,7 +94,8 @@
   counts @4 :List(Float32);  # layers x experts, row-major
   step @5 :UInt64;
   stepSeconds @6 :Float32;
-  seconds @7 :Float32;       # work time of the rank without waiting
+  seconds @7 :Float32;       # time that was counted
+  workSeconds @8 :Float32;   # work of the rank without waiting for others
 }
 
 struct GenerationSettled {
@@ -103,6 +104,12 @@
   rank @2 :UInt32;
 }
 
+struct CountsRequest {
+  group @0 :Text;
+  fence @1 :UInt64;
+  isBeat @2 :Bool;           # only says that the coordinator lives
+}
+
 struct GroupState {
   group @0 :Text;
   rank @1 :UInt32;
@@ -125,5 +132,6 @@
     expertCounts @9 :ExpertCounts;
     settled @10 :GenerationSettled;
     state @11 :GroupState;
+    countsRequest @12 :CountsRequest;
   }
 }
