Measure control under requests, keyed orders and groups

Cause: slopes at rest say nothing of doors, claim writers, members and coordinators. Change: functions that measure requests, keyed orders and groups of 4 to 32 ranks with 60 layers and 128 experts.

--- a/packages/magnoliagrade-standins/magnoliagrade_standins/slopes/measuring.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/slopes/measuring.py
@@ -20,7 +20,15 @@
 )
 from magnoliagrade_standins.slopes.processes import read_process, usage_between
 
-__all__ = ["SizeResult", "measure_idle", "measure_size"]
+__all__ = [
+    "SizeResult",
+    "SlopeSite",
+    "mean_usage",
+    "measure_idle",
+    "measure_size",
+    "usage_by_instance",
+    "usage_by_role",
+]
 
 SETTLE_S = 6.0
 REST_S = 10.0
@@ -75,7 +83,8 @@
         self._back_end_lock = asyncio.Lock()
 
     def _process(self, name, command):
-        if not name.endswith("-back-end"):
+        is_engine = name.endswith("-back-end") and "-model-" in name
+        if not is_engine:
             return super()._process(name, command)
         command = standin_command("engine", name="shared")
         return _SharedBackEnd(site=self, own=super()._process("shared", command))
@@ -159,29 +168,57 @@
     result = SizeResult(family=size.family, value=size.value)
     async with SlopeSite(plan=plan) as site:
         await asyncio.sleep(SETTLE_S)
-        result.rest_by_role = await _usage(site, asyncio.sleep(rest_s))
+        result.rest_by_role = await usage_by_role(site, asyncio.sleep(rest_s))
         clock = SystemClock()
         start = clock.monotonic()
-        result.change_by_role = await _usage(site, _change(site, result, changes))
+        result.change_by_role = await usage_by_role(
+            site, _change(site, result, changes)
+        )
         result.changes_per_s = changes / (clock.monotonic() - start)
     return result
 
 
-async def _usage(site, work):
+async def usage_by_role(site, work):
+    """Do some work and return the mean usage of each role meanwhile.
+
+    Parameters
+    ----------
+    site : Site
+        A running site.
+    work : awaitable
+        What to wait for.
+
+    Returns
+    -------
+    mean_by_role : dict of str to dict
+        Means by name of reading, for `entry` and `agent`.
+    """
+    rows_by_role = {}
+    for (role, _), row in (await usage_by_instance(site, work)).items():
+        rows_by_role.setdefault(role, []).append(row)
+    return {role: mean_usage(rows) for role, rows in rows_by_role.items()}
+
+
+async def usage_by_instance(site, work):
+    """Do some work and return the usage of each instance meanwhile.
+
+    Returns
+    -------
+    row_by_instance : dict of tuple to dict
+        By role and name.
+    """
     clock = SystemClock()
     start = clock.monotonic()
     first = await _read_all(site)
     await work
     last = await _read_all(site)
     seconds = clock.monotonic() - start
-    rows_by_role = {}
-    for (role, name), reading in last.items():
-        row = usage_between(first[role, name], reading, seconds)
-        rows_by_role.setdefault(role, []).append(row)
-    return {
-        role: {k: statistics.fmean(row[k] for row in rows) for k in rows[0]}
-        for role, rows in rows_by_role.items()
-    }
+    return {key: usage_between(first[key], last[key], seconds) for key in last}
+
+
+def mean_usage(rows):
+    """Return the mean of each reading over rows."""
+    return {name: statistics.fmean(row[name] for row in rows) for name in rows[0]}
 
 
 async def _read_all(site):
--- /dev/null
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/slopes/working.py
@@ -0,0 +1,101 @@
+"""What control costs under load: requests, keyed orders, groups of ranks."""
+
+import asyncio
+
+from magnoliagrade_standins.harness import SitePlan
+from magnoliagrade_standins.load import LoadPlan, run_load
+from magnoliagrade_standins.ranks.site import GROUP, GroupSite, group_plan
+from magnoliagrade_standins.slopes.measuring import (
+    SETTLE_S,
+    SlopeSite,
+    mean_usage,
+    usage_by_instance,
+    usage_by_role,
+)
+
+__all__ = ["GROUP_RANKS", "LOAD_RATES_PER_S", "measure_group", "measure_load"]
+
+LOAD_RATES_PER_S = (0, 10, 20, 40)
+GROUP_RANKS = (4, 8, 16, 32)
+EXPERTS = 128
+LAYERS = 60
+STEP_S = 0.1
+
+
+async def measure_load(*, rate_per_s, orders, seconds):
+    """Return the mean usage of each role under a load.
+
+    Parameters
+    ----------
+    rate_per_s : float
+        Requests a second; 0 measures at rest.
+    orders : bool
+        Whether the requests are keyed orders; otherwise they are completions.
+    seconds : float
+        Length of the load.
+
+    Returns
+    -------
+    mean_by_role : dict of str to dict
+        Readings by name; those of processor time hold the requests themselves too.
+    """
+    plan = SitePlan(
+        entries_by_data_centre={"dc0": 2},
+        engines_by_data_centre={"dc0": 0 if orders else 4},
+        services_by_data_centre={"dc0": 2 if orders else 0},
+    )
+    async with SlopeSite(plan=plan) as site:
+        await asyncio.sleep(SETTLE_S)
+        if not rate_per_s:
+            return await usage_by_role(site, asyncio.sleep(seconds))
+        load = LoadPlan(
+            urls=[site.caller_url(name) for name in site.entry_by_name],
+            rate_per_s=rate_per_s,
+            duration_s=seconds,
+            order_fraction=1.0 if orders else 0.0,
+            lookup_fraction=0.0,
+            keyed_fraction=1.0,
+            prompt_bytes=100,
+            output_tokens=8,
+        )
+        return await usage_by_role(site, run_load(load))
+
+
+async def measure_group(*, ranks, seconds):
+    """Return what the agents of one group spend while its map is being balanced.
+
+    Parameters
+    ----------
+    ranks : int
+        Number of ranks.
+    seconds : float
+        How long to measure.
+
+    Returns
+    -------
+    usage_by_role : dict of str to dict
+        Means of the members, and the readings of the coordinator: the agent that
+        gets the most bytes.
+    """
+    plan = group_plan(ranks=ranks, interval_s=10.0)
+    for name, value in (("experts", EXPERTS), ("layers", LAYERS)):
+        plan.configuration = _set(plan.configuration, name, value)
+    plan.configuration = _set(
+        plan.configuration, "slots_per_rank", EXPERTS // ranks + 2
+    )
+    options = {"experts": EXPERTS, "layers": LAYERS, "step_s": STEP_S}
+    async with GroupSite(plan=plan, ranks=ranks, options=options) as site:
+        await asyncio.sleep(SETTLE_S)
+        rows = await usage_by_instance(site, asyncio.sleep(seconds))
+    agents = [row for (role, _), row in rows.items() if role == "agent"]
+    agents.sort(key=lambda row: row["bytes_in_per_s"])
+    return {"member": mean_usage(agents[:-1]), "coordinator": agents[-1]}
+
+
+def _set(text, key, value):
+    head, found, group = text.partition(f"[group {GROUP}]")
+    lines = [
+        f"{key} = {value}" if line.startswith(f"{key} =") else line
+        for line in group.split("\n")
+    ]
+    return head + found + "\n".join(lines)
