--- a/packages/magnoliagrade-standins/magnoliagrade_standins/slopes/command.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/slopes/command.py
@@ -11,6 +11,10 @@
     measure_idle,
     measure_size,
 )
+from magnoliagrade_standins.slopes.recovering import (
+    RESTART_ENTRIES,
+    measure_restart,
+)
 from magnoliagrade_standins.slopes.sizes import FAMILIES
 from magnoliagrade_standins.slopes.store_calls import (
     STORE_SIZES,
@@ -42,8 +46,8 @@
     Parameters
     ----------
     families : str
-        Names of families separated by commas; `store`, `requests`, `claims` and
-        `groups` are further tables. Empty measures all.
+        Names of families separated by commas; `store`, `requests`, `claims`,
+        `groups` and `restart` are further tables. Empty measures all.
     json_path : str
         Where to write all readings; empty writes none.
     plot_path : str
@@ -115,6 +119,15 @@
         _print_usages(heads, [usage[role] for usage in usages])
 
 
+def _print_restarts(_seconds):
+    print("\nrestart of one entry by entries, 6,800 organisations")
+    costs = [asyncio.run(measure_restart(entries=n)) for n in RESTART_ENTRIES]
+    print("  " + "reading".ljust(20), *(f"{n:>10}" for n in RESTART_ENTRIES))
+    for field in dataclasses.fields(costs[0]):
+        row = (f"{getattr(cost, field.name):10.2f}" for cost in costs)
+        print("  " + field.name.ljust(20), *row, flush=True)
+
+
 def _print_usages(heads, usages):
     print("  " + "reading".ljust(20), *(f"{head:>10}" for head in heads))
     for reading in READINGS:
@@ -139,6 +152,7 @@
     "requests": _print_requests,
     "claims": _print_claims,
     "groups": _print_groups,
+    "restart": _print_restarts,
 }
 
 
