--- a/packages/magnoliagrade-agent/magnoliagrade_agent/settings.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/settings.py
@@ -153,6 +153,9 @@
         return problems
 
     def label_by_name(self):
-        """Return the endpoint's own labels."""
+        """Return the endpoint's own labels; a rank has its group's name as one."""
         parts = [p.partition("=") for p in self.labels.split(",") if p.strip()]
-        return {name.strip(): value.strip() for name, _, value in parts}
+        labels = {name.strip(): value.strip() for name, _, value in parts}
+        if self.group:
+            labels.setdefault("group", self.group)
+        return labels
