--- a/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
@@ -10,7 +10,7 @@
 
 from magnoliagrade_agent.attempts import AttemptBook
 from magnoliagrade_agent.capacity import CreditBook, limit_policies
-from magnoliagrade_agent.door import make_data_app
+from magnoliagrade_agent.door import make_data_door
 from magnoliagrade_agent.engine import EngineClient
 from magnoliagrade_agent.group import handlers as group_handlers  # noqa: F401
 from magnoliagrade_agent.group.service import GroupService
@@ -76,7 +76,9 @@
         self.engine = EngineClient(url=self.settings.url, session=self.session)
         if self.settings.group:
             self.group_service = GroupService(node=self)
-        await self.listen_http("data", make_data_app(self), self.settings.data_address)
+        await self.listen_door(
+            "data", make_data_door(self), self.settings.data_address, is_internal=True
+        )
         await self.listen_admin()
         await self.listen_links()
         self.start_tasks()
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
@@ -3,6 +3,7 @@
 import logging
 
 from magnoliagrade.configuration import ConfigurationRepository
+from magnoliagrade.http import BodyBudget, DoorLimits
 from magnoliagrade.node import Node
 from magnoliagrade.observability import log_event
 from magnoliagrade.platform import HttpInstanceList
@@ -15,7 +16,7 @@
 )
 from magnoliagrade_entry.configuration_duty import WatchDuty
 from magnoliagrade_entry.configuration_routes import configuration_routes
-from magnoliagrade_entry.doors import make_caller_app, make_peer_app
+from magnoliagrade_entry.doors import make_caller_door, make_peer_door
 from magnoliagrade_entry.handlers import entry_handlers, entry_tasks
 from magnoliagrade_entry.membership import Departures, KnownInstances, LinkKeeper
 from magnoliagrade_entry.membership.messages import note_listed_departures
@@ -41,6 +42,7 @@
 
     __slots__ = (
         "admission",
+        "body_budget",
         "departures",
         "dispatcher",
         "duty",
@@ -64,6 +66,7 @@
             clock=clock,
         )
         self.requests_in_flight = 0
+        self.body_budget = BodyBudget(limit_bytes=settings.body_memory_bytes)
         where = {
             "configuration": self.configuration,
             "data_centre": settings.data_centre,
@@ -96,15 +99,19 @@
         self.repository = ConfigurationRepository(
             store=self.store, clock=self.clock, rng=self.rng, is_in_background=True
         )
-        limit = settings.header_limit_bytes
-        limits = {"max_line_size": limit, "max_field_size": limit}
-        await self.listen_http(
-            "data", make_peer_app(self), settings.data_address, **limits
+        limits = DoorLimits(
+            header_bytes=settings.header_limit_bytes,
+            body_bytes=settings.body_limit_bytes,
+            header_timeout_s=settings.header_timeout_s,
+            idle_timeout_s=settings.idle_timeout_s,
+        )
+        await self.listen_door(
+            "data", make_peer_door(self), settings.data_address, is_internal=True
         )
         await self.listen_links()
         await self.listen_admin([*status_routes(self), *configuration_routes(self)])
-        await self.listen_http(
-            "caller", make_caller_app(self), settings.caller_address, **limits
+        await self.listen_door(
+            "caller", make_caller_door(self), settings.caller_address, limits=limits
         )
         self.start_tasks()
         log_event(_log, "entry.started", **self.addresses)
@@ -129,6 +136,11 @@
         self.endpoints.on_link_down(link)
         self.peers.on_link_down(link)
 
+    def store_calls_per_s(self):
+        """Return this entry's part of the calls that all entries may make."""
+        entries = [i for i in self.known.by_name.values() if i.role is Role.ENTRY]
+        return self.settings.store_calls_per_s / max(1, len(entries))
+
     def take_instances(self, instances, *, age_s=0.0):
         """Take a list of instances, unless a newer one is known.
 
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/trials/registry.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/trials/registry.py
@@ -13,6 +13,7 @@
 
 # Modules that register trials when they are imported.
 TRIAL_MODULES = (
+    "magnoliagrade_standins.trials.capacity",
     "magnoliagrade_standins.trials.data_centre_move",
     "magnoliagrade_standins.trials.group_faults",
 )
