Tell a request without an incarnation from one for another

Cause: a request to the internal door without any internal header was answered as not run with a retry, since the missing incarnation differs from every one.

--- a/packages/magnoliagrade/magnoliagrade/http/headers.py
+++ b/packages/magnoliagrade/magnoliagrade/http/headers.py
@@ -85,14 +85,17 @@
     Raises
     ------
     MagnoliagradeError
-        `NOT_RUN` if the request names another one.
+        `NOT_RUN` if the request names another one, `INVALID_REQUEST` if none.
 
     Notes
     -----
     A process that restarted has lost its books, so a copy that was withdrawn from
     its predecessor must not start here.
     """
-    named = headers.get(INCARNATION, "")
+    named = headers.get(INCARNATION)
+    if named is None:
+        detail = f"internal request header {INCARNATION} is missing"
+        raise MagnoliagradeError(ErrorKind.INVALID_REQUEST, detail)
     if named != f"{incarnation:016x}":
         detail = f"meant for incarnation {named!r}, this is {incarnation:016x}"
         raise MagnoliagradeError(ErrorKind.NOT_RUN, detail, retry_after=1)
