--- a/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/credits.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/credits.py
@@ -18,6 +18,7 @@
 PACE_POLL_S = 0.005
 PACE_LIMIT_S = 1.0
 FRESH_S = 2.0
+HEADROOM_FRACTION = 0.3
 REFUSED_RETRY_S = 1.0
 BREAKING_KINDS = (
     ErrorKind.ANSWER_BROKEN,
@@ -69,6 +70,7 @@
         "continuity",
         "grants",
         "in_flight",
+        "is_blocked",
         "limit_policy",
         "on_free",
         "residue",
@@ -83,6 +85,7 @@
         self._reported_at = float("-inf")
         self._followed = {}
         self.in_flight = 0.0
+        self.is_blocked = False
         self.continuity = BootContinuity(has_reports=has_reports)
         self.grants = GrantBook(clock=clock)
         self.residue = Residue(clock=clock, has_reports=has_reports)
@@ -96,7 +99,7 @@
     @property
     def limit(self):
         """Return the cost that the endpoint may hold now."""
-        if not self._is_known:
+        if not self._is_known or self.is_blocked:
             return 0.0
         if self.continuity.is_proven:
             return self.limit_policy.limit
@@ -133,7 +136,11 @@
         self.grants.drop_beyond(self.limit_policy.limit)
         is_idle = not self.held and not self.grants.reserved
         lone_limit = self._lone_limit() if is_idle else 0.0
-        return self.grants.distribute(self.free, lone_limit=lone_limit)
+        return self.grants.distribute(
+            self.free,
+            headroom=HEADROOM_FRACTION * self.limit,
+            lone_limit=lone_limit,
+        )
 
     async def admit(self, request, *, entry):
         """Take a request into flight, or refuse it.
@@ -236,6 +243,8 @@
     def _check_room(self, request, entry):
         if not self._is_known:
             self._refuse("unknown", "the endpoint's load is not known yet")
+        if self.is_blocked:
+            self._refuse("blocked", "the endpoint does not take connections")
         if not self.held and self.limit < request.cost <= self._lone_limit():
             return
         own = min(request.cost, self.grants.reserved_for(entry))
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/doors.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/doors.py
@@ -7,6 +7,7 @@
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
 from magnoliagrade.http import (
     AnswerSink,
+    check_incarnation,
     error_response,
     log_refusal,
     read_request_headers,
@@ -55,6 +56,7 @@
             http_request=http_request,
             added_headers={"X-Request-Id": request_id},
             clock=node.clock,
+            closes_connection=node.closes_connections,
         )
         with _server_span("caller", http_request) as span:
             try:
@@ -67,10 +69,7 @@
                     budget=node.body_budget,
                 )
                 _describe(span, request)
-                try:
-                    await _serve_admitted(node, request, sink)
-                finally:
-                    node.body_budget.give_back(len(request.body))
+                await _serve_to_end(node, request, sink, _serve_admitted(node))
             except MagnoliagradeError as exc:
                 return _answer_error(exc, sink, request_id, door="caller")
             REQUESTS.labels("caller", "whole").inc()
@@ -90,19 +89,30 @@
 
     async def handle(http_request):
         request_id = ""
-        sink = AnswerSink(http_request=http_request, added_headers={names.RAN: "yes"})
+        headers = http_request.headers
+        sink = AnswerSink(
+            http_request=http_request,
+            added_headers={
+                names.RAN: "yes",
+                names.ATTEMPT: headers.get(names.ATTEMPT, ""),
+            },
+            closes_connection=node.closes_connections,
+        )
         with _server_span("peer", http_request) as span:
             try:
+                sink.tokens_written = int(headers.get(names.RESUME_TOKENS, "0"))
+                body = await http_request.read()
+                check_incarnation(headers, incarnation=node.identity.incarnation)
                 request = read_request_headers(
-                    http_request.headers,
+                    headers,
                     method=http_request.method,
                     path=http_request.path_qs,
-                    body=await http_request.read(),
+                    body=body,
                     now=node.clock.monotonic(),
                 )
                 request_id = request.id
                 _describe(span, request)
-                await node.dispatcher.serve(request, sink)
+                await _serve_to_end(node, request, sink, node.dispatcher.serve)
             except MagnoliagradeError as exc:
                 return _answer_error(exc, sink, request_id, door="peer")
             REQUESTS.labels("peer", "whole").inc()
@@ -133,7 +143,10 @@
         started = node.clock.monotonic()
         node.requests_in_flight += 1
         try:
-            return await handle(http_request)
+            response = await handle(http_request)
+            if node.closes_connections and not response.prepared:
+                response.force_close()
+            return response
         except (ConnectionError, asyncio.CancelledError):
             REQUESTS.labels(door, "caller-gone").inc()
             raise
@@ -147,12 +160,42 @@
     return counted
 
 
-async def _serve_admitted(node, request, sink):
-    await node.admission.admit(request)
+async def _serve_to_end(node, request, sink, serve):
+    """Serve a request; only a repeatable one is cancelled when its caller goes."""
+    if request.repeatable:
+        await serve(request, sink)
+        return
+    sink.ignores_lost_reader = True
+    work = _error_of(node, serve(request, sink))
+    task = node.tasks.start(work, name=f"order {request.id}")
+    error = await asyncio.shield(task)
+    if error is not None:
+        raise error
+
+
+async def _error_of(node, work):
+    node.requests_in_flight += 1
     try:
-        await node.dispatcher.serve(request, sink)
+        await work
+    except MagnoliagradeError as exc:
+        return exc
     finally:
-        node.admission.release(request)
+        node.requests_in_flight -= 1
+    return None
+
+
+def _serve_admitted(node):
+    async def serve(request, sink):
+        try:
+            await node.admission.admit(request)
+            try:
+                await node.claims.serve(request, sink, node.dispatcher.serve)
+            finally:
+                node.admission.release(request)
+        finally:
+            node.body_budget.give_back(len(request.body))
+
+    return serve
 
 
 @contextlib.contextmanager
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
@@ -116,7 +116,9 @@
         """Serve a plain service."""
 
         def make():
-            service = PlainService(clock=SystemClock(), service_s=service_s)
+            service = PlainService(
+                clock=SystemClock(), service_s=service_s, journal=sys.stderr
+            )
             return make_service_app(service)
 
         _serve(make, address)
@@ -134,7 +136,9 @@
     runners = []
 
     async def start():
-        runner, bound = await start_site(make(), address, shutdown_timeout=0.1)
+        runner, bound = await start_site(
+            make(), address, shutdown_timeout=0.1, handler_cancellation=True
+        )
         runners.append(runner)
         announce_ready(http=bound)
 
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/service/service.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/service/service.py
@@ -1,7 +1,16 @@
 """A plain service that records every execution."""
 
+import json
+
 from aiohttp import web
 
+from magnoliagrade_standins.faults import (
+    AnswerFaults,
+    abort,
+    send_stale_copy,
+    send_truncated,
+)
+
 __all__ = ["PlainService", "make_service_app"]
 
 
@@ -14,13 +23,28 @@
         Source of time.
     service_s : float
         Time that one execution takes.
+    journal : text file, optional
+        Takes a line of JSON for each execution as it begins, so that the record
+        outlives a kill.
     """
 
-    __slots__ = ("_clock", "executions", "peak_in_flight", "service_s", "_in_flight")
-
-    def __init__(self, *, clock, service_s=0.005):
+    __slots__ = (
+        "_clock",
+        "_in_flight",
+        "_journal",
+        "executions",
+        "peak_in_flight",
+        "service_s",
+        "slow_every",
+        "slow_s",
+    )
+
+    def __init__(self, *, clock, service_s=0.005, journal=None):
         self._clock = clock
+        self._journal = journal
         self.service_s = service_s
+        self.slow_every = 0
+        self.slow_s = 0.2
         self.executions = []
         self.peak_in_flight = 0
         self._in_flight = 0
@@ -34,20 +58,22 @@
             Echo of the request id and the number of the execution.
         """
         number = len(self.executions) + 1
-        self.executions.append(
-            {
-                "id": request_id,
-                "attempt": attempt,
-                "method": method,
-                "path": path,
-                "body": body,
-                "at": self._clock.monotonic(),
-            }
-        )
+        execution = {
+            "id": request_id,
+            "attempt": attempt,
+            "method": method,
+            "path": path,
+            "body": body,
+            "at": self._clock.monotonic(),
+        }
+        self.executions.append(execution)
+        if self._journal is not None:
+            print(json.dumps(execution), file=self._journal, flush=True)
         self._in_flight += 1
         self.peak_in_flight = max(self.peak_in_flight, self._in_flight)
         try:
-            await self._clock.sleep(self.service_s)
+            is_slow = self.slow_every and number % self.slow_every == 0
+            await self._clock.sleep(self.slow_s if is_slow else self.service_s)
         finally:
             self._in_flight -= 1
         return {"id": request_id, "number": number, "path": path, "echo": body}
@@ -61,6 +87,7 @@
     service : PlainService
         The service.
     """
+    faults = AnswerFaults()
 
     async def call(request):
         answer = await service.execute(
@@ -70,16 +97,31 @@
             request.path_qs,
             (await request.read()).decode(errors="replace"),
         )
-        headers = {"X-Request-Id": answer["id"]}
+        if faults.take("drop"):
+            return abort(request)
+        owner = "other" if faults.take("cross") else answer["id"]
+        headers = {"X-Request-Id": owner}
+        if faults.take("truncate"):
+            return await send_truncated(request, answer, headers)
+        if faults.take("repeat"):
+            send_stale_copy(request)
         return web.json_response(answer, headers=headers)
 
     async def record(_request):
         return web.json_response(
-            {"executions": service.executions, "peak": service.peak_in_flight}
+            {
+                "executions": service.executions,
+                "peak": service.peak_in_flight,
+                "faults": faults.given,
+            }
         )
 
     async def control(request):
-        service.service_s = float((await request.json())["service_s"])
+        order = await request.json()
+        service.service_s = float(order.get("service_s", service.service_s))
+        service.slow_every = int(order.get("slow_every", service.slow_every))
+        if "faults" in order:
+            faults.set(order["faults"])
         return web.Response()
 
     app = web.Application(client_max_size=64 * 1024 * 1024)
--- a/packages/magnoliagrade/magnoliagrade/http/server.py
+++ b/packages/magnoliagrade/magnoliagrade/http/server.py
@@ -160,7 +160,11 @@
 
 class _DoorServer(web.Server):
     def __init__(self, handler, *, limits, is_internal):
-        super().__init__(handler, request_factory=self._make_limited_request)
+        super().__init__(
+            handler,
+            request_factory=self._make_limited_request,
+            handler_cancellation=True,
+        )
         self.limits = limits
         self.is_internal = is_internal
 
--- a/packages/magnoliagrade/magnoliagrade/node/node.py
+++ b/packages/magnoliagrade/magnoliagrade/node/node.py
@@ -101,18 +101,35 @@
             otlp_url=settings.otlp_url,
             sampling=settings.sampling,
         )
-        source = (settings.source_address, 0) if settings.source_address else None
-        self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, local_addr=source),
-            timeout=aiohttp.ClientTimeout(total=None),
-            auto_decompress=False,
-        )
+        self.session = self.make_session()
         self.store = HttpStore(
             url=settings.store_url,
             session=self.session,
             limiter=CallLimiter(clock=self.clock, rate=self.store_calls_per_s),
         )
 
+    def make_session(self, *, keeps_connections=True):
+        """Return an HTTP session.
+
+        Parameters
+        ----------
+        keeps_connections : bool
+            Whether a connection serves further requests.
+        """
+        address = self.settings.source_address
+        connector = aiohttp.TCPConnector(
+            limit=0,
+            local_addr=(address, 0) if address else None,
+            force_close=not keeps_connections,
+        )
+        return aiohttp.ClientSession(
+            connector=connector,
+            timeout=aiohttp.ClientTimeout(total=None),
+            auto_decompress=False,
+            # Cookies belong to callers; a jar would send them with others' requests.
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+
     async def listen_http(self, name, app, address, **runner_options):
         """Serve an application and note its bound address under a name."""
         runner, bound = await start_site(app, address, **runner_options)
@@ -189,12 +206,18 @@
             await self.clock.sleep(DRAIN_POLL_S)
 
     async def close(self):
-        """Close listeners, links, tasks and clients."""
+        """Close listeners, links, tasks and clients.
+
+        Notes
+        -----
+        The HTTP listeners go first: what still arrives on an open connection is
+        served, and that may need links and tasks.
+        """
         self._server.close()
+        await asyncio.gather(*(runner.cleanup() for runner in self._runners))
         await self.tasks.stop()
         for link in list(self.links.by_instance.values()):
             link.close()
-        await asyncio.gather(*(runner.cleanup() for runner in self._runners))
         await self.session.close()
         self._tracing.shutdown()
 
