--- a/packages/magnoliagrade-entry/magnoliagrade_entry/settings.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/settings.py
@@ -2,23 +2,16 @@
 
 from dataclasses import dataclass
 
-from magnoliagrade.configuration import same_addresses, setting
+from magnoliagrade.configuration import setting
+from magnoliagrade.node import NodeSettings
 
 __all__ = ["EntrySettings"]
 
 
 @dataclass(slots=True, kw_only=True)
-class EntrySettings:
+class EntrySettings(NodeSettings):
     """Settings of an entry instance; each field documents itself."""
 
-    name: str = setting(
-        section="instance", doc="name of the instance", env="MAGNOLIAGRADE_INSTANCE"
-    )
-    data_centre: str = setting(
-        section="instance",
-        doc="data centre that the instance stands in",
-        env="MAGNOLIAGRADE_DATA_CENTRE",
-    )
     caller_address: str = setting(
         section="listen",
         doc="where callers connect",
@@ -26,45 +19,6 @@
         default="127.0.0.1:0",
         env="MAGNOLIAGRADE_CALLER_ADDRESS",
     )
-    data_address: str = setting(
-        section="listen",
-        doc="where peer entries forward requests",
-        address=True,
-        default="127.0.0.1:0",
-        env="MAGNOLIAGRADE_DATA_ADDRESS",
-    )
-    control_address: str = setting(
-        section="listen",
-        doc="where peer entries open links",
-        address=True,
-        default="127.0.0.1:0",
-        env="MAGNOLIAGRADE_CONTROL_ADDRESS",
-    )
-    admin_address: str = setting(
-        section="listen",
-        doc="health, readiness and metrics",
-        address=True,
-        default="127.0.0.1:0",
-        env="MAGNOLIAGRADE_ADMIN_ADDRESS",
-    )
-    advertised_data_address: str = setting(
-        section="listen",
-        doc="where others reach the data listener; empty means where it listens",
-        address=True,
-        default="",
-    )
-    advertised_control_address: str = setting(
-        section="listen",
-        doc="where others reach the control listener; empty means where it listens",
-        address=True,
-        default="",
-    )
-    source_address: str = setting(
-        section="listen",
-        doc="local address of outgoing connections; empty leaves it to the system",
-        default="",
-        env="MAGNOLIAGRADE_SOURCE_ADDRESS",
-    )
     store_url: str = setting(
         section="platform",
         doc="URL of the platform's key-value service",
@@ -175,37 +129,11 @@
         low=0,
         high=600,
     )
-    drain_limit_s: float = setting(
-        section="shutdown",
-        doc="longest wait for requests in flight",
-        unit="s",
-        default=120.0,
-        low=0,
-        high=86400,
-    )
-    log_level: str = setting(
-        section="logs",
-        doc="lowest level that is logged",
-        default="INFO",
-        choices=("DEBUG", "INFO", "WARNING", "ERROR"),
-    )
-    otlp_url: str = setting(
-        section="traces",
-        doc="where spans go by OTLP over HTTP; empty writes JSON lines",
-        url=True,
-        default="",
-    )
-    sampling: float = setting(
-        section="traces",
-        doc="fraction of new traces that are recorded",
-        default=0.0,
-        low=0,
-        high=1,
-    )
 
     def combinations(self):
         """Return texts for settings that cannot go together."""
-        problems = same_addresses(self)
+        # A dataclass with slots is made twice, so `super()` would miss it.
+        problems = NodeSettings.combinations(self)
         if self.body_memory_bytes < self.body_limit_bytes:
             problems.append(
                 "[requests] body_memory_bytes must not be less than body_limit_bytes"
--- a/packages/magnoliagrade/magnoliagrade/configuration/settings.py
+++ b/packages/magnoliagrade/magnoliagrade/configuration/settings.py
@@ -119,7 +119,7 @@
 def describe_settings(cls):
     """Return a table of all settings of a class as Markdown lines."""
     rows = ["| section | key | default | allowed | meaning |", "|---|---|---|---|---|"]
-    for f in _fields(cls):
+    for f in _by_section(_fields(cls)):
         default = {_MISSING: "required", "": "empty"}.get(f.default, f"`{f.default}`")
         unit = f" ({f.metadata['unit']})" if f.metadata["unit"] else ""
         override = f"; `{f.metadata['env']}` overrides" if f.metadata["env"] else ""
@@ -130,6 +130,12 @@
     return rows
 
 
+def _by_section(fields):
+    # Sections stay in the order in which they first come.
+    sections = list(dict.fromkeys(f.metadata["section"] for f in fields))
+    return sorted(fields, key=lambda f: sections.index(f.metadata["section"]))
+
+
 def same_addresses(settings):
     """Return texts for listeners that cannot share an address.
 
--- a/packages/magnoliagrade/magnoliagrade/node/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/node/__init__.py
@@ -16,6 +16,7 @@
 from magnoliagrade.node.links import LinkBook, run_link, send_heartbeats
 from magnoliagrade.node.node import Node
 from magnoliagrade.node.process import announce_ready, run_until_signal, start_site
+from magnoliagrade.node.settings import NodeSettings
 from magnoliagrade.node.status_report import register_status
 from magnoliagrade.node.tasks import Tasks, TaskTable
 
@@ -27,6 +28,7 @@
     "HandlerTable",
     "LinkBook",
     "Node",
+    "NodeSettings",
     "TaskTable",
     "Tasks",
     "announce_ready",
--- a/tests/test_binaries.py
+++ b/tests/test_binaries.py
@@ -105,7 +105,8 @@
             MAGNOLIAGRADE_ADMIN_ADDRESS="127.0.0.1:8080",
         )
         assert clash.returncode == 2
-        assert "caller_address and admin_address are both" in clash.stderr
+        both = "admin_address and caller_address are both 127.0.0.1:8080"
+        assert both in clash.stderr
         empty = _run("magnoliagrade", "check", path, MAGNOLIAGRADE_INSTANCE="")
         assert "[instance] name: '' is not a text that is not empty" in empty.stderr
 
