--- a/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/credits.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/credits.py
@@ -70,6 +70,7 @@
         "continuity",
         "grants",
         "in_flight",
+        "is_blocked",
         "limit_policy",
         "on_free",
         "residue",
@@ -84,6 +85,7 @@
         self._reported_at = float("-inf")
         self._followed = {}
         self.in_flight = 0.0
+        self.is_blocked = False
         self.continuity = BootContinuity(has_reports=has_reports)
         self.grants = GrantBook(clock=clock)
         self.residue = Residue(clock=clock, has_reports=has_reports)
@@ -97,7 +99,7 @@
     @property
     def limit(self):
         """Return the cost that the endpoint may hold now."""
-        if not self._is_known:
+        if not self._is_known or self.is_blocked:
             return 0.0
         if self.continuity.is_proven:
             return self.limit_policy.limit
@@ -241,6 +243,8 @@
     def _check_room(self, request, entry):
         if not self._is_known:
             self._refuse("unknown", "the endpoint's load is not known yet")
+        if self.is_blocked:
+            self._refuse("blocked", "the endpoint does not take connections")
         if not self.held and self.limit < request.cost <= self._lone_limit():
             return
         own = min(request.cost, self.grants.reserved_for(entry))
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/door.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/door.py
@@ -1,11 +1,16 @@
 """The HTTP door of an agent: requests from entries to its endpoint."""
 
+import asyncio
 import logging
 
 import aiohttp
-from aiohttp import web
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
-from magnoliagrade.http import AnswerSink, error_response, read_request_headers
+from magnoliagrade.http import (
+    AnswerSink,
+    check_incarnation,
+    error_response,
+    read_request_headers,
+)
 from magnoliagrade.http import headers as names
 from magnoliagrade.observability import (
     extract_context,
@@ -16,9 +21,11 @@
 from opentelemetry import trace
 from prometheus_client import Counter
 
-__all__ = ["make_data_app"]
+from magnoliagrade_agent.group.service import group_serving
+from magnoliagrade_agent.probe import block_endpoint
+
+__all__ = ["make_data_door"]
 
-BODY_LIMIT_BYTES = 1024**3
 REQUESTS = Counter(
     "magnoliagrade_agent_requests_total", "Requests from entries by result", ["result"]
 )
@@ -26,8 +33,8 @@
 _log = logging.getLogger(__name__)
 
 
-def make_data_app(node):
-    """Return the application that entries send requests to.
+def make_data_door(node):
+    """Return the handler of the listener that entries send requests to.
 
     Parameters
     ----------
@@ -37,7 +44,8 @@
 
     async def handle(http_request):
         context = extract_context(http_request.headers)
-        sink = AnswerSink(http_request=http_request, added_headers={names.RAN: "yes"})
+        added = {names.RAN: "yes", names.ATTEMPT: _attempt_of(http_request)}
+        sink = AnswerSink(http_request=http_request, added_headers=added)
         request = None
         with _tracer.start_as_current_span(
             "agent.request", context=context, kind=trace.SpanKind.SERVER
@@ -50,27 +58,56 @@
         REQUESTS.labels("whole").inc()
         return sink.response
 
-    app = web.Application(client_max_size=BODY_LIMIT_BYTES)
-    app.router.add_route("*", "/{tail:.*}", handle)
-    return app
+    return handle
+
+
+def _attempt_of(http_request):
+    return http_request.headers.get(names.ATTEMPT, "")
 
 
 async def _read_request(node, http_request):
+    body = await http_request.read()
+    check_incarnation(http_request.headers, incarnation=node.identity.incarnation)
     return read_request_headers(
         http_request.headers,
         method=http_request.method,
         path=http_request.path_qs,
-        body=await http_request.read(),
+        body=body,
         now=node.clock.monotonic(),
     )
 
 
 async def _serve(node, request, headers, sink):
-    attempt = headers[names.ATTEMPT]
     reason = node.reason_to_refuse()
     if reason:
         raise MagnoliagradeError(ErrorKind.SHUTTING_DOWN, reason)
-    node.attempts.begin(attempt)
+    if request.repeatable:
+        await _admit_and_follow(node, request, headers, sink)
+        return
+    node.attempts.check(headers[names.ATTEMPT])
+    sink.ignores_lost_reader = True
+    work = _error_of(_admit_and_follow(node, request, headers, sink))
+    # An order that was handed over goes on to its end when the entry is gone.
+    task = node.tasks.start(work, name=f"order {request.id}")
+    error = await asyncio.shield(task)
+    if error is not None:
+        raise error
+
+
+async def _error_of(work):
+    try:
+        await work
+    except MagnoliagradeError as exc:
+        return exc
+    return None
+
+
+async def _admit_and_follow(node, request, headers, sink):
+    with group_serving(node):
+        await _serve_attempt(node, request, headers, sink)
+
+
+async def _serve_attempt(node, request, headers, sink):
     work = await node.credits.admit(request, entry=headers[names.ENTRY])
     with node.credits.following(work):
         try:
@@ -89,10 +126,7 @@
         span.set_attribute("magnoliagrade.attempt", attempt)
         span.set_attribute("magnoliagrade.limit", node.credits.limit)
         inject_context(request.header_by_name)
-        resume_tokens = int(headers.get(names.RESUME_TOKENS, "0"))
-        response = await node.engine.open(
-            request, attempt=attempt, resume_tokens=resume_tokens
-        )
+        response = await _open(node, request, attempt, headers)
         async with response:
             node.credits.confirm(work)
             work.has_failed = response.status >= 500
@@ -104,6 +138,24 @@
     work.is_whole = True
 
 
+async def _open(node, request, attempt, headers):
+    resume_tokens = 0
+    if request.repeatable:
+        resume_tokens = int(headers.get(names.RESUME_TOKENS, "0"))
+    else:
+        node.attempts.begin(attempt)
+    try:
+        return await node.engine.open(
+            request, attempt=attempt, resume_tokens=resume_tokens
+        )
+    except MagnoliagradeError as exc:
+        if exc.kind is ErrorKind.NOT_RUN:
+            block_endpoint(node)
+            if not request.repeatable:
+                node.attempts.undo(attempt)
+        raise
+
+
 def _answer_error(error, request, sink):
     REQUESTS.labels(error.kind.value).inc()
     request_id = request.id if request else ""
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
@@ -3,15 +3,16 @@
 import logging
 
 from magnoliagrade.algorithms import parse_selector
-from magnoliagrade.node import Node
+from magnoliagrade.node import AttemptBook, Node
 from magnoliagrade.observability import log_event
 from magnoliagrade.wire import Label
 from magnoliagrade.world import Role, Work
 
-from magnoliagrade_agent.attempts import AttemptBook
 from magnoliagrade_agent.capacity import CreditBook, limit_policies
-from magnoliagrade_agent.door import make_data_app
+from magnoliagrade_agent.door import make_data_door
 from magnoliagrade_agent.engine import EngineClient
+from magnoliagrade_agent.group import handlers as group_handlers  # noqa: F401
+from magnoliagrade_agent.group.service import GroupService
 from magnoliagrade_agent.handlers import agent_handlers, agent_tasks
 from magnoliagrade_agent.load_watch import LoadWatch, send_grants
 
@@ -38,8 +39,10 @@
         "attempts",
         "credits",
         "engine",
+        "group_service",
         "is_listed_leaving",
         "load_watch",
+        "order_session",
         "pool",
     )
 
@@ -64,13 +67,24 @@
         self.is_listed_leaving = False
         self._was_refusing = False
         self.pool = None
+        self.group_service = None
         self.configuration.listeners.append(lambda _: self.apply_configuration())
 
     async def start(self):
         """Open every listener and start the background tasks."""
         self.open_clients()
-        self.engine = EngineClient(url=self.settings.url, session=self.session)
-        await self.listen_http("data", make_data_app(self), self.settings.data_address)
+        self.order_session = self.make_session(keeps_connections=False)
+        self.engine = EngineClient(
+            url=self.settings.url,
+            session=self.session,
+            order_session=self.order_session,
+            work=self.settings.work,
+        )
+        if self.settings.group:
+            self.group_service = GroupService(node=self)
+        await self.listen_door(
+            "data", make_data_door(self), self.settings.data_address, is_internal=True
+        )
         await self.listen_admin()
         await self.listen_links()
         self.start_tasks()
@@ -83,6 +97,7 @@
         await self.say_leaving()
         await self.wait_for_requests(lambda: self.credits.count_in_flight)
         await self.close()
+        await self.order_session.close()
         log_event(_log, "agent.stopped")
 
     def hello(self):
@@ -141,7 +156,11 @@
                 return
 
     def on_link_up(self, link):
-        """Tell an entry what the endpoint bears."""
+        """Tell an entry what the endpoint bears, a peer which rank this is."""
+        if self.group_service is not None:
+            self.group_service.on_link_up(link)
+        if link.hello.role != Role.ENTRY.value:
+            return
         self.credits.grants.forget_asks(link.peer_instance)
         self.load_watch.send_to(self, link)
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/settings.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/settings.py
@@ -2,23 +2,16 @@
 
 from dataclasses import dataclass
 
-from magnoliagrade.configuration import same_addresses, setting
+from magnoliagrade.configuration import setting
+from magnoliagrade.node import NodeSettings
 
 __all__ = ["EntrySettings"]
 
 
 @dataclass(slots=True, kw_only=True)
-class EntrySettings:
+class EntrySettings(NodeSettings):
     """Settings of an entry instance; each field documents itself."""
 
-    name: str = setting(
-        section="instance", doc="name of the instance", env="MAGNOLIAGRADE_INSTANCE"
-    )
-    data_centre: str = setting(
-        section="instance",
-        doc="data centre that the instance stands in",
-        env="MAGNOLIAGRADE_DATA_CENTRE",
-    )
     caller_address: str = setting(
         section="listen",
         doc="where callers connect",
@@ -26,45 +19,6 @@
         default="127.0.0.1:0",
         env="MAGNOLIAGRADE_CALLER_ADDRESS",
     )
-    data_address: str = setting(
-        section="listen",
-        doc="where peer entries forward requests",
-        address=True,
-        default="127.0.0.1:0",
-        env="MAGNOLIAGRADE_DATA_ADDRESS",
-    )
-    control_address: str = setting(
-        section="listen",
-        doc="where peer entries open links",
-        address=True,
-        default="127.0.0.1:0",
-        env="MAGNOLIAGRADE_CONTROL_ADDRESS",
-    )
-    admin_address: str = setting(
-        section="listen",
-        doc="health, readiness and metrics",
-        address=True,
-        default="127.0.0.1:0",
-        env="MAGNOLIAGRADE_ADMIN_ADDRESS",
-    )
-    advertised_data_address: str = setting(
-        section="listen",
-        doc="where others reach the data listener; empty means where it listens",
-        address=True,
-        default="",
-    )
-    advertised_control_address: str = setting(
-        section="listen",
-        doc="where others reach the control listener; empty means where it listens",
-        address=True,
-        default="",
-    )
-    source_address: str = setting(
-        section="listen",
-        doc="local address of outgoing connections; empty leaves it to the system",
-        default="",
-        env="MAGNOLIAGRADE_SOURCE_ADDRESS",
-    )
     store_url: str = setting(
         section="platform",
         doc="URL of the platform's key-value service",
@@ -85,6 +39,15 @@
         low=0.05,
         high=600,
     )
+    store_calls_per_s: float = setting(
+        section="platform",
+        doc="calls to the store that all entries together may make; each takes an "
+        "equal part",
+        unit="1/s",
+        default=500.0,
+        low=1,
+        high=10**6,
+    )
     body_limit_bytes: int = setting(
         section="requests",
         doc="largest body that a caller may send",
@@ -109,43 +72,70 @@
         low=0.1,
         high=3600,
     )
-    drain_lag_s: float = setting(
-        section="shutdown",
-        doc="how long new requests are still served after SIGTERM, while the "
-        "platform's balancer lags",
+    body_memory_bytes: int = setting(
+        section="requests",
+        doc="memory that the bodies of all requests in the entry may take together",
+        unit="bytes",
+        default=256 * 1024 * 1024,
+        low=1024,
+        high=1024**4,
+    )
+    header_timeout_s: float = setting(
+        section="requests",
+        doc="longest time that a caller may take to send the headers of a request",
         unit="s",
-        default=1.0,
-        low=0,
-        high=600,
+        default=10.0,
+        low=0.1,
+        high=3600,
     )
-    drain_limit_s: float = setting(
-        section="shutdown",
-        doc="longest wait for requests in flight",
+    idle_timeout_s: float = setting(
+        section="requests",
+        doc="longest time that a connection is kept without a request; longer than "
+        "that of the platform's balancer",
         unit="s",
-        default=120.0,
-        low=0,
+        default=600.0,
+        low=0.1,
         high=86400,
     )
-    log_level: str = setting(
-        section="logs",
-        doc="lowest level that is logged",
-        default="INFO",
-        choices=("DEBUG", "INFO", "WARNING", "ERROR"),
+    claims_keeper: str = setting(
+        section="claims",
+        doc="how claims on idempotency keys are written: many of a shard at once, "
+        "or each by itself",
+        choices=("batched", "single"),
+        default="batched",
     )
-    otlp_url: str = setting(
-        section="traces",
-        doc="where spans go by OTLP over HTTP; empty writes JSON lines",
-        url=True,
-        default="",
+    claims_lifetime_s: float = setting(
+        section="claims",
+        doc="how long a claim on an idempotency key holds at least",
+        unit="s",
+        default=86400.0,
+        low=60,
+        high=604800,
+    )
+    claims_shards: int = setting(
+        section="claims",
+        doc="values of the store that batched claims are spread over; the same on "
+        "every entry",
+        default=64,
+        low=1,
+        high=4096,
     )
-    sampling: float = setting(
-        section="traces",
-        doc="fraction of new traces that are recorded",
-        default=0.0,
+    drain_lag_s: float = setting(
+        section="shutdown",
+        doc="how long new requests are still served after SIGTERM, while the "
+        "platform's balancer lags",
+        unit="s",
+        default=1.0,
         low=0,
-        high=1,
+        high=600,
     )
 
     def combinations(self):
         """Return texts for settings that cannot go together."""
-        return same_addresses(self)
+        # A dataclass with slots is made twice, so `super()` would miss it.
+        problems = NodeSettings.combinations(self)
+        if self.body_memory_bytes < self.body_limit_bytes:
+            problems.append(
+                "[requests] body_memory_bytes must not be less than body_limit_bytes"
+            )
+        return problems
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
@@ -7,18 +7,26 @@
 from magnoliagrade.clock import SystemClock
 from magnoliagrade.node import announce_ready, run_until_signal, start_site
 
+from magnoliagrade_standins.balance import balance_command
 from magnoliagrade_standins.bench import bench_command
 from magnoliagrade_standins.demo import demo_command
 from magnoliagrade_standins.engine import Engine, EngineProfile, make_engine_app
+from magnoliagrade_standins.explore import explore_command
 from magnoliagrade_standins.load import load_command
-from magnoliagrade_standins.pages import settings_page
 from magnoliagrade_standins.platform import (
     ListedInstances,
     MemoryStore,
     make_platform_app,
 )
 from magnoliagrade_standins.proxy import FaultProxy, make_proxy_app
+from magnoliagrade_standins.ranks.command import ranks_command
 from magnoliagrade_standins.service import PlainService, make_service_app
+from magnoliagrade_standins.slopes import slopes_command
+from magnoliagrade_standins.traces import (
+    assemble_traces,
+    read_spans,
+    trace_lines,
+)
 from magnoliagrade_standins.trials import run_trial
 
 LOOPBACK = "127.0.0.1:0"
@@ -37,6 +45,14 @@
 
         _serve(make, address)
 
+    def balance(self, output="", **sizes):
+        """Compare rebalancing policies over a day of drifting popularity."""
+        balance_command(output=output, **sizes)
+
+    def explore(self, **bounds):
+        """Explore the switch of a group's map; exits with 1 if it finds a fault."""
+        sys.exit(explore_command(**bounds))
+
     def bench(self, **options):
         """Measure the added latency and the throughput of entry and agent."""
         bench_command(**options)
@@ -67,20 +83,42 @@
         """Serve a fault-injecting TCP proxy."""
         _serve(lambda: make_proxy_app(FaultProxy(clock=SystemClock())), address)
 
-    def settings_page(self):
-        """Print docs/SETTINGS.md."""
-        print(settings_page(), end="")
+    def pages(self, folder="docs"):
+        """Write the pages of the documentation that are made from code."""
+        # Imports both binaries, which stand-ins need not wait for.
+        from magnoliagrade_standins.pages import write_pages
+
+        write_pages(folder)
+
+    def trace(self, *files):
+        """Print the traces in files that processes wrote as trees."""
+        spans = []
+        for file in files:
+            with open(file, encoding="utf-8") as lines:
+                spans += read_spans(lines)
+        print("\n".join(trace_lines(assemble_traces(spans))))
 
     def trial(self, name, seed=1, json=False, **options):
         """Run a trial; exit code 1 if one of its checks failed."""
         if not run_trial(name, seed=seed, as_json=json, **options).passed:
             sys.exit(1)
 
+    def slopes(self, families="", json_path="", plot_path="", **durations):
+        """Measure what control costs at several sizes and what it would at fleet."""
+        paths = {"json_path": json_path, "plot_path": plot_path}
+        sys.exit(slopes_command(families=families, **paths, **durations))
+
+    def ranks(self, address=LOOPBACK, **profile):
+        """Serve a group of ranks in lock-step, each on a port of its own."""
+        ranks_command(address, **profile)
+
     def service(self, address=LOOPBACK, service_s=0.005):
         """Serve a plain service."""
 
         def make():
-            service = PlainService(clock=SystemClock(), service_s=service_s)
+            service = PlainService(
+                clock=SystemClock(), service_s=service_s, journal=sys.stderr
+            )
             return make_service_app(service)
 
         _serve(make, address)
@@ -98,7 +136,9 @@
     runners = []
 
     async def start():
-        runner, bound = await start_site(make(), address, shutdown_timeout=0.1)
+        runner, bound = await start_site(
+            make(), address, shutdown_timeout=0.1, handler_cancellation=True
+        )
         runners.append(runner)
         announce_ready(http=bound)
 
--- a/packages/magnoliagrade/magnoliagrade/http/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/http/__init__.py
@@ -1,16 +1,38 @@
 """Headers and answers shared by the HTTP hops."""
 
 from magnoliagrade.http.answers import AnswerSink, error_response
+from magnoliagrade.http.bodies import BodyBudget, read_body
+from magnoliagrade.http.client import send_once
+from magnoliagrade.http.events import EventCutter, WholeEvents
 from magnoliagrade.http.headers import (
+    check_incarnation,
     end_to_end_headers,
     read_request_headers,
     write_request_headers,
 )
+from magnoliagrade.http.server import (
+    DoorLimits,
+    coded_errors,
+    listen,
+    log_refusal,
+    start_door,
+)
 
 __all__ = [
     "AnswerSink",
+    "BodyBudget",
+    "DoorLimits",
+    "EventCutter",
+    "WholeEvents",
+    "check_incarnation",
+    "coded_errors",
     "end_to_end_headers",
     "error_response",
+    "listen",
+    "log_refusal",
+    "read_body",
     "read_request_headers",
+    "send_once",
+    "start_door",
     "write_request_headers",
 ]
--- a/packages/magnoliagrade/magnoliagrade/node/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/node/__init__.py
@@ -1,5 +1,6 @@
 """What the entry and the agent have in common as running processes."""
 
+from magnoliagrade.node.attempts import AttemptBook
 from magnoliagrade.node.commands import (
     EXIT_INVALID,
     check_settings,
@@ -15,16 +16,19 @@
 from magnoliagrade.node.links import LinkBook, run_link, send_heartbeats
 from magnoliagrade.node.node import Node
 from magnoliagrade.node.process import announce_ready, run_until_signal, start_site
+from magnoliagrade.node.settings import NodeSettings
 from magnoliagrade.node.status_report import register_status
 from magnoliagrade.node.tasks import Tasks, TaskTable
 
 __all__ = [
     "EXIT_INVALID",
+    "AttemptBook",
     "ConfigurationSpread",
     "ConfigurationState",
     "HandlerTable",
     "LinkBook",
     "Node",
+    "NodeSettings",
     "TaskTable",
     "Tasks",
     "announce_ready",
--- a/packages/magnoliagrade/magnoliagrade/node/node.py
+++ b/packages/magnoliagrade/magnoliagrade/node/node.py
@@ -6,15 +6,17 @@
 import aiohttp
 
 from magnoliagrade.clock import SystemClock
+from magnoliagrade.http import DoorLimits, start_door
 from magnoliagrade.identity import InstanceIdentity, new_incarnation
 from magnoliagrade.node.admin import make_admin_app
 from magnoliagrade.node.configuration_spread import ConfigurationSpread
 from magnoliagrade.node.configuration_state import ConfigurationState
 from magnoliagrade.node.links import LinkBook, run_link
+from magnoliagrade.node.metrics import expose_process_metrics
 from magnoliagrade.node.process import announce_ready, bound_address, start_site
 from magnoliagrade.node.tasks import Tasks
 from magnoliagrade.observability import configure_tracing
-from magnoliagrade.platform import HttpStore
+from magnoliagrade.platform import CallLimiter, HttpStore
 from magnoliagrade.wire import (
     Hello,
     Leaving,
@@ -26,6 +28,7 @@
 __all__ = ["Node"]
 
 DRAIN_POLL_S = 0.05
+STORE_CALLS_PER_S = 5.0
 
 
 class Node:
@@ -98,13 +101,34 @@
             otlp_url=settings.otlp_url,
             sampling=settings.sampling,
         )
-        source = (settings.source_address, 0) if settings.source_address else None
-        self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, local_addr=source),
+        self.session = self.make_session()
+        self.store = HttpStore(
+            url=settings.store_url,
+            session=self.session,
+            limiter=CallLimiter(clock=self.clock, rate=self.store_calls_per_s),
+        )
+
+    def make_session(self, *, keeps_connections=True):
+        """Return an HTTP session.
+
+        Parameters
+        ----------
+        keeps_connections : bool
+            Whether a connection serves further requests.
+        """
+        address = self.settings.source_address
+        connector = aiohttp.TCPConnector(
+            limit=0,
+            local_addr=(address, 0) if address else None,
+            force_close=not keeps_connections,
+        )
+        return aiohttp.ClientSession(
+            connector=connector,
             timeout=aiohttp.ClientTimeout(total=None),
             auto_decompress=False,
+            # Cookies belong to callers; a jar would send them with others' requests.
+            cookie_jar=aiohttp.DummyCookieJar(),
         )
-        self.store = HttpStore(url=settings.store_url, session=self.session)
 
     async def listen_http(self, name, app, address, **runner_options):
         """Serve an application and note its bound address under a name."""
@@ -112,8 +136,36 @@
         self._runners.append(runner)
         self.addresses[name] = bound
 
+    async def listen_door(
+        self, name, handle, address, *, limits=None, is_internal=False
+    ):
+        """Serve a door and note its bound address under a name.
+
+        Parameters
+        ----------
+        name : str
+            Name of the listener.
+        handle : coroutine function
+            Takes an HTTP request and returns a response.
+        address : str
+            `host:port` to listen on.
+        limits : DoorLimits, optional
+            What a connection may ask; wide ones by default.
+        is_internal : bool
+            Whether own processes are on the other side.
+        """
+        runner, bound = await start_door(
+            handle,
+            address,
+            limits=limits or DoorLimits(),
+            is_internal=is_internal,
+        )
+        self._runners.append(runner)
+        self.addresses[name] = bound
+
     async def listen_admin(self, routes=()):
         """Serve health, readiness and metrics."""
+        expose_process_metrics(self)
         app = make_admin_app(reasons_not_ready=self.reasons_not_ready, routes=routes)
         await self.listen_http("admin", app, self.settings.admin_address)
 
@@ -154,12 +206,18 @@
             await self.clock.sleep(DRAIN_POLL_S)
 
     async def close(self):
-        """Close listeners, links, tasks and clients."""
+        """Close listeners, links, tasks and clients.
+
+        Notes
+        -----
+        The HTTP listeners go first: what still arrives on an open connection is
+        served, and that may need links and tasks.
+        """
         self._server.close()
+        await asyncio.gather(*(runner.cleanup() for runner in self._runners))
         await self.tasks.stop()
         for link in list(self.links.by_instance.values()):
             link.close()
-        await asyncio.gather(*(runner.cleanup() for runner in self._runners))
         await self.session.close()
         self._tracing.shutdown()
 
@@ -190,6 +248,10 @@
             ),
         )
 
+    def store_calls_per_s(self):
+        """Return how many calls a second this process may make to the store."""
+        return STORE_CALLS_PER_S
+
     def on_peer_ahead(self, link):
         """Ask the other side of a link for its newer configuration."""
         self.spread.on_message(link)
--- a/packages/magnoliagrade/magnoliagrade/wire/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/__init__.py
@@ -20,9 +20,12 @@
 from magnoliagrade.wire.group import (
     ArmAck,
     ArmSwitch,
+    CountsRequest,
     ExpertCounts,
     GenerationAnswer,
     GenerationJoin,
+    GenerationSettled,
+    GroupState,
     OutcomeKnown,
     OutcomeQuery,
     StageAck,
@@ -41,18 +44,26 @@
     PeerSummary,
     PoolSummary,
 )
-from magnoliagrade.wire.outcome import Revoke, RevokeAnswer
+from magnoliagrade.wire.outcome import (
+    ClaimAnswer,
+    ClaimChange,
+    Revoke,
+    RevokeAnswer,
+)
 
 __all__ = [
     "MAX_MESSAGE_BYTES",
     "ArmAck",
     "ArmSwitch",
+    "ClaimAnswer",
+    "ClaimChange",
     "ConfigurationChunk",
     "ConfigurationOffer",
     "ConfigurationPull",
     "ConfigurationWatch",
     "StatusPull",
     "StatusReport",
+    "CountsRequest",
     "CreditGrant",
     "CreditRequest",
     "EngineLoad",
@@ -60,6 +71,8 @@
     "ExpertCounts",
     "GenerationAnswer",
     "GenerationJoin",
+    "GenerationSettled",
+    "GroupState",
     "Heartbeat",
     "Hello",
     "InstanceRow",
--- a/tests/test_binaries.py
+++ b/tests/test_binaries.py
@@ -8,7 +8,7 @@
 
 import magnoliagrade
 from magnoliagrade_standins.harness import binary_command
-from magnoliagrade_standins.pages import settings_page
+from magnoliagrade_standins.pages import metrics_page, pages
 
 ROOT = pathlib.Path(__file__).parent.parent
 BINARIES = ("magnoliagrade", "magnoliagrade-agent")
@@ -105,12 +105,31 @@
             MAGNOLIAGRADE_ADMIN_ADDRESS="127.0.0.1:8080",
         )
         assert clash.returncode == 2
-        assert "caller_address and admin_address are both" in clash.stderr
+        both = "admin_address and caller_address are both 127.0.0.1:8080"
+        assert both in clash.stderr
         empty = _run("magnoliagrade", "check", path, MAGNOLIAGRADE_INSTANCE="")
         assert "[instance] name: '' is not a text that is not empty" in empty.stderr
 
 
-def test_settings_page_is_up_to_date():
-    page = (ROOT / "docs" / "SETTINGS.md").read_text(encoding="utf-8")
-    command = "python -m magnoliagrade_standins settings_page > docs/SETTINGS.md"
-    assert page == settings_page(), f"run {command}"
+def test_pages_made_from_code_are_up_to_date():
+    for name, text in pages().items():
+        page = (ROOT / "docs" / name).read_text(encoding="utf-8")
+        assert page == text, f"{name}: run python -m magnoliagrade_standins pages"
+
+
+# What a histogram of the product may measure, as the last word of its name.
+UNITS = ("_seconds", "_bytes", "_cost", "_tokens", "_changes")
+
+
+def test_metrics_name_their_units_and_have_bounded_labels():
+    bounded = {"application", "door", "pool", "purpose", "reason", "result", "source"}
+    bounded |= {"verb", "role", "group", "phase", "outcome", "policy", "allowed"}
+    rows = [r.split("|") for r in metrics_page().splitlines() if "| magnolia" in r]
+    assert len(rows) > 20
+    for _, name, kind, labels, *_ in rows:
+        name, kind = name.strip(), kind.strip()
+        assert set(labels.replace(",", " ").split()) <= bounded, name
+        if kind == "counter":
+            assert name.endswith("_total"), name
+        if kind == "histogram":
+            assert name.endswith(UNITS), name
