--- a/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/tests/test_grants.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/tests/test_grants.py
@@ -76,3 +76,26 @@
         assert book.reserved == 0
 
     asyncio.run(main())
+
+
+def test_asks_above_a_share_come_last_and_leave_headroom():
+    book = GrantBook(clock=ManualClock())
+    for _ in range(3):
+        book.ask("a", 200, is_surplus=True)
+    book.ask("b", 200)
+    grants = book.distribute(800, headroom=200)
+    assert [(g.entry, g.is_surplus) for g in grants] == [
+        ("b", False),
+        ("a", True),
+        ("a", True),
+    ]
+    book.ask("c", 200)
+    assert [g.entry for g in book.distribute(200, headroom=200)] == ["c"]
+
+
+def test_withdrawn_ask_that_was_granted_meanwhile_frees_its_credit():
+    book = GrantBook(clock=ManualClock())
+    book.ask("a", 200)
+    book.distribute(200)
+    book.withdraw("a", 200)
+    assert book.reserved == 0
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/routing/tests/test_router.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/tests/test_router.py
@@ -209,3 +209,30 @@
         assert not health.is_out() and not health.is_probing
 
     asyncio.run(main())
+
+
+def test_credit_within_a_share_never_goes_above_one():
+    async def main():
+        router, endpoints, (link,) = _site(ManualClock(), names=("e1",), limit=9000)
+        contact = endpoints.by_name["e1"]
+        for i in range(12):
+            (task,) = await _start(router, _request(f"first {i}", "large"))
+            router.on_grant(contact, 200)
+            await task
+        for name in ("a", "b", "c"):
+            (task,) = await _start(router, _request(f"first {name}", name))
+            router.on_grant(contact, 200)
+            await task
+        large, small = await _start(
+            router, _request("large", "large"), _request("small", "a")
+        )
+        kinds = [m.is_surplus for m in link.sent[-2:]]
+        assert kinds == [True, False]
+        router.on_grant(contact, 200, is_surplus=False)
+        await asyncio.sleep(0)
+        assert small.done() and not large.done()
+        router.on_grant(contact, 200, is_surplus=True)
+        await asyncio.sleep(0)
+        assert large.done()
+
+    asyncio.run(main())
