Tell an entry at once that its ask has to wait

Cause: entries knew of a full endpoint up to a second late, and their asks waited there for 0.25 s while others had room; prefixes in demand made it common.

Change: an agent without credit says so at once (at most every 50 ms to an entry), and the ask moves to an endpoint with room; without that it moves after 0.1 s.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/grants.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/grants.py
@@ -88,6 +88,10 @@
         books = (self._asks_by_entry, self._surplus_by_entry)
         return float(sum(sum(asks) for book in books for asks in book.values()))
 
+    def has_asks(self, entry):
+        """Return whether an entry has asks that are not granted."""
+        return entry in self._asks_by_entry or entry in self._surplus_by_entry
+
     def reserved_for(self, entry):
         """Return the credit that is reserved for an entry."""
         self._drop_lapsed()
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/load_watch.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/load_watch.py
@@ -14,6 +14,7 @@
 
 BLIND_INTERVAL_S = 0.1
 CHANGE_INTERVAL_S = 1.0
+FULL_INTERVAL_S = 0.05
 REFRESH_INTERVAL_S = 5.0
 NOTABLE_FRACTION = 0.1
 EMPTY_CACHE = 0.02
@@ -27,14 +28,22 @@
     Notes
     -----
     Entries are told at once when the limit falls, within a second of a notable
-    change, and every five seconds otherwise, so that links at rest carry little.
+    change, and every five seconds otherwise, so that links at rest carry little. An
+    entry whose ask has to wait is told at once.
     """
 
-    __slots__ = ("_told", "_told_at", "limit_policy_name", "report")
+    __slots__ = (
+        "_full_told_at_by_entry",
+        "_told",
+        "_told_at",
+        "limit_policy_name",
+        "report",
+    )
 
     def __init__(self):
         self.report = LoadReport()
         self.limit_policy_name = ""
+        self._full_told_at_by_entry = {}
         self._told = EngineLoad()
         self._told_at = float("-inf")
 
@@ -43,6 +52,14 @@
         if link.hello.role == Role.ENTRY.value:
             link.send(self._message(node))
 
+    def send_full(self, node, link):
+        """Tell an entry whose ask has to wait, so that it may ask elsewhere."""
+        now = node.clock.monotonic()
+        told_at = self._full_told_at_by_entry.get(link.peer_instance, float("-inf"))
+        if now - told_at >= FULL_INTERVAL_S:
+            self._full_told_at_by_entry[link.peer_instance] = now
+            self.send_to(node, link)
+
     def send_changes(self, node):
         """Tell every entry, if there is news that is worth it."""
         message = self._message(node)
@@ -97,6 +114,8 @@
     if message.wanted:
         grants.ask(entry, message.wanted, is_surplus=message.is_surplus)
     send_grants(node)
+    if message.wanted and grants.has_asks(entry):
+        node.load_watch.send_full(node, link)
 
 
 @agent_tasks.register("engine-load")
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/credit_watch.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/credit_watch.py
@@ -20,8 +20,11 @@
 
 @entry_handlers.on(EngineLoad)
 async def on_engine_load(node, link, message):
-    """Note an endpoint's load and limit."""
+    """Note an endpoint's load and limit; what it has no room for asks elsewhere."""
     node.endpoints.on_load(link.peer_instance, message)
+    contact = node.endpoints.by_name.get(link.peer_instance)
+    if contact is not None:
+        node.router.on_load(contact)
 
 
 @entry_tasks.register("queues")
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/routing/router.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/router.py
@@ -21,7 +21,7 @@
 __all__ = ["Placement", "Router"]
 
 TICK_S = 0.05
-PATIENCE_S = 0.25
+PATIENCE_S = 0.1
 HEADS_SPILLED = 8
 DEFAULT_ROUTING = "prefix-affinity"
 
@@ -198,6 +198,27 @@
         chosen.settle(Placement(endpoint=contact, reason=pool.routing))
         self._bind_more(pool, queue)
 
+    def on_load(self, contact):
+        """Move asks away from an endpoint that has turned out to have no room.
+
+        Parameters
+        ----------
+        contact : EndpointContact
+            Endpoint whose agent has told its load.
+        """
+        if contact.room >= 0:
+            return
+        for ticket in contact.asking():
+            pool = self._configuration.in_force.pool_by_name.get(ticket.pool)
+            if pool is None:
+                continue
+            others = self._candidates(pool, ticket.excluded)
+            others = [c for c in others if c is not contact]
+            if any(c.room >= ticket.request.cost for c in others):
+                queue = self.queue_by_pool[ticket.pool]
+                queue.unbind(ticket)
+                self._bind(ticket, pool, queue, others)
+
     def tick(self):
         """Move and refuse requests whose wait has become too long."""
         for pool_name, queue in list(self.queue_by_pool.items()):
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/routing/tests/test_router.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/tests/test_router.py
@@ -236,3 +236,20 @@
         assert large.done()
 
     asyncio.run(main())
+
+
+def test_ask_moves_at_once_from_an_endpoint_that_says_it_is_full():
+    async def main():
+        router, endpoints, links = _site(ManualClock())
+        await _start(router, _request(1))
+        asked = next(k for k in links if k.asked())
+        other = next(k for k in links if k is not asked)
+        load = EngineLoad(limit=600, held=600)
+        endpoints.on_load(asked.peer_instance, load)
+        router.on_load(endpoints.by_name[asked.peer_instance])
+        assert (asked.asked(), other.asked()) == (0, 200)
+        endpoints.on_load(other.peer_instance, load)
+        router.on_load(endpoints.by_name[other.peer_instance])
+        assert (asked.asked(), other.asked()) == (0, 200)
+
+    asyncio.run(main())
