Count headroom when a request above its share is routed

Cause: requests of organisations above their share asked where there was room for others only; the agent kept them waiting, and the entry saw room there and let them.

Change: whether an endpoint has room depends on the request; the headroom is one constant for agents and entries.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/credits.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/credits.py
@@ -5,6 +5,7 @@
 
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
 from magnoliagrade.observability import log_event
+from magnoliagrade.wire import SURPLUS_HEADROOM
 from prometheus_client import Counter, Gauge
 
 from magnoliagrade_agent.capacity.continuity import BootContinuity
@@ -18,7 +19,6 @@
 PACE_POLL_S = 0.005
 PACE_LIMIT_S = 1.0
 FRESH_S = 2.0
-HEADROOM_FRACTION = 0.3
 REFUSED_RETRY_S = 1.0
 BREAKING_KINDS = (
     ErrorKind.ANSWER_BROKEN,
@@ -138,7 +138,7 @@
         lone_limit = self._lone_limit() if is_idle else 0.0
         return self.grants.distribute(
             self.free,
-            headroom=HEADROOM_FRACTION * self.limit,
+            headroom=SURPLUS_HEADROOM * self.limit,
             lone_limit=lone_limit,
         )
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/routing/endpoints.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/endpoints.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 
 from magnoliagrade.algorithms import parse_selector
-from magnoliagrade.wire import CreditRequest
+from magnoliagrade.wire import SURPLUS_HEADROOM, CreditRequest
 from magnoliagrade.world import Endpoint, EndpointState, LoadReport, Role
 
 from magnoliagrade_entry.routing.outliers import EndpointHealth
@@ -77,6 +77,19 @@
         """Return what is held and waited for as a fraction of the limit."""
         return (self.held + self.asked_cost) / max(self.limit, 1.0)
 
+    def has_room(self, ticket):
+        """Return whether the endpoint can probably grant a request's credit now.
+
+        Notes
+        -----
+        Requests above a share leave others their headroom.
+        """
+        room = self.room
+        if ticket.is_surplus:
+            room -= self.asked_surplus + SURPLUS_HEADROOM * self.limit
+        is_counted = ticket.contact is self
+        return room >= (0 if is_counted else ticket.request.cost)
+
     def may_ask(self, ticket):
         """Return whether asking for a request would keep within the limit.
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/routing/router.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/router.py
@@ -206,15 +206,15 @@
         contact : EndpointContact
             Endpoint whose agent has told its load.
         """
-        if contact.room >= 0:
-            return
         for ticket in contact.asking():
+            if contact.has_room(ticket):
+                continue
             pool = self._configuration.in_force.pool_by_name.get(ticket.pool)
             if pool is None:
                 continue
             others = self._candidates(pool, ticket.excluded)
             others = [c for c in others if c is not contact]
-            if any(c.room >= ticket.request.cost for c in others):
+            if any(c.has_room(ticket) for c in others):
                 queue = self.queue_by_pool[ticket.pool]
                 queue.unbind(ticket)
                 self._bind(ticket, pool, queue, others)
@@ -270,6 +270,8 @@
         open_ones = [c for c in candidates if c.may_ask(ticket)]
         if not open_ones:
             return
+        if ticket.is_surplus:
+            open_ones = [c for c in open_ones if c.has_room(ticket)] or open_ones
         is_known = pool.routing in routing_policies.by_name
         choose = routing_policies.get(pool.routing if is_known else DEFAULT_ROUTING)
         contact = choose(
@@ -296,7 +298,7 @@
                     continue
                 is_late = now - ticket.asked_at > PATIENCE_S
                 has_better = any(
-                    c.room >= ticket.request.cost for c in eligible if c is not contact
+                    c.has_room(ticket) for c in eligible if c is not contact
                 )
                 is_beyond = ticket.request.cost > contact.limit
                 is_lost = is_beyond or contact not in eligible
--- a/packages/magnoliagrade/magnoliagrade/wire/capacity.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/capacity.py
@@ -5,6 +5,7 @@
 from magnoliagrade.wire.message_table import message
 
 __all__ = [
+    "SURPLUS_HEADROOM",
     "CreditGrant",
     "CreditRequest",
     "EngineLoad",
@@ -12,6 +13,9 @@
     "UsageReport",
 ]
 
+# Part of a limit that asks above a share leave free; agents and entries agree on it.
+SURPLUS_HEADROOM = 0.3
+
 
 @message("capacity", "creditRequest")
 class CreditRequest:
