--- a/packages/magnoliagrade-entry/magnoliagrade_entry/doors.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/doors.py
@@ -9,10 +9,11 @@
     AnswerSink,
     check_incarnation,
     error_response,
+    log_refusal,
     read_request_headers,
 )
 from magnoliagrade.http import headers as names
-from magnoliagrade.observability import extract_context, get_tracer, log_event
+from magnoliagrade.observability import extract_context, get_tracer
 from opentelemetry import trace
 from prometheus_client import Counter, Histogram
 
@@ -30,6 +31,12 @@
     "Time from arrival to the end of the answer",
     ["door"],
 )
+FIRST_BYTE = Histogram(
+    "magnoliagrade_first_byte_seconds",
+    "Time from arrival to the first byte of the answer's body",
+    ["door"],
+    buckets=(0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.84, 1.5, 3, 6, 12, 30),
+)
 _tracer = get_tracer(__name__)
 _log = logging.getLogger(__name__)
 
@@ -45,9 +52,10 @@
 
     async def handle(http_request):
         request_id = request_id_of(http_request.headers)
-        sink = AnswerSink(
+        sink = _TimedSink(
             http_request=http_request,
             added_headers={"X-Request-Id": request_id},
+            clock=node.clock,
             closes_connection=node.closes_connections,
         )
         with _server_span("caller", http_request) as span:
@@ -113,6 +121,23 @@
     return _counted(node, handle, "peer")
 
 
+class _TimedSink(AnswerSink):
+    """Sink that measures the time to the first byte of the body."""
+
+    __slots__ = ("_arrived_at", "_clock")
+
+    def __init__(self, *, clock, **fields):
+        super().__init__(**fields)
+        self._clock = clock
+        self._arrived_at = clock.monotonic()
+
+    async def write(self, data, **fields):
+        if not self.bytes_written:
+            elapsed_s = self._clock.monotonic() - self._arrived_at
+            FIRST_BYTE.labels("caller").observe(elapsed_s)
+        await super().write(data, **fields)
+
+
 def _counted(node, handle, door):
     async def counted(http_request):
         started = node.clock.monotonic()
@@ -191,14 +216,7 @@
 
 def _answer_error(error, sink, request_id, *, door):
     REQUESTS.labels(door, error.kind.value).inc()
-    log_event(
-        _log,
-        "request.refused",
-        request_id=request_id,
-        code=error.kind.value,
-        detail=error.detail,
-        door=door,
-    )
+    log_refusal(_log, error, request_id=request_id, door=door)
     if sink.has_started:
         sink.abort()
         return sink.response
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
@@ -13,6 +13,7 @@
     configuration_watch,
     credit_watch,
     group_watch,
+    usage_gossip,
 )
 from magnoliagrade_entry.claims import ClaimGuard
 from magnoliagrade_entry.configuration_duty import WatchDuty
@@ -95,7 +96,7 @@
             clock=self.clock,
             data_centre=settings.data_centre,
         )
-        self.admission = admission_policies.get("capped")(node=self)
+        self.admission = admission_policies.get("fair")(node=self)
         self.dispatcher = Dispatcher(node=self)
         self.claims = ClaimGuard(node=self)
         self.forwarded = ForwardedBook(node=self)
