Ask for the answer of an order that was lost on its way back

The entry waits for an attempt that runs until the deadline. Only the attempt's own id and the incarnation that it was sent to count, so no other answer can come. test_at_most_once: the two cases after the hand-over asked for "200 or 504 and not twice"; they now ask that each order is answered and ran exactly once, and the unknown outcome is tested where it remains, with a killed agent.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/door.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/door.py
@@ -86,7 +86,11 @@
         return
     node.attempts.check(headers[names.ATTEMPT])
     sink.ignores_lost_reader = True
-    work = _error_of(_admit_and_follow(node, request, headers, sink))
+
+    async def serve(recording):
+        await _admit_and_follow(node, request, headers, recording)
+
+    work = _error_of(node.outcomes.follow(headers[names.ATTEMPT], sink, serve))
     # An order that was handed over goes on to its end when the entry is gone.
     task = node.tasks.start(work, name=f"order {request.id}")
     error = await asyncio.shield(task)
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/handlers.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/handlers.py
@@ -14,7 +14,6 @@
     Heartbeat,
     Leaving,
     Revoke,
-    RevokeAnswer,
 )
 
 __all__ = ["agent_handlers", "agent_tasks"]
@@ -48,6 +47,6 @@
 
 @agent_handlers.on(Revoke)
 async def on_revoke(node, link, message):
-    """Withdraw an attempt and say whether it never started."""
+    """Withdraw an attempt and say whether it never started, or how it ended."""
     never_started = node.attempts.revoke(message.attempt)
-    link.send(RevokeAnswer(attempt=message.attempt, never_started=never_started))
+    link.send(node.outcomes.answer(message.attempt, never_started=never_started))
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
@@ -3,7 +3,7 @@
 import logging
 
 from magnoliagrade.algorithms import parse_selector
-from magnoliagrade.node import AttemptBook, Node
+from magnoliagrade.node import AttemptBook, Node, OutcomeBook
 from magnoliagrade.observability import log_event
 from magnoliagrade.wire import Label
 from magnoliagrade.world import Role, Work
@@ -43,6 +43,7 @@
         "is_listed_leaving",
         "load_watch",
         "order_session",
+        "outcomes",
         "pool",
     )
 
@@ -57,6 +58,7 @@
             clock=clock,
         )
         self.attempts = AttemptBook()
+        self.outcomes = OutcomeBook()
         self.credits = CreditBook(
             limit_policy=limit_policies.get(DEFAULT_LIMIT_POLICY)(),
             clock=self.clock,
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/claims/guard.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/claims/guard.py
@@ -4,6 +4,7 @@
 import logging
 
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError, Ran, answer_of
+from magnoliagrade.http import RecordedAnswer, RecordingSink
 from magnoliagrade.observability import log_event
 from prometheus_client import Counter
 
@@ -12,7 +13,6 @@
 
 __all__ = ["ClaimGuard"]
 
-RECORDED_BODY_BYTES = 512
 RETRY_AFTER_S = 1.0
 RECORDS_LIMIT_S = 5.0
 RECORDS_POLL_S = 0.02
@@ -97,19 +97,20 @@
             ) from exc
 
     async def _dispatch(self, request, claim, sink, dispatch):
-        recording = _RecordingSink(sink=sink)
+        recording = RecordingSink(sink=sink)
         try:
             await dispatch(request, recording)
         except MagnoliagradeError as exc:
             if answer_of(exc.kind).ran is Ran.NO:
                 self._later(self.keeper.release(claim))
             raise
-        settled = dataclasses.replace(
-            claim,
-            status=recording.status,
-            content_type=recording.content_type,
-            body=recording.body,
-        )
+        settled = dataclasses.replace(claim, status=recording.status)
+        recorded = recording.recorded
+        if recorded is None:
+            settled.drop_body()
+        else:
+            settled.content_type = recorded.content_type
+            settled.body = recorded.body
         self._later(self.keeper.settle(settled))
 
     def _later(self, work):
@@ -136,53 +137,7 @@
         detail = f"the request of this idempotency key {what}"
         raise MagnoliagradeError(ErrorKind.ALREADY_CLAIMED, detail)
     CLAIMS.labels("replayed").inc()
-    headers = {"Content-Length": str(len(held.body))}
-    if held.content_type:
-        headers["Content-Type"] = held.content_type
-    await sink.start(held.status, headers)
-    await sink.write(held.body)
-    await sink.finish()
-
-
-class _RecordingSink:
-    """Passes an answer on and keeps it if it is short."""
-
-    __slots__ = ("_sink", "body", "content_type", "status")
-
-    def __init__(self, *, sink):
-        self._sink = sink
-        self.status = 0
-        self.content_type = ""
-        self.body = b""
-
-    @property
-    def has_started(self):
-        return self._sink.has_started
-
-    @property
-    def is_event_stream(self):
-        return self._sink.is_event_stream
-
-    @property
-    def bytes_written(self):
-        return self._sink.bytes_written
-
-    @property
-    def tokens_written(self):
-        return self._sink.tokens_written
-
-    async def start(self, status, headers):
-        self.status = status
-        self.content_type = headers.get("Content-Type", "")
-        await self._sink.start(status, headers)
-
-    async def write(self, data, *, tokens=0):
-        if len(self.body) + len(data) > RECORDED_BODY_BYTES:
-            self.content_type = NOT_RECORDED
-            self.body = b""
-        elif self.content_type != NOT_RECORDED:
-            self.body += data
-        await self._sink.write(data, tokens=tokens)
-
-    async def finish(self):
-        await self._sink.finish()
+    recorded = RecordedAnswer(
+        status=held.status, content_type=held.content_type, body=held.body
+    )
+    await recorded.write_to(sink)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/doors.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/doors.py
@@ -166,13 +166,25 @@
         await serve(request, sink)
         return
     sink.ignores_lost_reader = True
-    work = _error_of(node, serve(request, sink))
+
+    work = _error_of(node, _serve_recorded(node, request, sink, serve))
     task = node.tasks.start(work, name=f"order {request.id}")
     error = await asyncio.shield(task)
     if error is not None:
         raise error
 
 
+async def _serve_recorded(node, request, sink, serve):
+    if not request.forwarded_attempt:
+        await serve(request, sink)
+        return
+
+    async def follow(recording):
+        await serve(request, recording)
+
+    await node.outcomes.follow(request.forwarded_attempt, sink, follow)
+
+
 async def _error_of(node, work):
     node.requests_in_flight += 1
     try:
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
@@ -4,7 +4,7 @@
 
 from magnoliagrade.configuration import ConfigurationRepository
 from magnoliagrade.http import BodyBudget, DoorLimits
-from magnoliagrade.node import Node
+from magnoliagrade.node import Node, OutcomeBook
 from magnoliagrade.observability import log_event
 from magnoliagrade.platform import HttpInstanceList
 from magnoliagrade.world import Role
@@ -60,6 +60,7 @@
         "instance_list",
         "known",
         "link_keeper",
+        "outcomes",
         "peers",
         "repository",
         "requests_in_flight",
@@ -100,6 +101,7 @@
         self.dispatcher = Dispatcher(node=self)
         self.claims = ClaimGuard(node=self)
         self.forwarded = ForwardedBook(node=self)
+        self.outcomes = OutcomeBook()
         self.revocations = Revocations(node=self)
         self.link_keeper = LinkKeeper(node=self)
         self.duty = WatchDuty(node=self)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/requests/dispatch.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/requests/dispatch.py
@@ -3,6 +3,7 @@
 import logging
 
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError, Ran, answer_of
+from magnoliagrade.http import RecordedAnswer
 from magnoliagrade.observability.logs import log_event
 from magnoliagrade.world import Pool, Work
 from prometheus_client import Counter
@@ -151,7 +152,7 @@
             self._note(request, placement, attempt, result)
 
     async def _run(self, request, placement, attempt, sink):
-        """Run an attempt; a lost order is withdrawn before its outcome is told."""
+        """Run an attempt; a lost order is withdrawn, or its answer asked for again."""
         try:
             await run_attempt(
                 node=self._node,
@@ -161,11 +162,15 @@
                 sink=sink,
             )
         except AttemptFailed as exc:
-            if request.repeatable or exc.ran is not Ran.UNKNOWN:
+            if request.repeatable or exc.ran is Ran.NO or sink.has_started:
                 raise
-            if not await self._node.revocations.never_started(
+            answer = await self._node.revocations.settle(
                 placement, attempt, deadline=request.deadline
-            ):
+            )
+            if answer.status:
+                await _recorded(answer).write_to(sink)
+                return
+            if not answer.never_started:
                 raise
             detail = f"{exc.detail}; withdrawn before it started"
             raise AttemptFailed(ErrorKind.NOT_RUN, detail, ran=Ran.NO) from exc
@@ -227,6 +232,12 @@
     return default
 
 
+def _recorded(answer):
+    return RecordedAnswer(
+        status=answer.status, content_type=answer.content_type, body=answer.body
+    )
+
+
 def _is_lookup(request):
     return request.repeatable and request.method in LOOKUP_METHODS
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/requests/forwarded.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/requests/forwarded.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from magnoliagrade.node import AttemptBook
-from magnoliagrade.wire import Revoke, RevokeAnswer
+from magnoliagrade.wire import Revoke
 
 from magnoliagrade_entry.handlers import entry_handlers
 from magnoliagrade_entry.requests.revocation import REVOKE_WAIT_S
@@ -78,7 +78,7 @@
         sent = self._sent_by_attempt.get(attempt)
         if sent is None:
             never_started = self._attempts.revoke(attempt)
-            link.send(RevokeAnswer(attempt=attempt, never_started=never_started))
+            self._answer(link, attempt, never_started)
         elif attempt not in self._relayed:
             self._relayed.add(attempt)
             relay = self._relay(link, attempt, sent)
@@ -87,15 +87,19 @@
     async def _relay(self, link, attempt, sent):
         deadline = self._node.clock.monotonic() + REVOKE_WAIT_S
         try:
-            never_started = await self._node.revocations.never_started(
-                sent.placement, sent.attempt, deadline=deadline
+            answer = await self._node.revocations.settle(
+                sent.placement, sent.attempt, deadline=deadline, is_patient=False
             )
-            if never_started:
+            if answer.never_started:
                 self._attempts.undo(attempt)
-            link.send(RevokeAnswer(attempt=attempt, never_started=never_started))
+            self._answer(link, attempt, answer.never_started)
         finally:
             self._relayed.discard(attempt)
 
+    def _answer(self, link, attempt, never_started):
+        answer = self._node.outcomes.answer(attempt, never_started=never_started)
+        link.send(answer)
+
 
 def _is_tracked(request):
     return bool(request.forwarded_from) and not request.repeatable
--- a/packages/magnoliagrade/magnoliagrade/http/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/http/__init__.py
@@ -10,6 +10,7 @@
     read_request_headers,
     write_request_headers,
 )
+from magnoliagrade.http.recording import RecordedAnswer, RecordingSink
 from magnoliagrade.http.server import (
     DoorLimits,
     coded_errors,
@@ -23,6 +24,8 @@
     "BodyBudget",
     "DoorLimits",
     "EventCutter",
+    "RecordedAnswer",
+    "RecordingSink",
     "WholeEvents",
     "check_incarnation",
     "coded_errors",
--- a/packages/magnoliagrade/magnoliagrade/node/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/node/__init__.py
@@ -15,6 +15,7 @@
 from magnoliagrade.node.handlers import HandlerTable
 from magnoliagrade.node.links import LinkBook, run_link, send_heartbeats
 from magnoliagrade.node.node import Node
+from magnoliagrade.node.outcomes import OutcomeBook
 from magnoliagrade.node.process import announce_ready, run_until_signal, start_site
 from magnoliagrade.node.status_report import register_status
 from magnoliagrade.node.tasks import Tasks, TaskTable
@@ -27,6 +28,7 @@
     "HandlerTable",
     "LinkBook",
     "Node",
+    "OutcomeBook",
     "TaskTable",
     "Tasks",
     "announce_ready",
--- a/packages/magnoliagrade/magnoliagrade/wire/outcome.capnp
+++ b/packages/magnoliagrade/magnoliagrade/wire/outcome.capnp
@@ -8,6 +8,10 @@
 struct RevokeAnswer {
   attempt @0 :Text;
   neverStarted @1 :Bool;
+  isRunning @2 :Bool;
+  status @3 :UInt16;         # HTTP status of the recorded answer; 0 for none
+  contentType @4 :Text;
+  body @5 :Data;
 }
 
 struct ClaimChange {
--- a/packages/magnoliagrade/magnoliagrade/wire/outcome.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/outcome.py
@@ -14,10 +14,14 @@
 
 @message("outcome", "revokeAnswer")
 class RevokeAnswer:
-    """An agent says whether a withdrawn attempt never started."""
+    """The receiver says whether a withdrawn attempt never started, or how it ended."""
 
     attempt: str = ""
     never_started: bool = False
+    is_running: bool = False
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
 
 
 @message("outcome", "claimChange")
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -27,28 +27,22 @@
 
 
 def test_order_cut_before_the_hand_over_runs_once_elsewhere():
-    asyncio.run(_cut("kamloops-service-0/data", "stall-to-target", PLAN, served=True))
+    asyncio.run(_cut("kamloops-service-0/data", "stall-to-target", PLAN))
 
 
-def test_order_cut_after_the_hand_over_is_not_run_again():
-    asyncio.run(
-        _cut("kamloops-service-0/data", "stall-from-target", PLAN, served=False)
-    )
+def test_order_cut_after_the_hand_over_gets_the_answer_of_its_one_run():
+    asyncio.run(_cut("kamloops-service-0/data", "stall-from-target", PLAN))
 
 
 def test_forwarded_order_cut_before_its_agent_runs_once_elsewhere():
-    asyncio.run(
-        _cut("kelowna-service-0/data", "stall-to-target", FAR_PLAN, served=True)
-    )
+    asyncio.run(_cut("kelowna-service-0/data", "stall-to-target", FAR_PLAN))
 
 
-def test_forwarded_order_cut_after_its_peer_is_not_run_again():
-    asyncio.run(
-        _cut("kelowna-entry-0/data", "stall-from-target", FAR_PLAN, served=False)
-    )
+def test_forwarded_order_cut_after_its_peer_gets_the_answer_of_its_one_run():
+    asyncio.run(_cut("kelowna-entry-0/data", "stall-from-target", FAR_PLAN))
 
 
-async def _cut(target, flow, plan, *, served):
+async def _cut(target, flow, plan):
     async with Site(plan=plan) as site:
         url = site.caller_url("kamloops-entry-0")
         await _wait_until_orders_run(site, url)
@@ -60,15 +54,36 @@
         await site.set_rules({"target": target, "flow": "cut"})
         answers = await asyncio.gather(*orders)
         runs = await _runs(site)
-    assert len(runs) == len(set(runs))
-    for number, (status, ran) in enumerate(answers):
-        if ran == "no":
-            assert f"order-{number}" not in runs
-        if status == 200:
-            assert f"order-{number}" in runs
-    statuses = {status for status, _ in answers}
-    assert statuses == {200} if served else statuses <= {200, 504}, answers
-    assert served or 504 in statuses
+    assert {status for status, _ in answers} == {200}, answers
+    assert all(runs.count(f"order-{i}") == 1 for i in range(ORDERS))
+
+
+def test_order_of_a_killed_agent_is_unknown_and_not_run_again():
+    asyncio.run(_kill_agent())
+
+
+async def _kill_agent():
+    async with Site(plan=PLAN) as site:
+        url = site.caller_url("kamloops-entry-0")
+        await _wait_until_orders_run(site, url)
+        for name in site.back_end_by_name:
+            await site.control_back_end(name, {"service_s": 1.0})
+        orders = [asyncio.create_task(_order(site, url, i)) for i in range(ORDERS)]
+        await _until_all_run(site)
+        await site.agent_by_name["kamloops-service-0"].kill()
+        answers = await asyncio.gather(*orders)
+        runs = await _runs(site)
+    assert set(answers) == {(200, None), (504, "unknown")}, answers
+    assert all(runs.count(f"order-{i}") == 1 for i in range(ORDERS))
+
+
+async def _until_all_run(site):
+    for _ in range(200):
+        runs = await _runs(site)
+        if all(f"order-{i}" in runs for i in range(ORDERS)):
+            return
+        await asyncio.sleep(0.02)
+    raise AssertionError(f"only {runs} run")
 
 
 async def _wait_until_orders_run(site, url):
