--- a/packages/magnoliagrade/magnoliagrade/node/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/node/__init__.py
@@ -15,6 +15,7 @@
 from magnoliagrade.node.handlers import HandlerTable
 from magnoliagrade.node.links import LinkBook, run_link, send_heartbeats
 from magnoliagrade.node.node import Node
+from magnoliagrade.node.outcomes import OutcomeBook
 from magnoliagrade.node.process import announce_ready, run_until_signal, start_site
 from magnoliagrade.node.settings import NodeSettings
 from magnoliagrade.node.status_report import register_status
@@ -29,6 +30,7 @@
     "LinkBook",
     "Node",
     "NodeSettings",
+    "OutcomeBook",
     "TaskTable",
     "Tasks",
     "announce_ready",
