Share what keeps the library from sending twice

Cause: the same middleware stood in the store's client and in the HTTP hops. Change: one function. Measured: nose2 magnoliagrade_standins.platform, magnoliagrade.http, tests.test_configuration_commands, tests.test_whole_path pass. Conclusion: one place.

--- a/packages/magnoliagrade/magnoliagrade/http/client.py
+++ b/packages/magnoliagrade/magnoliagrade/http/client.py
@@ -2,7 +2,7 @@
 
 import aiohttp
 
-__all__ = ["CONNECT_TIMEOUT_S", "send_once"]
+__all__ = ["CONNECT_TIMEOUT_S", "refuse_second_send", "send_once"]
 
 CONNECT_TIMEOUT_S = 2.0
 
@@ -52,11 +52,18 @@
         timeout=aiohttp.ClientTimeout(
             total=None, connect=CONNECT_TIMEOUT_S, sock_read=stall_s
         ),
-        middlewares=(_refuse_second_send(),),
+        middlewares=(refuse_second_send(),),
     )
 
 
-def _refuse_second_send():
+def refuse_second_send():
+    """Return a client middleware that lets one request through, once.
+
+    Notes
+    -----
+    A write to the store that the library sent again would come back as a conflict
+    with itself.
+    """
     is_sent = False
 
     async def middleware(request, handler):
--- a/packages/magnoliagrade/magnoliagrade/platform/store.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/store.py
@@ -9,6 +9,7 @@
 from prometheus_client import Counter
 
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
+from magnoliagrade.http.client import refuse_second_send
 
 __all__ = ["HttpStore", "Store", "StoreConflict", "StoreUnavailable", "StoreValue"]
 
@@ -222,7 +223,7 @@
                 self._url + path,
                 params=params,
                 data=data,
-                middlewares=(_refuse_second_send(),) if method != "GET" else None,
+                middlewares=(refuse_second_send(),) if method != "GET" else None,
             ) as response,
         ):
             body = await response.read()
@@ -266,20 +267,5 @@
         return rows
 
 
-def _refuse_second_send():
-    # The library sends PUT and DELETE again when a kept connection breaks, so a
-    # write that took effect would come back as a conflict with itself.
-    is_sent = False
-
-    async def middleware(request, handler):
-        nonlocal is_sent
-        if is_sent:
-            raise aiohttp.ServerDisconnectedError("the request has been sent before")
-        is_sent = True
-        return await handler(request)
-
-    return middleware
-
-
 def _key_path(key):
     return "/v1/keys/" + quote(key, safe="/")
