Mend the switch for orders without an answer and unnoticed restarts

Cause: the explorer took every order to a rank as answered and every restart as noticed at once, which processes do not keep to.

Change: a rank that has settled nothing since its start refuses an outcome and the order to run; a repeated order to run changes nothing; an agent takes its rank's knowledge whenever it has none; a switch that the rank may hold without having said so is refused and its gate opened.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/group/generations.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/group/generations.py
@@ -93,8 +93,6 @@
 
     async def start(self):
         """Stop the rank, learn what it knows and open a generation."""
-        state = await self.orders.pause()
-        self.knowledge = state.knowledge
         await self._open_generation()
 
     async def restart_rank(self):
@@ -154,6 +152,8 @@
         self.generations_opened += 1
         state = await self.orders.pause()
         self.is_rank_new = not state.knowledge.origin
+        if not self.knowledge.origin:
+            self.knowledge = state.knowledge
         completed = max(self.knowledge.completed, state.knowledge.completed)
         self.knowledge = replace(self.knowledge, completed=completed)
         if len(self.incarnation_by_rank) == self.ranks:
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/group/member.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/group/member.py
@@ -39,6 +39,7 @@
     __slots__ = (
         "_arm_acks_by_switch",
         "_arm_answer_by_switch",
+        "_doubtful_place",
         "_known_by_switch",
         "is_switch_closed",
         "outcome_by_switch",
@@ -53,6 +54,8 @@
             Whether an open switch has been open for long enough to ask for it.
         """
         await super().tick()
+        if self.is_running:
+            await self._refuse_doubtful()
         if self.is_open():
             await self._maybe_decide()
             await self._maybe_release()
@@ -67,6 +70,7 @@
     def _forget_generation(self):
         super()._forget_generation()
         self.is_switch_closed = True
+        self._doubtful_place = None
         self.outcome_by_switch = {}
         self._arm_answer_by_switch = {}
         self._arm_acks_by_switch = {}
@@ -100,10 +104,21 @@
         if message.generation != self.generation or not self.is_running:
             return
         place = (message.version, message.step)
-        if place not in self._arm_answer_by_switch:
-            await self._give_arm_answer(place, await self._try_arm(message))
-        else:
+        if self._doubtful_place != place:
+            await self._refuse_doubtful()
+        if place in self._arm_answer_by_switch:
             self._tell_switch(place, self._broadcast)
+            return
+        self._doubtful_place = place
+        await self._give_arm_answer(place, await self._try_arm(message))
+        self._doubtful_place = None
+
+    async def _refuse_doubtful(self):
+        """Refuse a switch that the rank may hold without having said so."""
+        place = self._doubtful_place
+        if place is not None and place not in self._arm_answer_by_switch:
+            await self._give_arm_answer(place, False)
+        self._doubtful_place = None
 
     async def _try_arm(self, message):
         packed_map = self._maps.get(message.version, b"")
@@ -138,7 +153,6 @@
 
     async def _give_arm_answer(self, place, accepted):
         if not accepted and not self.is_open():
-            # An earlier order to hold may have reached the rank without an answer.
             await self.orders.release(place[1])
         self._arm_answer_by_switch[place] = accepted
         self._acks(place)[self.rank] = accepted
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/explore/exploration.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/explore/exploration.py
@@ -1,13 +1,16 @@
 """Random walks over what can happen to a group, checked by its record."""
 
+import contextlib
 import functools
 import random
 from dataclasses import dataclass
 
+from magnoliagrade.errors import MagnoliagradeError
 from magnoliagrade.wire import StageAck
 from magnoliagrade_agent.group import GroupRecord
 
 from magnoliagrade_standins.explore.faults import planted_faults
+from magnoliagrade_standins.explore.orders import UnreliableOrders
 from magnoliagrade_standins.ranks import Rank, RankGroup, find_two_maps
 
 __all__ = ["Exploration", "ExplorationPlan", "Finding", "explore", "finish"]
@@ -36,6 +39,8 @@
         Switches begun in one walk.
     seed : int
         Seed of the first walk; the next ones count up.
+    failing_part : float
+        Part of the orders to ranks that get no answer.
     fault : str
         Name of a planted fault.
     """
@@ -46,6 +51,7 @@
     restarts: int = 3
     switches: int = 3
     seed: int = 1
+    failing_part: float = 0.02
     fault: str = "none"
 
 
@@ -95,6 +101,8 @@
         self.group = RankGroup(ranks=[Rank(index=i) for i in range(plan.ranks)])
         self.in_flight = []
         self.cuts = set()
+        self.is_settling = False
+        self.unnoticed = set()
         self.coordinators = []
         self.member_by_rank = {}
         self.starts = 0
@@ -111,11 +119,23 @@
             rank=rank,
             ranks=self.plan.ranks,
             incarnation=self.starts * STARTS_APART,
-            orders=self.group.ranks[rank],
+            orders=UnreliableOrders(
+                rank=self.group.ranks[rank], rng=self.rng, fails=self.failing_part
+            ),
             send=functools.partial(self.send, rank),
         )
         self.member_by_rank[rank] = member
-        finish(member.start())
+        self.unnoticed.discard(rank)
+        self.act(member.start())
+
+    def act(self, coroutine):
+        """Let an agent act until its rank does not answer an order."""
+        with contextlib.suppress(MagnoliagradeError):
+            finish(coroutine)
+
+    def failing_part(self):
+        """Return the part of orders to ranks that get no answer."""
+        return 0.0 if self.is_settling else self.plan.failing_part
 
     def send(self, sender, rank, message):
         """Take a message from one rank's agent to another unless its way is cut."""
@@ -137,9 +157,17 @@
     def settle(self):
         """End all faults; return whether every rank completes further steps."""
         self.cuts.clear()
+        self.is_settling = True
+        is_settled = self.run_without_faults()
+        self.is_settling = False
+        return is_settled
+
+    def run_without_faults(self):
+        """Let everyone act in turn; return whether every rank goes on."""
         goal = max(r.completed for r in self.group.ranks) + 2
         for _ in range(SETTLING_ROUNDS):
             for rank, member in self.member_by_rank.items():
+                self.notice(rank)
                 finish(member.offer_record(self.record(), 0))
                 finish(member.tick(is_query_due=True))
                 self.group.advance(rank)
@@ -161,7 +189,7 @@
         def reply(answer):
             self.route_reply(message, answer)
 
-        finish(member.on_message(message, reply))
+        self.act(member.on_message(message, reply))
 
     def route_reply(self, message, answer):
         """Send an answer back, to coordinators if it belongs to them."""
@@ -201,14 +229,22 @@
         self.group.advance(self.rng.randrange(self.plan.ranks))
 
     def on_tick(self):
-        """Let one agent repeat itself."""
-        member = self.member_by_rank[self.rng.randrange(self.plan.ranks)]
-        finish(member.tick(is_query_due=self.rng.random() < 0.2))
+        """Let one agent look after its rank and repeat itself."""
+        rank = self.rng.randrange(self.plan.ranks)
+        self.notice(rank)
+        is_due = self.rng.random() < 0.2
+        self.act(self.member_by_rank[rank].tick(is_query_due=is_due))
+
+    def notice(self, rank):
+        """Let an agent find out that its rank has restarted."""
+        if rank in self.unnoticed:
+            self.unnoticed.discard(rank)
+            self.act(self.member_by_rank[rank].restart_rank())
 
     def on_record(self):
         """Let one agent read the store."""
         member = self.member_by_rank[self.rng.randrange(self.plan.ranks)]
-        finish(member.offer_record(self.record(), 0))
+        self.act(member.offer_record(self.record(), 0))
 
     def on_restart(self):
         """Restart an agent, the rank behind it, or both."""
@@ -225,7 +261,7 @@
         if kind != "agent":
             self.group.ranks[rank].restart()
         if kind == "rank":
-            finish(self.member_by_rank[rank].restart_rank())
+            self.unnoticed.add(rank)
         else:
             self.start_member(rank)
 
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/ranks/rank.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/ranks/rank.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+from magnoliagrade.errors import ErrorKind, MagnoliagradeError
 from magnoliagrade_agent.group import Knowledge, Outcome, RankState
 
 __all__ = ["Rank", "StaleFence"]
@@ -108,6 +109,7 @@
 
     async def note_outcome(self, knowledge):
         """Keep the outcome of the newest switch."""
+        self._check_settled()
         self.knowledge = knowledge
 
     async def release(self, step):
@@ -127,6 +129,9 @@
 
     async def run(self, generation, step):
         """Run from a step on, if the maps are loaded."""
+        self._check_settled()
+        if self.is_running and self.generation == generation:
+            return True
         loads = [self._load(v, m) for v, m in self.knowledge.map_by_version.items()]
         if not all(loads):
             return False
@@ -135,3 +140,9 @@
         self.begun = step - 1
         self.is_running = True
         return True
+
+    def _check_settled(self):
+        # The agent may not have noticed yet that the rank has restarted.
+        if not self.knowledge.origin:
+            detail = f"rank {self.index} has settled nothing since its start"
+            raise MagnoliagradeError(ErrorKind.FENCED, detail)
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/ranks/server.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/ranks/server.py
@@ -8,6 +8,7 @@
 import numpy as np
 from aiohttp import web
 from magnoliagrade.algorithms.balance import rank_times, unpack_placement
+from magnoliagrade.errors import MagnoliagradeError
 from magnoliagrade_agent.group.rank_client import decode_knowledge, encode_knowledge
 
 from magnoliagrade_standins.balance.drift import DAY_S, DriftingPopularity
@@ -176,7 +177,10 @@
             name = request.match_info["name"]
             if name == "counts":
                 return web.json_response(self.counts(index))
-            return web.json_response(await _ORDER_BY_NAME[name](rank, fields))
+            try:
+                return web.json_response(await _ORDER_BY_NAME[name](rank, fields))
+            except MagnoliagradeError:
+                return web.Response(status=409)
 
         async def record(_request):
             return web.json_response(self.record())
--- a/tests/test_group_path.py
+++ b/tests/test_group_path.py
@@ -14,6 +14,8 @@
 POLL_S = 0.02
 DRIFT = 1000.0
 TOKENS = 150
+# Widens the time between an arming and its outcome, in which ranks are struck.
+SLOW = {"target": "kamloops-rank", "delay_s": 0.03}
 
 
 def test_group_switches_maps_and_survives_restarts_in_mid_switch():
@@ -24,6 +26,7 @@
     plan = group_plan(ranks=RANKS, policy="greedy", interval_s=0.3)
     options = {"drift": DRIFT}
     async with GroupSite(plan=plan, ranks=RANKS, options=options) as site:
+        await site.set_rules(SLOW)
         await _until(lambda: _newest_version(site), at_least=2)
         for restart in (_restart_rank, _restart_both):
             generation = await _generation(site)
