--- a/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
@@ -3,12 +3,11 @@
 import logging
 
 from magnoliagrade.algorithms import parse_selector
-from magnoliagrade.node import Node
+from magnoliagrade.node import AttemptBook, Node
 from magnoliagrade.observability import log_event
 from magnoliagrade.wire import Label
 from magnoliagrade.world import Role, Work
 
-from magnoliagrade_agent.attempts import AttemptBook
 from magnoliagrade_agent.capacity import CreditBook, limit_policies
 from magnoliagrade_agent.door import make_data_door
 from magnoliagrade_agent.engine import EngineClient
@@ -43,6 +42,7 @@
         "group_service",
         "is_listed_leaving",
         "load_watch",
+        "order_session",
         "pool",
     )
 
@@ -73,7 +73,13 @@
     async def start(self):
         """Open every listener and start the background tasks."""
         self.open_clients()
-        self.engine = EngineClient(url=self.settings.url, session=self.session)
+        self.order_session = self.make_session(keeps_connections=False)
+        self.engine = EngineClient(
+            url=self.settings.url,
+            session=self.session,
+            order_session=self.order_session,
+            work=self.settings.work,
+        )
         if self.settings.group:
             self.group_service = GroupService(node=self)
         await self.listen_door(
@@ -91,6 +97,7 @@
         await self.say_leaving()
         await self.wait_for_requests(lambda: self.credits.count_in_flight)
         await self.close()
+        await self.order_session.close()
         log_event(_log, "agent.stopped")
 
     def hello(self):
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/doors.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/doors.py
@@ -5,9 +5,15 @@
 import logging
 
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
-from magnoliagrade.http import AnswerSink, error_response, read_request_headers
+from magnoliagrade.http import (
+    AnswerSink,
+    check_incarnation,
+    error_response,
+    log_refusal,
+    read_request_headers,
+)
 from magnoliagrade.http import headers as names
-from magnoliagrade.observability import extract_context, get_tracer, log_event
+from magnoliagrade.observability import extract_context, get_tracer
 from opentelemetry import trace
 from prometheus_client import Counter, Histogram
 
@@ -25,6 +31,12 @@
     "Time from arrival to the end of the answer",
     ["door"],
 )
+FIRST_BYTE = Histogram(
+    "magnoliagrade_first_byte_seconds",
+    "Time from arrival to the first byte of the answer's body",
+    ["door"],
+    buckets=(0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.84, 1.5, 3, 6, 12, 30),
+)
 _tracer = get_tracer(__name__)
 _log = logging.getLogger(__name__)
 
@@ -40,8 +52,11 @@
 
     async def handle(http_request):
         request_id = request_id_of(http_request.headers)
-        sink = AnswerSink(
-            http_request=http_request, added_headers={"X-Request-Id": request_id}
+        sink = _TimedSink(
+            http_request=http_request,
+            added_headers={"X-Request-Id": request_id},
+            clock=node.clock,
+            closes_connection=node.closes_connections,
         )
         with _server_span("caller", http_request) as span:
             try:
@@ -54,10 +69,7 @@
                     budget=node.body_budget,
                 )
                 _describe(span, request)
-                try:
-                    await _serve_admitted(node, request, sink)
-                finally:
-                    node.body_budget.give_back(len(request.body))
+                await _serve_to_end(node, request, sink, _serve_admitted(node))
             except MagnoliagradeError as exc:
                 return _answer_error(exc, sink, request_id, door="caller")
             REQUESTS.labels("caller", "whole").inc()
@@ -77,19 +89,30 @@
 
     async def handle(http_request):
         request_id = ""
-        sink = AnswerSink(http_request=http_request, added_headers={names.RAN: "yes"})
+        headers = http_request.headers
+        sink = AnswerSink(
+            http_request=http_request,
+            added_headers={
+                names.RAN: "yes",
+                names.ATTEMPT: headers.get(names.ATTEMPT, ""),
+            },
+            closes_connection=node.closes_connections,
+        )
         with _server_span("peer", http_request) as span:
             try:
+                sink.tokens_written = int(headers.get(names.RESUME_TOKENS, "0"))
+                body = await http_request.read()
+                check_incarnation(headers, incarnation=node.identity.incarnation)
                 request = read_request_headers(
-                    http_request.headers,
+                    headers,
                     method=http_request.method,
                     path=http_request.path_qs,
-                    body=await http_request.read(),
+                    body=body,
                     now=node.clock.monotonic(),
                 )
                 request_id = request.id
                 _describe(span, request)
-                await node.dispatcher.serve(request, sink)
+                await _serve_to_end(node, request, sink, node.dispatcher.serve)
             except MagnoliagradeError as exc:
                 return _answer_error(exc, sink, request_id, door="peer")
             REQUESTS.labels("peer", "whole").inc()
@@ -98,12 +121,32 @@
     return _counted(node, handle, "peer")
 
 
+class _TimedSink(AnswerSink):
+    """Sink that measures the time to the first byte of the body."""
+
+    __slots__ = ("_arrived_at", "_clock")
+
+    def __init__(self, *, clock, **fields):
+        super().__init__(**fields)
+        self._clock = clock
+        self._arrived_at = clock.monotonic()
+
+    async def write(self, data, **fields):
+        if not self.bytes_written:
+            elapsed_s = self._clock.monotonic() - self._arrived_at
+            FIRST_BYTE.labels("caller").observe(elapsed_s)
+        await super().write(data, **fields)
+
+
 def _counted(node, handle, door):
     async def counted(http_request):
         started = node.clock.monotonic()
         node.requests_in_flight += 1
         try:
-            return await handle(http_request)
+            response = await handle(http_request)
+            if node.closes_connections and not response.prepared:
+                response.force_close()
+            return response
         except (ConnectionError, asyncio.CancelledError):
             REQUESTS.labels(door, "caller-gone").inc()
             raise
@@ -117,12 +160,42 @@
     return counted
 
 
-async def _serve_admitted(node, request, sink):
-    await node.admission.admit(request)
+async def _serve_to_end(node, request, sink, serve):
+    """Serve a request; only a repeatable one is cancelled when its caller goes."""
+    if request.repeatable:
+        await serve(request, sink)
+        return
+    sink.ignores_lost_reader = True
+    work = _error_of(node, serve(request, sink))
+    task = node.tasks.start(work, name=f"order {request.id}")
+    error = await asyncio.shield(task)
+    if error is not None:
+        raise error
+
+
+async def _error_of(node, work):
+    node.requests_in_flight += 1
     try:
-        await node.dispatcher.serve(request, sink)
+        await work
+    except MagnoliagradeError as exc:
+        return exc
     finally:
-        node.admission.release(request)
+        node.requests_in_flight -= 1
+    return None
+
+
+def _serve_admitted(node):
+    async def serve(request, sink):
+        try:
+            await node.admission.admit(request)
+            try:
+                await node.claims.serve(request, sink, node.dispatcher.serve)
+            finally:
+                node.admission.release(request)
+        finally:
+            node.body_budget.give_back(len(request.body))
+
+    return serve
 
 
 @contextlib.contextmanager
@@ -143,14 +216,7 @@
 
 def _answer_error(error, sink, request_id, *, door):
     REQUESTS.labels(door, error.kind.value).inc()
-    log_event(
-        _log,
-        "request.refused",
-        request_id=request_id,
-        code=error.kind.value,
-        detail=error.detail,
-        door=door,
-    )
+    log_refusal(_log, error, request_id=request_id, door=door)
     if sink.has_started:
         sink.abort()
         return sink.response
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
@@ -13,14 +13,21 @@
     configuration_watch,
     credit_watch,
     group_watch,
+    usage_gossip,
 )
+from magnoliagrade_entry.claims import ClaimGuard
 from magnoliagrade_entry.configuration_duty import WatchDuty
 from magnoliagrade_entry.configuration_routes import configuration_routes
 from magnoliagrade_entry.doors import make_caller_door, make_peer_door
 from magnoliagrade_entry.handlers import entry_handlers, entry_tasks
 from magnoliagrade_entry.membership import Departures, KnownInstances, LinkKeeper
 from magnoliagrade_entry.membership.messages import note_listed_departures
-from magnoliagrade_entry.requests import Dispatcher, admission_policies
+from magnoliagrade_entry.requests import (
+    Dispatcher,
+    ForwardedBook,
+    Revocations,
+    admission_policies,
+)
 from magnoliagrade_entry.routing import EndpointDirectory, PeerDirectory, Router
 from magnoliagrade_entry.status import status_routes
 
@@ -43,16 +50,20 @@
     __slots__ = (
         "admission",
         "body_budget",
+        "claims",
+        "closes_connections",
         "departures",
         "dispatcher",
         "duty",
         "endpoints",
+        "forwarded",
         "instance_list",
         "known",
         "link_keeper",
         "peers",
         "repository",
         "requests_in_flight",
+        "revocations",
         "router",
     )
 
@@ -66,6 +77,7 @@
             clock=clock,
         )
         self.requests_in_flight = 0
+        self.closes_connections = False
         self.body_budget = BodyBudget(limit_bytes=settings.body_memory_bytes)
         where = {
             "configuration": self.configuration,
@@ -84,8 +96,11 @@
             clock=self.clock,
             data_centre=settings.data_centre,
         )
-        self.admission = admission_policies.get("capped")(node=self)
+        self.admission = admission_policies.get("fair")(node=self)
         self.dispatcher = Dispatcher(node=self)
+        self.claims = ClaimGuard(node=self)
+        self.forwarded = ForwardedBook(node=self)
+        self.revocations = Revocations(node=self)
         self.link_keeper = LinkKeeper(node=self)
         self.duty = WatchDuty(node=self)
 
@@ -121,7 +136,9 @@
         log_event(_log, "entry.leaving", requests_in_flight=self.requests_in_flight)
         await self.say_leaving()
         await self.clock.sleep(self.settings.drain_lag_s)
+        self.closes_connections = True
         await self.wait_for_requests(lambda: self.requests_in_flight)
+        await self.claims.wait_for_records()
         await self.close()
         log_event(_log, "entry.stopped")
 
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/trials/registry.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/trials/registry.py
@@ -14,8 +14,14 @@
 # Modules that register trials when they are imported.
 TRIAL_MODULES = (
     "magnoliagrade_standins.trials.capacity",
+    "magnoliagrade_standins.trials.claim_cost",
     "magnoliagrade_standins.trials.data_centre_move",
+    "magnoliagrade_standins.trials.fairness",
     "magnoliagrade_standins.trials.group_faults",
+    "magnoliagrade_standins.trials.outcomes",
+    "magnoliagrade_standins.trials.overload",
+    "magnoliagrade_standins.trials.retries",
+    "magnoliagrade_standins.trials.routing",
 )
 
 
--- a/packages/magnoliagrade/magnoliagrade/http/tests/test_headers.py
+++ b/packages/magnoliagrade/magnoliagrade/http/tests/test_headers.py
@@ -21,7 +21,9 @@
         idempotency_key=key,
         deadline=9.0,
     )
-    headers = write_request_headers(request, attempt="t", entry="e", now=4.0)
+    headers = write_request_headers(
+        request, attempt="t", entry="e", incarnation=1, now=4.0
+    )
     assert all(FIELD_VALUE.fullmatch(value) for value in headers.values())
     again = read_request_headers(headers, method="POST", path="/x", body=b"", now=4.0)
     assert (again.labels, again.idempotency_key) == (labels, key)
