Check groups' options when a configuration is read, load numpy for groups only

Cause: an option that is no number, or an unknown policy, ended the coordinator's task at run time. And every agent, also in front of a plain service, loaded numpy with the group's modules.

Change: `[group NAME]` has a reader of its own that names unknown options, bad numbers, unknown policies and experts that do not fit. An agent imports the group's handlers and service only if its settings name a group.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/door.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/door.py
@@ -21,7 +21,7 @@
 from opentelemetry import trace
 from prometheus_client import Counter
 
-from magnoliagrade_agent.group.service import group_serving
+from magnoliagrade_agent.group.serving import group_serving
 from magnoliagrade_agent.probe import block_endpoint
 
 __all__ = ["make_data_door"]
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/group/balancing.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/group/balancing.py
@@ -13,15 +13,6 @@
 
 __all__ = ["GroupBalance"]
 
-DEFAULT_BY_OPTION = {
-    "half_life_s": 300.0,
-    "horizon_s": 1800.0,
-    "interval_s": 300.0,
-    "expert_bytes": 44e6,
-    "store_bytes_per_s": 1e9,
-    "store_share": 0.25,
-}
-
 
 class GroupBalance:
     """Counts and speeds of a group's ranks at its coordinator.
@@ -45,15 +36,10 @@
         self._counter = ExpertCounter(
             layers=group.layers,
             experts=group.experts,
-            half_life_s=self.option("half_life_s"),
+            half_life_s=group.rebalancing_options().half_life_s,
         )
         self._speeds = SpeedEstimator(ranks=group.ranks)
 
-    def option(self, name):
-        """Return an option of the group's configuration, or its default."""
-        default = DEFAULT_BY_OPTION[name]
-        return float(self.group.options.get(f"option.{name}", default))
-
     def add(self, message, holds):
         """Take a rank's report of counts and work.
 
@@ -94,9 +80,10 @@
         """
         if not self._counter.has_counts:
             return None
+        options = self.group.rebalancing_options()
         rate = rebalancing_rate(
-            store_bytes_per_s=self.option("store_bytes_per_s"),
-            share=self.option("store_share"),
+            store_bytes_per_s=options.store_bytes_per_s,
+            share=options.store_share,
             groups=self.groups,
         )
         situation = Situation(
@@ -104,9 +91,9 @@
             rates=self._counter.rates(),
             speeds=self._speeds.speeds(),
             slots=self.group.slots_per_rank,
-            expert_bytes=int(self.option("expert_bytes")),
+            expert_bytes=options.expert_bytes,
             bytes_per_s=rate,
-            budget_bytes=rate * self.option("interval_s"),
-            horizon_s=self.option("horizon_s"),
+            budget_bytes=rate * options.interval_s,
+            horizon_s=options.horizon_s,
         )
         return rebalancing_policies.get(self.group.rebalancing)().plan(situation)
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/group/coordination.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/group/coordination.py
@@ -141,7 +141,7 @@
             )
         await self._write_record()
         now = service.node.clock.monotonic()
-        interval_s = service.balance.option("interval_s")
+        interval_s = group.rebalancing_options().interval_s
         if now - self.counted_at >= interval_s / 5:
             self.counted_at = now
             await self._ask_for_counts()
@@ -183,8 +183,9 @@
         result = "carried-out" if is_done else "failed"
         metrics.PLANS.labels(group.name, result).inc()
         if is_done:
-            size = int(service.balance.option("expert_bytes"))
-            metrics.MOVED_BYTES.labels(group.name).inc(plan.transfers * size)
+            size = group.rebalancing_options().expert_bytes
+            moved = plan.transfers * size
+            metrics.MOVED_BYTES.labels(group.name).inc(moved)
 
     async def _return_to(self, version):
         """Switch to the map that operators have pinned, if it is another one."""
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/group/service.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/group/service.py
@@ -22,7 +22,7 @@
 from magnoliagrade_agent.group.member import GroupMember
 from magnoliagrade_agent.group.rank_client import RankClient
 
-__all__ = ["GroupService", "group_serving", "new_group_incarnation"]
+__all__ = ["GroupService", "new_group_incarnation"]
 
 PEER_GRACE_S = 4.0
 QUERY_AFTER_S = 0.3
@@ -340,16 +340,3 @@
     """
     milliseconds = int(clock.now().timestamp() * 1000)
     return (milliseconds << 20) | rng.getrandbits(20)
-
-
-def group_serving(node):
-    """Return the context in which an agent serves one request.
-
-    Parameters
-    ----------
-    node : AgentInstance
-        The agent; without a group nothing is added.
-    """
-    if node.group_service is None:
-        return contextlib.nullcontext()
-    return node.group_service.serving()
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
@@ -1,5 +1,6 @@
 """The agent instance: everything that one agent process holds."""
 
+import importlib
 import logging
 
 from magnoliagrade.algorithms import parse_selector
@@ -11,8 +12,6 @@
 from magnoliagrade_agent.capacity import CreditBook, limit_policies
 from magnoliagrade_agent.door import make_data_door
 from magnoliagrade_agent.engine import EngineClient
-from magnoliagrade_agent.group import handlers as group_handlers  # noqa: F401
-from magnoliagrade_agent.group.service import GroupService
 from magnoliagrade_agent.handlers import agent_handlers, agent_tasks
 from magnoliagrade_agent.load_watch import LoadWatch, send_grants
 
@@ -81,7 +80,7 @@
             work=self.settings.work,
         )
         if self.settings.group:
-            self.group_service = GroupService(node=self)
+            self.group_service = _make_group_service(self)
         await self.listen_door(
             "data", make_data_door(self), self.settings.data_address, is_internal=True
         )
@@ -181,3 +180,10 @@
             options=pool.options,
         )
         self.load_watch.send_changes(self)
+
+
+def _make_group_service(node):
+    """Return the group's part of an agent; others need none of its libraries."""
+    importlib.import_module("magnoliagrade_agent.group.handlers")
+    service = importlib.import_module("magnoliagrade_agent.group.service")
+    return service.GroupService(node=node)
--- /dev/null
+++ b/packages/magnoliagrade/magnoliagrade/algorithms/balance/tests/test_policies.py
@@ -0,0 +1,6 @@
+from magnoliagrade.algorithms.balance import rebalancing_policies
+from magnoliagrade.world import REBALANCING_POLICIES
+
+
+def test_configuration_knows_every_policy():
+    assert tuple(rebalancing_policies.names()) == REBALANCING_POLICIES
--- a/packages/magnoliagrade/magnoliagrade/configuration/fields.py
+++ b/packages/magnoliagrade/magnoliagrade/configuration/fields.py
@@ -89,6 +89,10 @@
         keys = [k for k in self._values if k.startswith(prefix)]
         return {k: self._values.pop(k) for k in keys}
 
+    def report(self, key, text):
+        """Report what is wrong with a key."""
+        self._reader.report(self._section, key, text)
+
     def finish(self):
         """Report keys that nothing took."""
         for key in self._values:
--- a/packages/magnoliagrade/magnoliagrade/configuration/ini.py
+++ b/packages/magnoliagrade/magnoliagrade/configuration/ini.py
@@ -5,13 +5,13 @@
 
 from magnoliagrade.configuration.document import Configuration
 from magnoliagrade.configuration.fields import NAME_PATTERN, SectionFields
+from magnoliagrade.configuration.group_section import read_group
 from magnoliagrade.configuration.problems import InvalidDocument, Problem
 from magnoliagrade.errors import ErrorKind
 from magnoliagrade.registry import Registry
 from magnoliagrade.world import (
     Application,
     DataCentre,
-    Group,
     Organisation,
     Pool,
     Route,
@@ -238,22 +238,7 @@
     configuration.endpoint_labels_by_name[name] = fields.labels()
 
 
-@section_readers.register("group")
-def _read_group(configuration, name, fields):
-    frozen = fields.text("frozen", "false", choices=("true", "false"))
-    configuration.group_by_name[name] = Group(
-        name=name,
-        ranks=fields.number("ranks", 1, low=1, high=4096, kind=int),
-        experts=fields.number("experts", 1, low=1, high=65536, kind=int),
-        layers=fields.number("layers", 1, low=1, high=4096, kind=int),
-        slots_per_rank=fields.number("slots_per_rank", 1, low=1, high=65536, kind=int),
-        rebalancing=fields.text("rebalancing", "static"),
-        is_frozen=frozen == "true",
-        pinned_version=fields.number(
-            "pinned_version", 0, low=0, high=2**63 - 1, kind=int
-        ),
-        options=fields.options("option."),
-    )
+section_readers.register("group")(read_group)
 
 
 def _fold(text):
--- a/packages/magnoliagrade/magnoliagrade/world/group.py
+++ b/packages/magnoliagrade/magnoliagrade/world/group.py
@@ -2,7 +2,19 @@
 
 from dataclasses import dataclass, field
 
-__all__ = ["ExpertMap", "Group", "Rank"]
+__all__ = [
+    "OPTION_PREFIX",
+    "REBALANCING_POLICIES",
+    "ExpertMap",
+    "Group",
+    "GroupOptions",
+    "Rank",
+]
+
+OPTION_PREFIX = "option."
+# Named here as well as in the registry, so that checking a configuration needs none
+# of the policies' libraries.
+REBALANCING_POLICIES = ("full-repack", "greedy", "static", "weighed")
 
 
 @dataclass(slots=True, kw_only=True)
@@ -37,6 +49,34 @@
     placement: list = field(default_factory=list)
 
 
+@dataclass(slots=True, kw_only=True)
+class GroupOptions:
+    """Options of a group's rebalancing.
+
+    Parameters
+    ----------
+    interval_s : float
+        Seconds between plans.
+    half_life_s : float
+        Age in seconds at which a report of counts weighs half.
+    horizon_s : float
+        Seconds for which a better map is expected to stay better.
+    expert_bytes : float
+        Size of one expert of one layer.
+    store_bytes_per_s : float
+        Rate of the weight store in the data centre.
+    store_share : float
+        Part of that rate which all rebalancing may use.
+    """
+
+    interval_s: float = 300.0
+    half_life_s: float = 300.0
+    horizon_s: float = 1800.0
+    expert_bytes: float = 44e6
+    store_bytes_per_s: float = 1e9
+    store_share: float = 0.25
+
+
 @dataclass(slots=True, kw_only=True)
 class Group:
     """Ranks that run in lock-step on one expert map.
@@ -60,7 +100,7 @@
     pinned_version : int
         Map version that operators have pinned; 0 for none.
     options : dict of str to str
-        Options of the policy, by dotted name.
+        Options of its rebalancing as they are configured, with their prefix.
     """
 
     name: str
@@ -72,3 +112,18 @@
     is_frozen: bool = False
     pinned_version: int = 0
     options: dict = field(default_factory=dict)
+
+    def rebalancing_options(self):
+        """Return the options of rebalancing, those not configured at their default.
+
+        Examples
+        --------
+        >>> group = Group(name="experts", options={"option.horizon_s": "60"})
+        >>> group.rebalancing_options().horizon_s
+        60.0
+        """
+        values = {
+            key.removeprefix(OPTION_PREFIX): float(text)
+            for key, text in self.options.items()
+        }
+        return GroupOptions(**values)
