Have a stream really in flight when a group is struck

Cause: the engines of the rank stand-in made 150 tokens in well under a second, so the stream of the system test was over before the restart and its check could not fail.

Change: the ranks' engines step as long as the group does, the test streams 300 tokens and asserts that the stream is in flight when the restart comes; a broken answer is told by the client's error.

--- a/packages/magnoliagrade-standins/magnoliagrade_standins/ranks/server.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/ranks/server.py
@@ -84,8 +84,9 @@
             for i, k in enumerate(self.loads)
         ]
         self.group = RankGroup(ranks=ranks)
+        engine_profile = EngineProfile(step_base_s=profile.step_s)
         self.engines = [
-            Engine(profile=EngineProfile(), clock=clock, name=f"rank-{i}")
+            Engine(profile=engine_profile, clock=clock, name=f"rank-{i}")
             for i in range(profile.ranks)
         ]
         self.speeds = np.ones(profile.ranks)
--- a/tests/test_group_path.py
+++ b/tests/test_group_path.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 
+import aiohttp
 from magnoliagrade.clock import SystemClock
 from magnoliagrade_standins.engine import expected_text
 from magnoliagrade_standins.ranks import StepRecord, find_two_maps
@@ -13,7 +14,7 @@
 WAIT_S = 40.0
 POLL_S = 0.02
 DRIFT = 1000.0
-TOKENS = 150
+TOKENS = 300
 # Widens the time between an arming and its outcome, in which ranks are struck.
 SLOW = {"target": "kamloops-rank", "delay_s": 0.03}
 
@@ -29,9 +30,11 @@
         await site.set_rules(SLOW)
         await _until(lambda: _newest_version(site), at_least=2)
         for restart in (_restart_rank, _restart_both):
+            await _until(lambda: _complete(site), at_least=1)
             generation = await _generation(site)
             stream = asyncio.create_task(_stream(site))
             await _until(lambda: site.hold_step(0), at_least=1)
+            assert not stream.done()
             await restart(site)
             while await _generation(site) == generation:
                 await asyncio.sleep(POLL_S)
@@ -85,7 +88,7 @@
             async for line in response.content:
                 if line.startswith(b"data: "):
                     events.append(line[6:].strip())
-        except OSError:
+        except aiohttp.ClientError:
             pass
         return response.headers.get("X-Request-Id"), events
 
