--- a/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
@@ -1,5 +1,6 @@
 """The agent instance: everything that one agent process holds."""
 
+import importlib
 import logging
 
 from magnoliagrade.algorithms import parse_selector
@@ -11,8 +12,6 @@
 from magnoliagrade_agent.capacity import CreditBook, limit_policies
 from magnoliagrade_agent.door import make_data_door
 from magnoliagrade_agent.engine import EngineClient
-from magnoliagrade_agent.group import handlers as group_handlers  # noqa: F401
-from magnoliagrade_agent.group.service import GroupService
 from magnoliagrade_agent.handlers import agent_handlers, agent_tasks
 from magnoliagrade_agent.load_watch import LoadWatch, send_grants
 
@@ -83,7 +82,7 @@
             work=self.settings.work,
         )
         if self.settings.group:
-            self.group_service = GroupService(node=self)
+            self.group_service = _make_group_service(self)
         await self.listen_door(
             "data", make_data_door(self), self.settings.data_address, is_internal=True
         )
@@ -173,6 +172,9 @@
 
     def _configure_limit(self, pool):
         name = pool.options.get(LIMIT_POLICY_OPTION, DEFAULT_LIMIT_POLICY)
+        if name not in limit_policies.by_name:
+            log_event(_log, "limit_policy.unknown", pool=pool.name, policy=name)
+            name = DEFAULT_LIMIT_POLICY
         make = limit_policies.get(name)
         if name != self.load_watch.limit_policy_name:
             self.credits.limit_policy = make()
@@ -183,3 +185,10 @@
             options=pool.options,
         )
         self.load_watch.send_changes(self)
+
+
+def _make_group_service(node):
+    """Return the group's part of an agent; others need none of its libraries."""
+    importlib.import_module("magnoliagrade_agent.group.handlers")
+    service = importlib.import_module("magnoliagrade_agent.group.service")
+    return service.GroupService(node=node)
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/ranks/server.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/ranks/server.py
@@ -8,6 +8,7 @@
 import numpy as np
 from aiohttp import web
 from magnoliagrade.algorithms.balance import rank_times, unpack_placement
+from magnoliagrade.errors import MagnoliagradeError
 from magnoliagrade_agent.group.rank_client import decode_knowledge, encode_knowledge
 
 from magnoliagrade_standins.balance.drift import DAY_S, DriftingPopularity
@@ -83,8 +84,9 @@
             for i, k in enumerate(self.loads)
         ]
         self.group = RankGroup(ranks=ranks)
+        engine_profile = EngineProfile(step_base_s=profile.step_s)
         self.engines = [
-            Engine(profile=EngineProfile(), clock=clock, name=f"rank-{i}")
+            Engine(profile=engine_profile, clock=clock, name=f"rank-{i}")
             for i in range(profile.ranks)
         ]
         self.speeds = np.ones(profile.ranks)
@@ -176,7 +178,10 @@
             name = request.match_info["name"]
             if name == "counts":
                 return web.json_response(self.counts(index))
-            return web.json_response(await _ORDER_BY_NAME[name](rank, fields))
+            try:
+                return web.json_response(await _ORDER_BY_NAME[name](rank, fields))
+            except MagnoliagradeError:
+                return web.Response(status=409)
 
         async def record(_request):
             return web.json_response(self.record())
