Serve the weight store as a process that groups share

Cause: the weight store stood within the rank group's process only, so two groups could not share its rate.

A load that breaks off is asked for again with the next order to stage. docs/PLATFORM.md has the protocol.

--- a/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
@@ -28,6 +28,7 @@
     trace_lines,
 )
 from magnoliagrade_standins.trials import run_trial
+from magnoliagrade_standins.weights import WeightStore, make_weights_app
 
 LOOPBACK = "127.0.0.1:0"
 
@@ -108,9 +109,19 @@
         paths = {"json_path": json_path, "plot_path": plot_path}
         sys.exit(slopes_command(families=families, **paths, **durations))
 
-    def ranks(self, address=LOOPBACK, **profile):
+    def ranks(self, address=LOOPBACK, weights_url="", **profile):
         """Serve a group of ranks in lock-step, each on a port of its own."""
-        ranks_command(address, **profile)
+        ranks_command(address, weights_url=weights_url, **profile)
+
+    def weights(self, address=LOOPBACK, bytes_per_s=1e9):
+        """Serve a rate-limited weight store."""
+
+        def make():
+            clock = SystemClock()
+            store = WeightStore(clock=clock, bytes_per_s=bytes_per_s)
+            return make_weights_app(store, clock)
+
+        _serve(make, address)
 
     def service(self, address=LOOPBACK, service_s=0.005):
         """Serve a plain service."""
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/ranks/command.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/ranks/command.py
@@ -1,28 +1,39 @@
 """The command that runs a group of ranks as a process."""
 
+import aiohttp
 from magnoliagrade.clock import SystemClock
 from magnoliagrade.node import announce_ready, run_until_signal, start_site
 
 from magnoliagrade_standins.ranks.server import GroupProfile, RankProcess
+from magnoliagrade_standins.weights import WeightClient
 
 __all__ = ["ranks_command"]
 
 
-def ranks_command(address, **profile):
+def ranks_command(address, weights_url="", **profile):
     """Serve a group of ranks, each on a port of its own, until SIGTERM.
 
     Parameters
     ----------
     address : str
         `host:0` to listen on.
+    weights_url : str
+        URL of a weight store shared with others; empty for one of its own.
     **profile
         Fields of `GroupProfile`.
     """
     runners = []
     tasks = []
+    sessions = []
 
     async def start():
-        process = RankProcess(profile=GroupProfile(**profile), clock=SystemClock())
+        weights = None
+        if weights_url:
+            sessions.append(aiohttp.ClientSession())
+            weights = WeightClient(url=weights_url, session=sessions[0])
+        process = RankProcess(
+            profile=GroupProfile(**profile), clock=SystemClock(), weights=weights
+        )
         addresses = {}
         for index in range(process.profile.ranks):
             app = process.make_app(index)
@@ -37,5 +48,7 @@
             task.cancel()
         for runner in runners:
             await runner.cleanup()
+        for session in sessions:
+            await session.close()
 
     run_until_signal(start, stop)
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/ranks/loads.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/ranks/loads.py
@@ -35,7 +35,12 @@
     def load(self, version, packed_map):
         """Load what a map needs; return whether it is all there."""
         self._store.progress()
-        if version not in self._load_by_version:
+        load = self._load_by_version.get(version)
+        if load is not None and load.has_failed:
+            self._load_by_version[version] = self._store.submit(
+                load.kind, load.bytes_left
+            )
+        elif load is None:
             wanted = unpack_placement(packed_map)[:, self._index]
             held = np.zeros_like(wanted) if self._held is None else self._held
             missing = int((wanted & ~held).sum())
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/weights/store.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/weights/store.py
@@ -15,10 +15,13 @@
         `model` at a cold start, or `expert` for rebalancing.
     bytes_left : float
         Bytes that have not arrived yet.
+    has_failed : bool
+        Whether it has broken off.
     """
 
     kind: str
     bytes_left: float
+    has_failed: bool = False
 
     @property
     def is_done(self):
