--- a/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
@@ -4,7 +4,7 @@
 import logging
 
 from magnoliagrade.algorithms import parse_selector
-from magnoliagrade.node import AttemptBook, Node
+from magnoliagrade.node import AttemptBook, Node, OutcomeBook
 from magnoliagrade.observability import log_event
 from magnoliagrade.wire import Label
 from magnoliagrade.world import Role, Work
@@ -42,6 +42,7 @@
         "is_listed_leaving",
         "load_watch",
         "order_session",
+        "outcomes",
         "pool",
     )
 
@@ -56,6 +57,7 @@
             clock=clock,
         )
         self.attempts = AttemptBook()
+        self.outcomes = OutcomeBook()
         self.credits = CreditBook(
             limit_policy=limit_policies.get(DEFAULT_LIMIT_POLICY)(),
             clock=self.clock,
@@ -170,6 +172,9 @@
 
     def _configure_limit(self, pool):
         name = pool.options.get(LIMIT_POLICY_OPTION, DEFAULT_LIMIT_POLICY)
+        if name not in limit_policies.by_name:
+            log_event(_log, "limit_policy.unknown", pool=pool.name, policy=name)
+            name = DEFAULT_LIMIT_POLICY
         make = limit_policies.get(name)
         if name != self.load_watch.limit_policy_name:
             self.credits.limit_policy = make()
