Give the rank process its popularity back

Measured: tests.test_group_path failed before and passes now, with the stand-ins' tests and tests.test_binaries (62 tests, 64 s beside other work). By hand, one rank of a group of two staged a map of 16 MB from a weight-store process at 100 MB/s.

--- a/packages/magnoliagrade-standins/magnoliagrade_standins/ranks/server.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/ranks/server.py
@@ -11,7 +11,7 @@
 from magnoliagrade.errors import MagnoliagradeError
 from magnoliagrade_agent.group.rank_client import decode_knowledge, encode_knowledge
 
-from magnoliagrade_standins.balance.drift import DAY_S
+from magnoliagrade_standins.balance.drift import DAY_S, DriftingPopularity
 from magnoliagrade_standins.engine import Engine, EngineProfile, make_engine_app
 from magnoliagrade_standins.ranks.group import RankGroup
 from magnoliagrade_standins.ranks.loads import RankLoads
@@ -74,6 +74,10 @@
         self.clock = clock
         rate = profile.weight_bytes_per_s
         self.weights = weights or WeightStore(clock=clock, bytes_per_s=rate)
+        rng = np.random.default_rng(profile.seed)
+        self.popularity = DriftingPopularity(
+            layers=profile.layers, experts=profile.experts, rng=rng
+        )
         self.loads = [
             RankLoads(index=i, store=self.weights, expert_bytes=profile.expert_bytes)
             for i in range(profile.ranks)
