Let a leaving rank wait for the requests of all ranks

Cause: ranks run in lock-step, so a rank that ends breaks the requests that the others serve. An agent that was told to leave waited for its own requests only.

Change: a leaving agent tells its peers, the group takes no new requests, and peers tell it what they have in flight until there is nothing. A group whose configured ranks are not as many as its addresses is left alone and named in the log.

Measured: two ranks, one stream, SIGTERM to both agents: before, an agent ended while the other one's stream had seconds to go (the new test failed with a timeout); now both end with 0 after the whole stream. tests.test_group_path 20 s.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/group/coordination.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/group/coordination.py
@@ -259,8 +259,19 @@
 
 
 def _configured(service):
+    """Return the group's configuration, or None if it does not fit the settings."""
     configuration = service.node.configuration.in_force
-    return configuration.group_by_name.get(service.group)
+    group = configuration.group_by_name.get(service.group)
+    if group is not None and group.ranks != service.member.ranks:
+        log_event(
+            _log,
+            "group.sizes_differ",
+            group=group.name,
+            configured_ranks=group.ranks,
+            addresses=service.member.ranks,
+        )
+        return None
+    return group
 
 
 def _initial(group):
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/group/handlers.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/group/handlers.py
@@ -8,6 +8,7 @@
     GenerationAnswer,
     GenerationJoin,
     GenerationSettled,
+    GroupState,
     OutcomeKnown,
     OutcomeQuery,
     StageAck,
@@ -67,6 +68,14 @@
         service.take_counts(message)
 
 
+@agent_handlers.on(GroupState)
+async def on_group_state(node, link, message):
+    """Note whether a peer leaves and what it has in flight."""
+    service = node.group_service
+    if service is not None and message.group == service.group:
+        service.note_peer_state(message)
+
+
 @agent_tasks.register("group-links")
 async def keep_peer_links(node):
     """Keep linked to the agents of the group."""
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/group/service.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/group/service.py
@@ -64,6 +64,7 @@
         "orders",
         "rank_boot_id",
         "recorded_version",
+        "state_by_rank",
         "step",
         "step_s",
     )
@@ -83,6 +84,7 @@
         self.rank_boot_id = ""
         self._told_state = None
         self.step = 0
+        self.state_by_rank = {}
         self._lock = asyncio.Lock()
         self._requests = set()
         self._open_since = None
@@ -103,7 +105,9 @@
     @property
     def is_complete(self):
         """Whether the group runs and every peer has been heard of lately."""
-        if not self.member.is_running:
+        if not self.member.is_running or self.node.is_leaving:
+            return False
+        if any(state.is_leaving for state in self.state_by_rank.values()):
             return False
         ranks = set(range(self.member.ranks)) - {self.member.rank}
         links = [self.link_of(rank) for rank in ranks]
@@ -167,6 +171,8 @@
         is_due = is_open and now - self._open_since > QUERY_AFTER_S
         await self.act(self.member.tick, is_query_due=is_due)
         self.tell_entries()
+        if self.node.is_leaving or self.state_by_rank:
+            self.tell_peers()
         metrics.update(self)
 
     async def _watch_rank(self):
@@ -268,6 +274,7 @@
         if link.hello.role == Role.ENTRY.value:
             link.send(self._state())
         elif link.hello.group == self.group:
+            self.state_by_rank.pop(link.hello.rank, None)
             member = self.member
             join = GenerationJoin(
                 group=self.group,
@@ -286,6 +293,37 @@
         for link in self.node.links.of_role(Role.ENTRY):
             link.send(state)
 
+    def tell_peers(self):
+        """Tell the agents of the other ranks what is in flight here."""
+        state = self._state()
+        state.requests_in_flight = len(self._requests)
+        state.is_leaving = self.node.is_leaving
+        for rank in range(self.member.ranks):
+            if rank != self.member.rank:
+                self.send(rank, state)
+
+    def note_peer_state(self, message):
+        """Note that a peer leaves, or what it still has in flight meanwhile."""
+        if message.is_leaving or self.node.is_leaving:
+            self.state_by_rank[message.rank] = message
+        else:
+            self.state_by_rank.pop(message.rank, None)
+
+    def count_in_flight(self):
+        """Return the requests that need this rank, on all ranks.
+
+        Notes
+        -----
+        Ranks run in lock-step: if this one ends, the requests of all others break
+        off. A linked peer that has not said anything yet counts as one request.
+        """
+        count = len(self._requests)
+        for rank in set(range(self.member.ranks)) - {self.member.rank}:
+            if self.link_of(rank) is not None:
+                state = self.state_by_rank.get(rank)
+                count += 1 if state is None else state.requests_in_flight
+        return count
+
     def _state(self):
         member = self.member
         return GroupState(
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
@@ -96,11 +96,17 @@
         in_flight = self.credits.count_in_flight
         log_event(_log, "agent.leaving", requests_in_flight=in_flight)
         await self.say_leaving()
-        await self.wait_for_requests(lambda: self.credits.count_in_flight)
+        await self.wait_for_requests(self.count_in_flight)
         await self.close()
         await self.order_session.close()
         log_event(_log, "agent.stopped")
 
+    def count_in_flight(self):
+        """Return the requests that would break off if this agent ended now."""
+        if self.group_service is not None:
+            return self.group_service.count_in_flight()
+        return self.credits.count_in_flight
+
     def hello(self):
         """Return the first message of each link."""
         hello = super().hello()
--- a/packages/magnoliagrade/magnoliagrade/wire/group.capnp
+++ b/packages/magnoliagrade/magnoliagrade/wire/group.capnp
@@ -116,6 +116,8 @@
   generation @2 :UInt64;
   isComplete @3 :Bool;
   mapVersion @4 :UInt64;
+  requestsInFlight @5 :UInt32;
+  isLeaving @6 :Bool;
 }
 
 struct GroupMessage {
--- a/packages/magnoliagrade/magnoliagrade/wire/group.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/group.py
@@ -144,13 +144,15 @@
 
 @message("group", "state")
 class GroupState:
-    """An agent tells entries whether its group can take requests."""
+    """An agent tells entries and peers whether its group can take requests."""
 
     group: str = ""
     rank: int = 0
     generation: int = 0
     is_complete: bool = False
     map_version: int = 0
+    requests_in_flight: int = 0
+    is_leaving: bool = False
 
 
 @message("group", "expertCounts")
--- a/tests/test_group_path.py
+++ b/tests/test_group_path.py
@@ -15,6 +15,8 @@
 POLL_S = 0.02
 DRIFT = 1000.0
 TOKENS = 300
+BEGUN_S = 0.5
+LAST_TOKENS_S = 2.0
 # Widens the time between an arming and its outcome, in which ranks are struck.
 SLOW = {"target": "kamloops-rank", "delay_s": 0.03}
 
@@ -44,6 +46,26 @@
         assert find_two_maps(StepRecord(**r) for r in record["records"]) is None
 
 
+def test_leaving_rank_waits_for_the_requests_of_all_ranks():
+    asyncio.run(_leave())
+
+
+async def _leave():
+    plan = group_plan(ranks=2, policy="static")
+    async with GroupSite(plan=plan, ranks=2) as site:
+        await _until(lambda: _complete(site), at_least=1)
+        stream = asyncio.create_task(_stream(site))
+        await asyncio.sleep(BEGUN_S)
+        assert not stream.done()
+        stops = [asyncio.create_task(a.stop()) for a in site.agent_by_name.values()]
+        await asyncio.wait(stops, return_when=asyncio.FIRST_COMPLETED)
+        # Also the rank that does not serve the stream has waited for its end.
+        request_id, events = await asyncio.wait_for(stream, LAST_TOKENS_S)
+        assert events[-1] == b"[DONE]"
+        await _check_stream((request_id, events))
+        assert await asyncio.gather(*stops) == [0, 0]
+
+
 async def _restart_rank(site):
     await site.control_rank(1, restart=True)
 
