--- a/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
@@ -1,9 +1,10 @@
 """The agent instance: everything that one agent process holds."""
 
+import importlib
 import logging
 
 from magnoliagrade.algorithms import parse_selector
-from magnoliagrade.node import AttemptBook, Node
+from magnoliagrade.node import AttemptBook, Node, OutcomeBook
 from magnoliagrade.observability import log_event
 from magnoliagrade.wire import Label
 from magnoliagrade.world import Role, Work
@@ -11,8 +12,6 @@
 from magnoliagrade_agent.capacity import CreditBook, limit_policies
 from magnoliagrade_agent.door import make_data_door
 from magnoliagrade_agent.engine import EngineClient
-from magnoliagrade_agent.group import handlers as group_handlers  # noqa: F401
-from magnoliagrade_agent.group.service import GroupService
 from magnoliagrade_agent.handlers import agent_handlers, agent_tasks
 from magnoliagrade_agent.load_watch import LoadWatch, send_grants
 
@@ -43,6 +42,7 @@
         "is_listed_leaving",
         "load_watch",
         "order_session",
+        "outcomes",
         "pool",
     )
 
@@ -57,6 +57,7 @@
             clock=clock,
         )
         self.attempts = AttemptBook()
+        self.outcomes = OutcomeBook()
         self.credits = CreditBook(
             limit_policy=limit_policies.get(DEFAULT_LIMIT_POLICY)(),
             clock=self.clock,
@@ -81,7 +82,7 @@
             work=self.settings.work,
         )
         if self.settings.group:
-            self.group_service = GroupService(node=self)
+            self.group_service = _make_group_service(self)
         await self.listen_door(
             "data", make_data_door(self), self.settings.data_address, is_internal=True
         )
@@ -95,11 +96,17 @@
         in_flight = self.credits.count_in_flight
         log_event(_log, "agent.leaving", requests_in_flight=in_flight)
         await self.say_leaving()
-        await self.wait_for_requests(lambda: self.credits.count_in_flight)
+        await self.wait_for_requests(self.count_in_flight)
         await self.close()
         await self.order_session.close()
         log_event(_log, "agent.stopped")
 
+    def count_in_flight(self):
+        """Return the requests that would break off if this agent ended now."""
+        if self.group_service is not None:
+            return self.group_service.count_in_flight()
+        return self.credits.count_in_flight
+
     def hello(self):
         """Return the first message of each link."""
         hello = super().hello()
@@ -184,3 +191,10 @@
             options=pool.options,
         )
         self.load_watch.send_changes(self)
+
+
+def _make_group_service(node):
+    """Return the group's part of an agent; others need none of its libraries."""
+    importlib.import_module("magnoliagrade_agent.group.handlers")
+    service = importlib.import_module("magnoliagrade_agent.group.service")
+    return service.GroupService(node=node)
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/ranks/server.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/ranks/server.py
@@ -8,6 +8,7 @@
 import numpy as np
 from aiohttp import web
 from magnoliagrade.algorithms.balance import rank_times, unpack_placement
+from magnoliagrade.errors import MagnoliagradeError
 from magnoliagrade_agent.group.rank_client import decode_knowledge, encode_knowledge
 
 from magnoliagrade_standins.balance.drift import DAY_S, DriftingPopularity
@@ -64,12 +65,15 @@
         Sizes and speeds.
     clock : Clock
         Source of time.
+    weights : WeightClient, optional
+        Weight store that is shared with others; one of its own by default.
     """
 
-    def __init__(self, *, profile, clock):
+    def __init__(self, *, profile, clock, weights=None):
         self.profile = profile
         self.clock = clock
-        self.weights = WeightStore(clock=clock, bytes_per_s=profile.weight_bytes_per_s)
+        rate = profile.weight_bytes_per_s
+        self.weights = weights or WeightStore(clock=clock, bytes_per_s=rate)
         rng = np.random.default_rng(profile.seed)
         self.popularity = DriftingPopularity(
             layers=profile.layers, experts=profile.experts, rng=rng
@@ -83,8 +87,9 @@
             for i, k in enumerate(self.loads)
         ]
         self.group = RankGroup(ranks=ranks)
+        engine_profile = EngineProfile(step_base_s=profile.step_s)
         self.engines = [
-            Engine(profile=EngineProfile(), clock=clock, name=f"rank-{i}")
+            Engine(profile=engine_profile, clock=clock, name=f"rank-{i}")
             for i in range(profile.ranks)
         ]
         self.speeds = np.ones(profile.ranks)
@@ -152,10 +157,16 @@
         """Return the record of the maps used, as the check needs it."""
         return {
             "records": [dataclasses.asdict(r) for r in self.group.records],
+            **self.pace(),
+            "bytes": self.weights.bytes_loaded_by_kind,
+        }
+
+    def pace(self):
+        """Return how fast the group steps; cheap, so that it can be read often."""
+        return {
             "stall_s": self.stall_s,
             "skew": self.skew(),
             "completed": [r.completed for r in self.group.ranks],
-            "bytes": self.weights.bytes_loaded_by_kind,
         }
 
     def make_app(self, index):
@@ -176,11 +187,17 @@
             name = request.match_info["name"]
             if name == "counts":
                 return web.json_response(self.counts(index))
-            return web.json_response(await _ORDER_BY_NAME[name](rank, fields))
+            try:
+                return web.json_response(await _ORDER_BY_NAME[name](rank, fields))
+            except MagnoliagradeError:
+                return web.Response(status=409)
 
         async def record(_request):
             return web.json_response(self.record())
 
+        async def pace(_request):
+            return web.json_response(self.pace())
+
         async def control(request):
             fields = await request.json()
             if fields.get("restart"):
@@ -192,6 +209,7 @@
             return web.Response()
 
         app.router.add_get("/rank/state", state)
+        app.router.add_get("/rank/pace", pace)
         app.router.add_get("/rank/record", record)
         app.router.add_post("/rank/control", control)
         app.router.add_post("/rank/{name}", order)
