Refuse internal requests whose attempt headers are absent or malformed

Cause: read_request_headers read the attempt only, so that a missing entry or a resume count that is no number ended as INTERNAL at a peer's or an agent's door. Change: all three are checked before anything is done.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/doors.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/doors.py
@@ -100,7 +100,6 @@
         )
         with _server_span("peer", http_request) as span:
             try:
-                sink.tokens_written = int(headers.get(names.RESUME_TOKENS, "0"))
                 body = await http_request.read()
                 check_incarnation(headers, incarnation=node.identity.incarnation)
                 request = read_request_headers(
@@ -111,6 +110,7 @@
                     now=node.clock.monotonic(),
                 )
                 request_id = request.id
+                sink.tokens_written = int(headers.get(names.RESUME_TOKENS, "0"))
                 _describe(span, request)
                 await _serve_to_end(node, request, sink, node.dispatcher.serve)
             except MagnoliagradeError as exc:
--- a/packages/magnoliagrade/magnoliagrade/http/headers.py
+++ b/packages/magnoliagrade/magnoliagrade/http/headers.py
@@ -180,6 +180,7 @@
         `INVALID_REQUEST` if the internal headers are missing or malformed.
     """
     try:
+        _check_attempt_headers(headers)
         carried = json.loads(headers[_REQUEST])
         return Request(
             id=carried["id"],
@@ -206,6 +207,15 @@
         raise MagnoliagradeError(ErrorKind.INVALID_REQUEST, detail) from exc
 
 
+def _check_attempt_headers(headers):
+    """Raise what an absent or malformed header raises, before anything is done."""
+    for name in (ATTEMPT, ENTRY):
+        if not headers[name]:
+            raise ValueError(f"{name} is empty")
+    if int(headers.get(RESUME_TOKENS, "0")) < 0:
+        raise ValueError(f"{RESUME_TOKENS} is negative")
+
+
 def _as_header(carried):
     # JSON escapes all control characters but one that headers forbid as well.
     return json.dumps(carried, separators=(",", ":")).replace("\x7f", "\\u007f")
