--- a/packages/magnoliagrade-standins/magnoliagrade_standins/ranks/server.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/ranks/server.py
@@ -65,12 +65,15 @@
         Sizes and speeds.
     clock : Clock
         Source of time.
+    weights : WeightClient, optional
+        Weight store that is shared with others; one of its own by default.
     """
 
-    def __init__(self, *, profile, clock):
+    def __init__(self, *, profile, clock, weights=None):
         self.profile = profile
         self.clock = clock
-        self.weights = WeightStore(clock=clock, bytes_per_s=profile.weight_bytes_per_s)
+        rate = profile.weight_bytes_per_s
+        self.weights = weights or WeightStore(clock=clock, bytes_per_s=rate)
         rng = np.random.default_rng(profile.seed)
         self.popularity = DriftingPopularity(
             layers=profile.layers, experts=profile.experts, rng=rng
