Withdraw an order whose deadline passed before it reached its agent

Cause: an order that was held up on its way ran after its caller had been told that its deadline had passed. Change: at the deadline the entry sends a `Revoke` and does not wait for the answer.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/requests/dispatch.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/requests/dispatch.py
@@ -164,6 +164,9 @@
         except AttemptFailed as exc:
             if request.repeatable or exc.ran is Ran.NO or sink.has_started:
                 raise
+            if exc.kind is ErrorKind.DEADLINE:
+                self._node.revocations.withdraw(placement, attempt)
+                raise
             answer = await self._node.revocations.settle(
                 placement, attempt, deadline=request.deadline
             )
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/requests/revocation.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/requests/revocation.py
@@ -95,6 +95,12 @@
         )
         return answer
 
+    def withdraw(self, placement, attempt):
+        """Withdraw an attempt without waiting; a copy that comes late is refused."""
+        link = self._node.links.by_instance.get(placement.name)
+        if link is not None and link.peer_incarnation == placement.incarnation:
+            link.send(Revoke(attempt=attempt))
+
     def on_answer(self, link, message):
         """Take an answer that came over a link."""
         question = self._question_by_attempt.get(message.attempt)
