Send a request on when it has waited beyond the estimate

Cause: requests that wait were offered to other data centres by the estimated wait of the whole queue. A flow above its share waits longer, since what others send later goes before it, and a queue whose last endpoint is gone has no estimate at all; such a request stayed until its deadline.

Change: the wait here is at least the time already waited, and infinite without an endpoint.

Measured: two new tests time out before and pass after.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/routing/router.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/router.py
@@ -311,13 +311,26 @@
                 ticket.request,
                 pool,
                 excluded=ticket.excluded,
-                local_wait_s=queue.wait_s,
+                local_wait_s=self._waited_s(ticket, pool, queue),
             )
             if peer is None:
                 continue
             queue.leave(ticket, is_served=False)
             ticket.settle(Placement(peer=peer, reason="remote"))
 
+    def _waited_s(self, ticket, pool, queue):
+        """Return the estimated wait here of a request that waits already.
+
+        Notes
+        -----
+        Who has waited longer than the estimate shows that the estimate is wrong:
+        what others send goes before a flow above its share.
+        """
+        if not self._candidates(pool, ticket.excluded):
+            return float("inf")
+        waited_s = self._clock.monotonic() - ticket.arrived_at
+        return max(queue.wait_s, waited_s)
+
     @staticmethod
     def _return_unused(ticket):
         future = ticket.future
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/routing/tests/test_router.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/tests/test_router.py
@@ -5,7 +5,7 @@
 from magnoliagrade.clock import ManualClock
 from magnoliagrade.configuration import parse_configuration
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
-from magnoliagrade.wire import EngineLoad
+from magnoliagrade.wire import EngineLoad, PeerSummary, PoolSummary
 from magnoliagrade.world import Request
 
 from magnoliagrade_entry.membership import Departures
@@ -66,6 +66,18 @@
     return router, endpoints, links
 
 
+def _add_peer(router, clock, free_credits):
+    link = _Link("peer")
+    link.hello.role = "entry"
+    link.hello.data_centre = "far"
+    peers = router._offers._peers
+    peers.on_link_up(link)
+    peer = peers.by_name["peer"]
+    row = PoolSummary(pool="p", free_credits=free_credits, ready_endpoints=1)
+    peer.summary = PeerSummary(data_centre="far", pools=[row])
+    peer.summary_at = clock.monotonic()
+
+
 def _request(number, organisation="o", cost=200, deadline=100.0):
     return Request(
         id=f"r{number}",
@@ -253,3 +265,36 @@
         assert (asked.asked(), other.asked()) == (0, 200)
 
     asyncio.run(main())
+
+
+def test_waiting_request_goes_to_a_peer_when_its_last_endpoint_is_gone():
+    async def main():
+        clock = ManualClock()
+        router, endpoints, links = _site(clock, names=("e1",), limit=600.0)
+        endpoints.on_load("e1", EngineLoad(limit=600.0, held=600.0))
+        placing = asyncio.create_task(router.place(_request(1)))
+        await asyncio.sleep(0)
+        endpoints.on_link_down(links[0])
+        _add_peer(router, clock, free_credits=1000.0)
+        router.tick()
+        placement = await asyncio.wait_for(placing, 5)
+        assert placement.peer.name == "peer"
+
+    asyncio.run(main())
+
+
+def test_request_that_waited_beyond_the_estimate_goes_to_a_peer():
+    async def main():
+        clock = ManualClock()
+        router, endpoints, _links = _site(clock, names=("e1",), limit=600.0)
+        endpoints.on_load("e1", EngineLoad(limit=600.0, held=600.0))
+        placing = asyncio.create_task(router.place(_request(1)))
+        await asyncio.sleep(0)
+        await clock.advance(0.5)
+        endpoints.on_load("e1", EngineLoad(limit=600.0, held=600.0))
+        _add_peer(router, clock, free_credits=1000.0)
+        router.tick()
+        placement = await asyncio.wait_for(placing, 5)
+        assert placement.peer.name == "peer"
+
+    asyncio.run(main())
