Keep headroom for others only while they wait

Cause: an organisation above twice its part always left 30 % of each limit free.

Change: headroom holds for 2 s after an ask within a share had to wait, and is told to entries with load and grants, instead of being a constant on both sides.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/credits.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/credits.py
@@ -5,7 +5,6 @@
 
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
 from magnoliagrade.observability import log_event
-from magnoliagrade.wire import SURPLUS_HEADROOM
 from prometheus_client import Counter, Gauge
 
 from magnoliagrade_agent.capacity.continuity import BootContinuity
@@ -15,6 +14,7 @@
 
 __all__ = ["CreditBook"]
 
+SURPLUS_HEADROOM = 0.3
 CONFIRM_S = 0.1
 PACE_POLL_S = 0.005
 PACE_LIMIT_S = 1.0
@@ -128,6 +128,16 @@
         is_blind = not self._is_known or bool(self.residue.cost)
         return is_blind or (self.count_in_flight and not self.continuity.is_proven)
 
+    @property
+    def headroom(self):
+        """Return the cost that asks above a share leave free now.
+
+        Notes
+        -----
+        Without contention there is none: what nobody else waits for is theirs.
+        """
+        return SURPLUS_HEADROOM * self.limit if self.grants.is_contended else 0.0
+
     def distribute(self):
         """Grant what is free to entries that ask; return the new grants."""
         self.residue.lapse()
@@ -138,7 +148,7 @@
         lone_limit = self._lone_limit() if is_idle else 0.0
         return self.grants.distribute(
             self.free,
-            headroom=SURPLUS_HEADROOM * self.limit,
+            headroom=self.headroom,
             lone_limit=lone_limit,
         )
 
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/grants.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/grants.py
@@ -6,6 +6,7 @@
 __all__ = ["Grant", "GrantBook"]
 
 CREDIT_LEASE_S = 2.0
+CONTENDED_S = 2.0
 MAX_ASKS_PER_ENTRY = 1024
 
 
@@ -63,6 +64,7 @@
 
     __slots__ = (
         "_asks_by_entry",
+        "_contended_at",
         "_clock",
         "_grants",
         "_reserved_by_entry",
@@ -72,6 +74,7 @@
     def __init__(self, *, clock):
         self._clock = clock
         self._asks_by_entry = OrderedDict()
+        self._contended_at = float("-inf")
         self._surplus_by_entry = OrderedDict()
         self._grants = deque()
         self._reserved_by_entry = {}
@@ -166,12 +169,19 @@
         """
         granted = self._grant_in_turn(self._asks_by_entry, free, lone_limit)
         free -= sum(g.amount for g in granted)
+        if self._asks_by_entry:
+            self._contended_at = self._clock.monotonic()
         if granted:
             lone_limit = 0.0
         return granted + self._grant_in_turn(
             self._surplus_by_entry, free - headroom, lone_limit
         )
 
+    @property
+    def is_contended(self):
+        """Whether an ask within a share had to wait lately."""
+        return self._clock.monotonic() - self._contended_at < CONTENDED_S
+
     def drop_beyond(self, limit):
         """Drop asks that exceed a limit; entries ask elsewhere when they learn it."""
         for book in (self._asks_by_entry, self._surplus_by_entry):
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/tests/test_grants.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/tests/test_grants.py
@@ -99,3 +99,22 @@
     book.distribute(200)
     book.withdraw("a", 200)
     assert book.reserved == 0
+
+
+def test_contention_is_an_ask_within_a_share_that_had_to_wait_lately():
+    async def main():
+        clock = ManualClock()
+        book = GrantBook(clock=clock)
+        book.ask("a", 200, is_surplus=True)
+        book.distribute(100)
+        assert not book.is_contended
+        book.ask("b", 200)
+        book.distribute(100)
+        assert book.is_contended
+        book.distribute(200)
+        await clock.advance(1.9)
+        assert book.is_contended
+        await clock.advance(0.2)
+        assert not book.is_contended
+
+    asyncio.run(main())
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/load_watch.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/load_watch.py
@@ -85,6 +85,7 @@
             limit=credits.known_limit,
             held=credits.held + credits.grants.reserved,
             asked=credits.grants.asked,
+            headroom=credits.headroom,
         )
 
 
@@ -97,6 +98,8 @@
         return True
     if since_s < CHANGE_INTERVAL_S:
         return False
+    if bool(message.headroom) != bool(told.headroom):
+        return True
     scale = NOTABLE_FRACTION * max(message.limit, 1.0)
     moved = max(abs(message.limit - told.limit), abs(message.held - told.held))
     return moved >= scale or message.asked != told.asked
@@ -164,5 +167,6 @@
                 limit=node.credits.known_limit,
                 held=node.credits.held + node.credits.grants.reserved,
                 is_surplus=grant.is_surplus,
+                headroom=node.credits.headroom,
             )
         )
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/credit_watch.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/credit_watch.py
@@ -14,7 +14,7 @@
     contact = node.endpoints.by_name.get(link.peer_instance)
     if contact is None or contact.link is not link:
         return
-    contact.note_load(limit=message.limit, held=message.held)
+    contact.note_load(limit=message.limit, held=message.held, headroom=message.headroom)
     node.router.on_grant(contact, message.amount, is_surplus=message.is_surplus)
 
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/routing/endpoints.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/endpoints.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 
 from magnoliagrade.algorithms import parse_selector
-from magnoliagrade.wire import SURPLUS_HEADROOM, CreditRequest
+from magnoliagrade.wire import CreditRequest
 from magnoliagrade.world import Endpoint, EndpointState, LoadReport, Role
 
 from magnoliagrade_entry.routing.outliers import EndpointHealth
@@ -37,6 +37,7 @@
         "asked_cost",
         "asked_surplus",
         "endpoint",
+        "headroom",
         "health",
         "held",
         "in_flight_cost",
@@ -51,6 +52,7 @@
         self.link = link
         self.limit = 0.0
         self.held = 0.0
+        self.headroom = 0.0
         self.asked_by_others = 0.0
         self.asked_cost = 0.0
         self.asked_surplus = 0.0
@@ -86,7 +88,7 @@
         """
         room = self.room
         if ticket.is_surplus:
-            room -= self.asked_surplus + SURPLUS_HEADROOM * self.limit
+            room -= self.asked_surplus + self.headroom
         is_counted = ticket.contact is self
         return room >= (0 if is_counted else ticket.request.cost)
 
@@ -152,10 +154,11 @@
             self.held = max(0.0, self.held - amount)
             self.link.send(CreditRequest(unused=amount))
 
-    def note_load(self, *, limit, held, asked=None):
-        """Take what the agent says of its limit and load."""
+    def note_load(self, *, limit, held, asked=None, headroom=0.0):
+        """Take what the agent says of its limit, load and headroom."""
         self.limit = limit
         self.held = held
+        self.headroom = headroom
         if asked is not None:
             own = self.asked_cost + self.asked_surplus
             self.asked_by_others = max(0.0, asked - own)
@@ -278,7 +281,12 @@
             cache_used=message.cache_used,
             age_s=message.age_seconds,
         )
-        contact.note_load(limit=message.limit, held=message.held, asked=message.asked)
+        contact.note_load(
+            limit=message.limit,
+            held=message.held,
+            asked=message.asked,
+            headroom=message.headroom,
+        )
 
     def candidates(self, pool):
         """Return the contacts that may be given new work of a pool.
--- a/packages/magnoliagrade/magnoliagrade/wire/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/__init__.py
@@ -1,7 +1,6 @@
 """Messages between own processes: schema, codec, links."""
 
 from magnoliagrade.wire.capacity import (
-    SURPLUS_HEADROOM,
     CreditGrant,
     CreditRequest,
     EngineLoad,
@@ -54,7 +53,6 @@
 
 __all__ = [
     "MAX_MESSAGE_BYTES",
-    "SURPLUS_HEADROOM",
     "ArmAck",
     "ArmSwitch",
     "ClaimAnswer",
--- a/packages/magnoliagrade/magnoliagrade/wire/capacity.capnp
+++ b/packages/magnoliagrade/magnoliagrade/wire/capacity.capnp
@@ -16,6 +16,7 @@
   limit @3 :Float64;
   held @4 :Float64;          # cost in flight or granted, of all entries
   isSurplus @5 :Bool;        # as in the ask
+  headroom @6 :Float64;      # cost that asks above a share leave free now
 }
 
 struct LoadReport {
@@ -28,6 +29,7 @@
   limit @6 :Float64;
   held @7 :Float64;          # cost in flight or granted, of all entries
   asked @8 :Float64;         # cost that entries wait for
+  headroom @9 :Float64;      # cost that asks above a share leave free now
 }
 
 struct OrganisationUsage {
--- a/packages/magnoliagrade/magnoliagrade/wire/capacity.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/capacity.py
@@ -5,7 +5,6 @@
 from magnoliagrade.wire.message_table import message
 
 __all__ = [
-    "SURPLUS_HEADROOM",
     "CreditGrant",
     "CreditRequest",
     "EngineLoad",
@@ -13,9 +12,6 @@
     "UsageReport",
 ]
 
-# Part of a limit that asks above a share leave free; agents and entries agree on it.
-SURPLUS_HEADROOM = 0.3
-
 
 @message("capacity", "creditRequest")
 class CreditRequest:
@@ -38,6 +34,7 @@
     limit: float = 0.0
     held: float = 0.0
     is_surplus: bool = False
+    headroom: float = 0.0
 
 
 @message("capacity", "loadReport")
@@ -53,6 +50,7 @@
     limit: float = 0.0
     held: float = 0.0
     asked: float = 0.0
+    headroom: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True)
