--- a/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/grants.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/grants.py
@@ -6,7 +6,7 @@
 __all__ = ["Grant", "GrantBook"]
 
 CREDIT_LEASE_S = 2.0
-CONTENDED_S = 2.0
+CONTENDED_S = 10.0
 MAX_ASKS_PER_ENTRY = 1024
 
 
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/tests/test_grants.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/capacity/tests/test_grants.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 from magnoliagrade.clock import ManualClock
 
-from magnoliagrade_agent.capacity.grants import CREDIT_LEASE_S, GrantBook
+from magnoliagrade_agent.capacity.grants import CONTENDED_S, CREDIT_LEASE_S, GrantBook
 
 STEPS = st.lists(
     st.tuples(
@@ -112,7 +112,7 @@
         book.distribute(100)
         assert book.is_contended
         book.distribute(200)
-        await clock.advance(1.9)
+        await clock.advance(CONTENDED_S - 0.1)
         assert book.is_contended
         await clock.advance(0.2)
         assert not book.is_contended
