Refuse a pool whose routing policy does not exist

Cause: `magnoliagrade check` and `apply` took any name; entries then fell back to the default and only a log said so.

--- a/packages/magnoliagrade/magnoliagrade/configuration/ini.py
+++ b/packages/magnoliagrade/magnoliagrade/configuration/ini.py
@@ -10,6 +10,7 @@
 from magnoliagrade.errors import ErrorKind
 from magnoliagrade.registry import Registry
 from magnoliagrade.world import (
+    ROUTING_NAMES,
     Application,
     DataCentre,
     Organisation,
@@ -192,7 +193,7 @@
         name=name,
         endpoint_selector=fields.selector("endpoint_selector"),
         data_centre_selector=fields.selector("data_centre_selector"),
-        routing=fields.text("routing", "prefix-affinity"),
+        routing=fields.text("routing", "prefix-affinity", choices=ROUTING_NAMES),
         cold_limit=fields.number("cold_limit", 2, low=1, high=10**9, kind=int),
         full_limit=fields.number("full_limit", 16, low=1, high=10**9, kind=int),
         retry_budget=fields.number("retry_budget", 0.1, low=0, high=1),
--- a/packages/magnoliagrade/magnoliagrade/world/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/world/__init__.py
@@ -1,6 +1,6 @@
 """Objects that mirror the world: machines, zones, customers and contracts."""
 
-from magnoliagrade.world.application import Application, Pool, Work
+from magnoliagrade.world.application import ROUTING_NAMES, Application, Pool, Work
 from magnoliagrade.world.data_centre import DataCentre
 from magnoliagrade.world.endpoint import Endpoint, EndpointState, LoadReport
 from magnoliagrade.world.group import (
@@ -17,6 +17,7 @@
 from magnoliagrade.world.route import Route
 
 __all__ = [
+    "ROUTING_NAMES",
     "OPTION_PREFIX",
     "REBALANCING_POLICIES",
     "Application",
--- a/packages/magnoliagrade/magnoliagrade/world/application.py
+++ b/packages/magnoliagrade/magnoliagrade/world/application.py
@@ -3,7 +3,10 @@
 import enum
 from dataclasses import dataclass, field
 
-__all__ = ["Application", "Pool", "Work"]
+__all__ = ["ROUTING_NAMES", "Application", "Pool", "Work"]
+
+# Names that the entries' routing policies are registered under.
+ROUTING_NAMES = ("least-loaded", "prefix-affinity", "random", "two-choices")
 
 
 class Work(enum.Enum):
@@ -26,7 +29,7 @@
     data_centre_selector : str
         Label selector over data centres; empty selects all.
     routing : str
-        Name of the routing policy.
+        Name of the routing policy, one of `ROUTING_NAMES`.
     cold_limit : int
         Tokens (or requests, for services) in flight that a cold endpoint bears.
     full_limit : int
