Take out the fallback for unknown routing policies

Cause: since unknown names are refused when a configuration is read, the router's own check of the name and its default could not be reached any more.

Change: the router calls the registry.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/routing/router.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/routing/router.py
@@ -23,7 +23,6 @@
 TICK_S = 0.05
 PATIENCE_S = 0.1
 HEADS_SPILLED = 8
-DEFAULT_ROUTING = "prefix-affinity"
 
 PLACEMENTS = Counter(
     "magnoliagrade_placements_total",
@@ -272,8 +271,7 @@
             return
         if ticket.is_surplus:
             open_ones = [c for c in open_ones if c.has_room(ticket)] or open_ones
-        is_known = pool.routing in routing_policies.by_name
-        choose = routing_policies.get(pool.routing if is_known else DEFAULT_ROUTING)
+        choose = routing_policies.get(pool.routing)
         contact = choose(
             request=ticket.request, candidates=open_ones, pool=pool, rng=self._rng
         )
