Balance the expert map of a group from agents beside the model servers

Ruled out: the queue at the entries (newest first changed nothing), placement (busiest endpoint 1.2 of the mean). Change: direct agents: counts, plan, and a switch that holds the pass before it arms any rank, reads each order back and releases once all are armed alike.

--- /dev/null
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
@@ -0,0 +1,299 @@
+"""The coordinator of a group: counts, plans and switches, from one agent."""
+
+import asyncio
+import logging
+
+from magnoliagrade.errors import MagnoliagradeError
+from magnoliagrade.observability import log_event
+from magnoliagrade.platform import RankServer, list_endpoints
+from magnoliagrade.wire import keep_linked
+from prometheus_client import Counter
+
+from magnoliagrade_agent.direct.member import RankMember
+from magnoliagrade_agent.direct.ports import LinkPort, OwnPort, RankUnreachable
+from magnoliagrade_agent.direct.switching import GroupSwitch
+
+__all__ = ["Coordinator", "is_coordinator"]
+
+# Plans are made this often; a reading of all counters moves some 10 KB.
+INTERVAL_S = 0.4
+# Agents of other ranks look this often whether they have to take over.
+STANDBY_INTERVAL_S = 1.0
+# An agent takes over once no agent of a lower rank has called for this long, and
+# longer for each rank above.
+TAKE_OVER_S = 2.5
+TAKE_OVER_RANK_S = 2.0
+CANDIDATES = 4
+# Reports are some hundred ms old when read from another machine (platform pages).
+REMOTE_LAG_S = 0.4
+REMOTE_TIMEOUT_S = 0.5
+# Between readings of the list of servers, which costs a store call.
+MEMBERSHIP_PAUSE_S = 2.0
+
+SWITCHES = Counter("magnoliagrade_group_switches_total", "Map switches", ["result"])
+_log = logging.getLogger(__name__)
+
+
+def is_coordinator(rank, *, silent_s):
+    """Return whether the agent of a rank coordinates its group.
+
+    Parameters
+    ----------
+    rank : int
+        Rank.
+    silent_s : float
+        Seconds since an agent of a lower rank has called.
+    """
+    if rank == 0:
+        return True
+    return rank < CANDIDATES and silent_s > TAKE_OVER_S + TAKE_OVER_RANK_S * rank
+
+
+class Coordinator:
+    """Plans and switches of the group of this agent's rank.
+
+    Parameters
+    ----------
+    node : DirectAgent
+        The agent.
+    """
+
+    __slots__ = (
+        "_dialling_by_address",
+        "_epoch_key",
+        "_listed_at",
+        "_node",
+        "_own",
+        "_placement",
+        "_placement_version",
+        "_port_by_address",
+        "_ports",
+        "_switch",
+        "_window",
+    )
+
+    def __init__(self, *, node):
+        self._node = node
+        self._own = OwnPort(member=node.member)
+        self._epoch_key = None
+        self._listed_at = float("-inf")
+        self._port_by_address = {}
+        self._dialling_by_address = {}
+        self._reset()
+
+    async def run(self):
+        """Coordinate whenever it is this agent's turn, until cancelled."""
+        while True:
+            pause_s = STANDBY_INTERVAL_S
+            try:
+                status = await self._own.status()
+                if self._is_turn(status):
+                    await self._step(status)
+                    pause_s = INTERVAL_S
+                elif status.rank < CANDIDATES:
+                    pause_s = INTERVAL_S if status.rank == 0 else STANDBY_INTERVAL_S
+            except MagnoliagradeError as exc:
+                log_event(_log, "group.step.failed", detail=exc.detail)
+                pause_s = INTERVAL_S
+            await self._node.clock.sleep(pause_s)
+
+    def _is_turn(self, status):
+        if not status.group or not status.is_open:
+            return False
+        return is_coordinator(status.rank, silent_s=self._node.silent_s())
+
+    async def _step(self, status):
+        epoch_key = (status.group, status.epoch, status.size)
+        if epoch_key != self._epoch_key or len(self._ports) != status.size:
+            self._reset()
+            self._epoch_key = epoch_key
+            await self._find_ranks(status)
+        states = await asyncio.gather(
+            *(port.counts(status.epoch) for port in self._ports)
+        )
+        statuses = [state for state, _ in states]
+        if any(
+            s.held_step is not None or s.armed_version is not None for s in statuses
+        ):
+            experts = await self._experts_in_use(statuses)
+            await self._switch.settle(experts)
+            return
+        await self._balance(statuses, [counts for _, counts in states])
+
+    async def _find_ranks(self, status):
+        """Link to the agents of all ranks and put their ports in order."""
+        await self._link_agents()
+        port_by_rank = {status.rank: self._own}
+        for port in self._port_by_address.values():
+            try:
+                other = await port.status()
+            except MagnoliagradeError:
+                continue
+            if (other.group, other.epoch) == (status.group, status.epoch):
+                port_by_rank[other.rank] = port
+        if len(port_by_rank) != status.size:
+            missing = status.size - len(port_by_rank)
+            raise RankUnreachable(f"{missing} of {status.size} ranks are not found")
+        self._ports = [port_by_rank[rank] for rank in range(status.size)]
+        self._switch = GroupSwitch(
+            ports=self._ports,
+            own=self._own,
+            own_rank=status.rank,
+            epoch=status.epoch,
+            clock=self._node.clock,
+        )
+        log_event(
+            _log,
+            "group.found",
+            group=status.group,
+            epoch=status.epoch,
+            ranks=status.size,
+            own_rank=status.rank,
+        )
+
+    async def _link_agents(self):
+        now = self._node.clock.monotonic()
+        if now - self._listed_at < MEMBERSHIP_PAUSE_S:
+            return
+        self._listed_at = now
+        endpoints = await list_endpoints(self._node.store, purpose="group")
+        settings = self._node.settings
+        own = settings.server_address
+        service = next((e.service for e in endpoints if e.address == own), None)
+        wanted = {
+            e.address for e in endpoints if e.service == service and e.address != own
+        }
+        for address in [a for a in self._port_by_address if a not in wanted]:
+            del self._port_by_address[address]
+            self._dialling_by_address.pop(address).cancel()
+        for address in wanted - self._port_by_address.keys():
+            self._port_by_address[address] = self._dial(address)
+        # Links come up within a few ways between data centres.
+        await self._node.clock.sleep(0.1)
+
+    def _dial(self, server_address):
+        node = self._node
+        host = server_address.rpartition(":")[0]
+        link_port = node.settings.link_address.rpartition(":")[2]
+        server = RankServer(
+            address=server_address, session=node.session, timeout_s=REMOTE_TIMEOUT_S
+        )
+        remote = RankMember(server=server, clock=node.clock, read_lag_s=REMOTE_LAG_S)
+        port = LinkPort(name=server_address, remote=remote)
+        dialling = keep_linked(
+            address=f"{host}:{link_port}",
+            make_link=node.make_link,
+            hello=node.hello,
+            handle=port.run,
+            clock=node.clock,
+            rng=node.rng,
+            source=node.settings.source_address,
+        )
+        self._dialling_by_address[server_address] = node.tasks.start(
+            dialling, name=f"link to agent at {host}"
+        )
+        return port
+
+    async def _balance(self, statuses, counts):
+        # Only the coordinator needs arrays, and its agent's memory.
+        from magnoliagrade_agent.direct import planning
+
+        engine = await self._node.engine()
+        if engine is None or not engine.experts:
+            return
+        now = self._node.clock.monotonic()
+        if self._window is None:
+            self._window = planning.CountWindow(
+                sets=engine.sets, experts=engine.experts
+            )
+        self._window.add(dict(enumerate(counts)), now=now)
+        version = statuses[0].map_version
+        if version != self._placement_version:
+            self._placement = _as_holds(
+                await self._experts_in_use(statuses), engine.experts
+            )
+            self._placement_version = version
+        if not self._window.has_enough:
+            return
+        pressure = planning.pressure(statuses, slots=engine.slots)
+        if not pressure:
+            return
+        choices = self._window.choices
+        planned = planning.plan_placement(
+            self._placement,
+            choices,
+            places=engine.places,
+            spare=engine.spare,
+            least_gain=planning.least_gain(pressure) / engine.expert_share,
+        )
+        saving = planning.saving(
+            self._placement, planned, choices, expert_share=engine.expert_share
+        )
+        if saving < planning.LEAST_SAVING:
+            return
+        log_event(
+            _log,
+            "group.planned",
+            map_version=version,
+            pressure=round(pressure, 2),
+            saving=round(saving, 3),
+            copies=int((planned & ~self._placement).sum()),
+            skew=round(planning.skew_of(self._placement, choices), 2),
+        )
+        await self._switch_to(planned)
+
+    async def _switch_to(self, planned):
+        try:
+            version = await self._switch.run(
+                _as_experts(planned), _as_experts(self._placement)
+            )
+        except MagnoliagradeError:
+            SWITCHES.labels("failed").inc()
+            self._placement_version = None
+            raise
+        SWITCHES.labels("done").inc()
+        self._placement = planned
+        # Ranks report the former map until the pass of the switch has begun.
+        self._placement_version = None
+        self._placement_version = await self._await_version(version)
+
+    async def _await_version(self, version):
+        ends_at = self._node.clock.monotonic() + 2.0
+        while self._node.clock.monotonic() < ends_at:
+            status = await self._own.status()
+            if status.map_version == version:
+                return version
+            await self._node.clock.sleep(0.05)
+        return None
+
+    async def _experts_in_use(self, statuses):
+        version = statuses[0].map_version
+        if any(status.map_version != version for status in statuses):
+            raise RankUnreachable("a switch is under way")
+        by_rank = await asyncio.gather(*(port.experts(version) for port in self._ports))
+        return [list(ranks) for ranks in zip(*by_rank, strict=True)]
+
+    def _reset(self):
+        self._ports = []
+        self._switch = None
+        self._window = None
+        self._placement = None
+        self._placement_version = None
+
+
+def _is_unsettled(status):
+    return status.held_step is not None or status.armed_version is not None
+
+
+def _as_experts(holds):
+    return [[row.nonzero()[0].tolist() for row in ranks] for ranks in holds]
+
+
+def _as_holds(experts, size):
+    import numpy as np
+
+    holds = np.zeros((len(experts), len(experts[0]), size), dtype=bool)
+    for index, ranks in enumerate(experts):
+        for rank, held in enumerate(ranks):
+            holds[index, rank, held] = True
+    return holds
--- /dev/null
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/instance.py
@@ -0,0 +1,155 @@
+"""The direct agent: everything that one process beside a model server holds."""
+
+import logging
+import random
+
+import aiohttp
+from magnoliagrade.clock import SystemClock
+from magnoliagrade.identity import InstanceIdentity, new_incarnation
+from magnoliagrade.node import Tasks, start_site
+from magnoliagrade.observability import log_event, serve_metrics_text
+from magnoliagrade.platform import PlatformStore, RankServer, fetch_configuration
+from magnoliagrade.wire import Hello, Link, RankCall, serve_links
+
+from magnoliagrade_agent.direct.coordinator import Coordinator
+from magnoliagrade_agent.direct.member import RankMember
+
+__all__ = ["DirectAgent"]
+
+# Of calls to the server on the same machine, which answers within some ms.
+SERVER_TIMEOUT_S = 0.25
+
+_log = logging.getLogger(__name__)
+
+
+class DirectAgent:
+    """One running agent beside a model server.
+
+    Parameters
+    ----------
+    settings : DirectAgentSettings
+        Checked settings.
+    clock : Clock, optional
+        Source of time; the system's by default.
+    """
+
+    __slots__ = (
+        "_called_at",
+        "_engine",
+        "_links",
+        "_runner",
+        "_server",
+        "clock",
+        "coordinator",
+        "identity",
+        "member",
+        "rng",
+        "session",
+        "settings",
+        "store",
+        "tasks",
+    )
+
+    def __init__(self, *, settings, clock=None):
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.identity = InstanceIdentity(
+            instance=settings.name,
+            incarnation=new_incarnation(),
+            data_centre=settings.data_centre,
+        )
+        self.rng = random.Random(self.identity.incarnation)
+        self.tasks = Tasks()
+        self._called_at = self.clock.monotonic()
+        self._engine = None
+        self._links = set()
+
+    async def start(self):
+        """Open every listener and start coordinating."""
+        settings = self.settings
+        source = settings.source_address
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0, local_addr=(source, 0) if source else None
+            ),
+            timeout=aiohttp.ClientTimeout(total=None),
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+        self.store = PlatformStore(address=settings.store_address, session=self.session)
+        server = RankServer(
+            address=settings.server_address,
+            session=self.session,
+            timeout_s=SERVER_TIMEOUT_S,
+        )
+        self.member = RankMember(server=server, clock=self.clock)
+        self.coordinator = Coordinator(node=self)
+        app = aiohttp.web.Application()
+        app.add_routes([aiohttp.web.get("/metrics", serve_metrics_text)])
+        self._runner, _ = await start_site(app, settings.metrics_address)
+        host, _, port = settings.link_address.rpartition(":")
+        self._server = await serve_links(
+            host=host,
+            port=int(port),
+            make_link=self.make_link,
+            hello=self.hello,
+            handle=self._answer_calls,
+        )
+        self.tasks.start(self.coordinator.run(), name="coordinator")
+        log_event(_log, "agent.started", incarnation=self.identity.incarnation)
+
+    async def stop(self):
+        """Stop; a switch that is under way is settled by the next coordinator."""
+        log_event(_log, "agent.stopped")
+        self._server.close()
+        await self.tasks.stop()
+        for link in list(self._links):
+            link.close()
+        await self.session.close()
+
+    def silent_s(self):
+        """Return the seconds since another agent has called."""
+        return self.clock.monotonic() - self._called_at
+
+    async def engine(self):
+        """Return the `EngineProfile` of the group's service, or None."""
+        if self._engine is None:
+            configuration = await fetch_configuration(self.store, purpose="group")
+            services = configuration.service_by_name.values() if configuration else ()
+            for service in services:
+                if service.engine is not None and service.engine.experts:
+                    self._engine = service.engine
+        return self._engine
+
+    def make_link(self, *, reader, writer, is_dialled=False):
+        """Return a link over a new connection."""
+        return Link(
+            reader=reader,
+            writer=writer,
+            identity=self.identity,
+            revision=lambda: 0,
+            is_dialled=is_dialled,
+        )
+
+    def hello(self):
+        """Return the first message of each link."""
+        settings = self.settings
+        return Hello(
+            role="agent",
+            data_centre=settings.data_centre,
+            data_address=settings.server_address,
+            control_address=settings.link_address,
+        )
+
+    async def _answer_calls(self, link):
+        self._links.add(link)
+        try:
+            while True:
+                message = await link.receive()
+                if isinstance(message, RankCall):
+                    self._called_at = self.clock.monotonic()
+                    self.tasks.start(self._answer(link, message), name="rank call")
+        finally:
+            self._links.discard(link)
+
+    async def _answer(self, link, call):
+        link.send(await self.member.carry_out(call))
--- a/packages/magnoliagrade/magnoliagrade/algorithms/balance/moves.py
+++ b/packages/magnoliagrade/magnoliagrade/algorithms/balance/moves.py
@@ -44,7 +44,7 @@
         holds[rank, expert] = True
 
 
-def best_move(holds, rates, *, speeds, slots):
+def best_move(holds, rates, *, speeds, slots, may_load=None):
     """Return the move that shortens a layer most for each expert loaded.
 
     Parameters
@@ -57,6 +57,8 @@
         Speed of each rank.
     slots : int
         Experts that a rank holds at most.
+    may_load : ndarray of bool, shape (ranks,), optional
+        Ranks that may load another expert; all by default.
 
     Returns
     -------
@@ -75,7 +77,9 @@
     times = loads / speeds
     hot = int(np.argmax(times))
     order = np.argsort(times, kind="stable")
-    cool = [int(r) for r in order[:COOL_RANKS] if r != hot]
+    if may_load is None:
+        may_load = np.ones(len(times), dtype=bool)
+    cool = [int(r) for r in order if r != hot and may_load[r]][:COOL_RANKS]
     held = np.flatnonzero(holds[hot])
     shares = rates / replicas
     hottest = held[np.argsort(-shares[held], kind="stable")]
@@ -83,6 +87,8 @@
     for rank in cool:
         candidates += _replications(holds, shares, hottest[:HOT_EXPERTS], rank, slots)
         candidates += _transfers(holds, shares, times, hot, rank, slots)
+    if not may_load[hot]:
+        candidates = [c for c in candidates if all(r != hot for r, _ in c[0])]
     return _choose(holds, rates, speeds, candidates)
 
 
--- a/packages/magnoliagrade/magnoliagrade/platform/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/__init__.py
@@ -20,8 +20,11 @@
     InstanceItem,
     decode_item,
     encode_instance,
+    fetch_configuration,
     instance_key,
+    list_endpoints,
 )
+from magnoliagrade.platform.ranks import OrderOutcome, RankServer
 from magnoliagrade.platform.store import HistoryLost, PlatformStore, StoreEvent
 
 __all__ = [
@@ -31,7 +34,9 @@
     "FormatError",
     "HistoryLost",
     "InstanceItem",
+    "OrderOutcome",
     "PlatformStore",
+    "RankServer",
     "StoreEvent",
     "answer_headers",
     "answer_identity",
@@ -42,8 +47,10 @@
     "encode_instance",
     "endpoint_headers",
     "event_id_of",
+    "fetch_configuration",
     "has_not_run",
     "instance_key",
     "key_of",
+    "list_endpoints",
     "request_id_of",
 ]
--- a/packages/magnoliagrade/magnoliagrade/platform/items.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/items.py
@@ -1,11 +1,13 @@
 """Keys of the platform's store and what stands under each."""
 
 import json
+import logging
 from dataclasses import dataclass
 
+from magnoliagrade.observability import log_event
 from magnoliagrade.platform.configuration import decode_configuration
 from magnoliagrade.platform.endpoints import decode_endpoint
-from magnoliagrade.platform.fields import load, text
+from magnoliagrade.platform.fields import FormatError, load, text
 from magnoliagrade.world.site import SiteConfiguration, SiteEndpoint
 
 __all__ = [
@@ -15,9 +17,13 @@
     "InstanceItem",
     "decode_item",
     "encode_instance",
+    "fetch_configuration",
     "instance_key",
+    "list_endpoints",
 ]
 
+_log = logging.getLogger(__name__)
+
 _CONFIGURATION_KEY = "op/config"
 _EVACUATION_PREFIX = "op/evacuate/"
 _ENDPOINT_PREFIX = "servers/"
@@ -92,6 +98,40 @@
     return None
 
 
+async def list_endpoints(store, *, purpose):
+    """Return the endpoints that the store lists; unreadable entries are left out.
+
+    Parameters
+    ----------
+    store : PlatformStore
+        The store.
+    purpose : str
+        What the call is counted under.
+    """
+    values, _ = await store.list(_ENDPOINT_PREFIX, purpose=purpose)
+    endpoints = []
+    for value in values:
+        try:
+            endpoints.append(decode_item(value.key, value.value).endpoint)
+        except FormatError as exc:
+            log_event(_log, "site.item.refused", key=value.key, detail=exc.detail)
+    return endpoints
+
+
+async def fetch_configuration(store, *, purpose):
+    """Return the configuration that the store holds now, or None.
+
+    Parameters
+    ----------
+    store : PlatformStore
+        The store.
+    purpose : str
+        What the call is counted under.
+    """
+    value = await store.get(_CONFIGURATION_KEY, purpose=purpose)
+    return None if value is None else decode_configuration(value.value)
+
+
 def instance_key(name):
     """Return the key under which an own process stands."""
     return _INSTANCE_PREFIX + name
--- a/packages/magnoliagrade/magnoliagrade/wire/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/__init__.py
@@ -50,10 +50,17 @@
     Revoke,
     RevokeAnswer,
 )
-from magnoliagrade.wire.work import EndpointWork, WorkInFlight
+from magnoliagrade.wire.work import (
+    EndpointWork,
+    RankCall,
+    RankReply,
+    WorkInFlight,
+)
 
 __all__ = [
     "EndpointWork",
+    "RankCall",
+    "RankReply",
     "WorkInFlight",
     "MAX_MESSAGE_BYTES",
     "ArmAck",
--- a/packages/magnoliagrade/magnoliagrade/wire/work.capnp
+++ b/packages/magnoliagrade/magnoliagrade/wire/work.capnp
@@ -1,5 +1,6 @@
 @0xd2a1f0c48be37a95;
-# Messages between entries that send work straight to endpoints.
+# Messages between entries that send work straight to endpoints, and between agents
+# of the ranks of one group.
 
 struct EndpointWork {
   endpoint @0 :Text;
@@ -11,9 +12,26 @@
   endpoints @1 :List(EndpointWork);
 }
 
+struct RankCall {
+  call @0 :UInt64;           # number of the call on its link
+  operation @1 :Text;
+  epoch @2 :UInt64;
+  version @3 :UInt64;        # of an expert map
+  step @4 :UInt64;
+  placement @5 :Data;        # packed expert map
+}
+
+struct RankReply {
+  call @0 :UInt64;
+  outcome @1 :Text;
+  status @2 :Data;           # JSON of the rank's status
+  counts @3 :Data;           # tokens by set and expert, little-endian 64 bits each
+}
+
 struct WorkMessage {
   union {
     inFlight @0 :WorkInFlight;
-    reserved @1 :Void;
+    rankCall @1 :RankCall;
+    rankReply @2 :RankReply;
   }
 }
--- a/packages/magnoliagrade/magnoliagrade/wire/work.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/work.py
@@ -1,10 +1,10 @@
-"""Messages between entries that send work straight to endpoints."""
+"""Messages between direct entries, and between agents of a group's ranks."""
 
 from dataclasses import dataclass, field
 
 from magnoliagrade.wire.message_table import message
 
-__all__ = ["EndpointWork", "WorkInFlight"]
+__all__ = ["EndpointWork", "RankCall", "RankReply", "WorkInFlight"]
 
 
 @dataclass(slots=True, kw_only=True)
@@ -21,3 +21,25 @@
 
     is_complete: bool = False
     endpoints: list = field(default_factory=list, metadata={"of": EndpointWork})
+
+
+@message("work", "rankCall")
+class RankCall:
+    """A coordinator asks an agent for something about its rank."""
+
+    call: int = 0
+    operation: str = ""
+    epoch: int = 0
+    version: int = 0
+    step: int = 0
+    placement: bytes = b""
+
+
+@message("work", "rankReply")
+class RankReply:
+    """What an agent found or did at its rank."""
+
+    call: int = 0
+    outcome: str = ""
+    status: bytes = b""
+    counts: bytes = b""
--- a/packages/magnoliagrade/magnoliagrade/world/site.py
+++ b/packages/magnoliagrade/magnoliagrade/world/site.py
@@ -6,6 +6,7 @@
 __all__ = [
     "BackEndService",
     "EngineProfile",
+    "RankStatus",
     "RouteKind",
     "ServiceRoute",
     "ServiceShare",
@@ -228,3 +229,49 @@
     slots: int
     is_draining: bool = False
     cold_s: float = 0.0
+
+
+@dataclass(slots=True, kw_only=True)
+class RankStatus:
+    """What a rank of an expert-parallel group says of itself.
+
+    Parameters
+    ----------
+    group : str
+        Name of the group; empty for a server that is in none.
+    epoch : int
+        Number of the group's formation; maps, arms and holds end with it.
+    rank, size : int
+        Position in the group and number of its ranks.
+    is_open : bool
+        Whether the group runs passes.
+    born_ms : int
+        Unix time of the server's start, in milliseconds.
+    step : int
+        Last pass that was begun.
+    map_version : int
+        Expert map in use.
+    prepared_version : int or None
+        Expert map that has been copied and may be armed.
+    armed_version, armed_step : int or None
+        Expert map that is switched to as a pass begins, and that pass.
+    held_step : int or None
+        Pass that the group does not begin until it is released.
+    running, waiting : int
+        Requests that run and that wait at the rank.
+    """
+
+    group: str = ""
+    epoch: int = 0
+    rank: int = 0
+    size: int = 0
+    is_open: bool = False
+    born_ms: int = 0
+    step: int = 0
+    map_version: int = 0
+    prepared_version: int | None = None
+    armed_version: int | None = None
+    armed_step: int | None = None
+    held_step: int | None = None
+    running: int = 0
+    waiting: int = 0
