Keep a late order to disarm from meeting a pass that was released

Ruled out: the hold itself; it stood until the release. Change: a rank is disarmed only after an unarmed rank has prepared a newer map, so the older one can never be armed on all ranks again; versions are drawn at random, held passes are not used twice.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
@@ -117,6 +117,7 @@
         ):
             experts = await self._experts_in_use(statuses)
             await self._switch.settle(experts)
+            self._placement_version = None
             return
         await self._balance(statuses, [counts for _, counts in states])
 
@@ -138,9 +139,9 @@
         self._switch = GroupSwitch(
             ports=self._ports,
             own=self._own,
-            own_rank=status.rank,
             epoch=status.epoch,
             clock=self._node.clock,
+            rng=self._node.rng,
         )
         log_event(
             _log,
@@ -281,10 +282,6 @@
         self._placement_version = None
 
 
-def _is_unsettled(status):
-    return status.held_step is not None or status.armed_version is not None
-
-
 def _as_experts(holds):
     return [[row.nonzero()[0].tolist() for row in ranks] for ranks in holds]
 
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/switching.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/switching.py
@@ -1,9 +1,16 @@
 """Switching all ranks of a group to another expert map at one pass.
 
 Ranks do not compare maps, and an order without an answer may be carried out seconds
-later. So the pass is held at one rank before any rank is armed, each order is read
-back, and the pass is released only once all ranks are armed alike, or none is and
-none can be by a late order.
+later. What keeps two maps from meeting in a pass:
+
+- A pass is held at one rank before any rank is armed for it, and each order is read
+  back.
+- The pass is released once all ranks are armed alike, or once no rank is armed and a
+  newer map is prepared on all: orders to arm an older one are then refused.
+- A rank is disarmed only after some rank that was not armed has prepared a newer map.
+  From then on the older map can never be armed on all ranks, so nobody releases a
+  pass because of it, and a late order to disarm does no harm.
+- Versions and held passes are not used twice.
 """
 
 import asyncio
@@ -16,15 +23,16 @@
 from magnoliagrade_agent.direct.placement_code import pack_experts
 from magnoliagrade_agent.direct.ports import RankUnreachable
 
-__all__ = ["GroupSwitch", "SwitchFailed", "next_version"]
+__all__ = ["GroupSwitch", "SwitchFailed", "is_unsettled", "next_version"]
 
 # Passes between the hold and the switch: arming takes some 50 ms, a pass 45 and more,
 # so the pass is released before the group reaches it.
 LEAD_PASSES = 6
-# Versions of different coordinators never meet: each takes numbers of its own rank.
-VERSION_STRIDE = 1024
+# Versions are drawn from a range, so that an order of another coordinator, or of an
+# earlier process of this one, never carries the same version with another map.
+VERSION_STRIDE = 2**24
 SETTLE_PAUSE_S = 0.1
-DISARM_TRIES = 5
+SETTLE_TRIES = 20
 
 _log = logging.getLogger(__name__)
 
@@ -36,20 +44,21 @@
         super().__init__(ErrorKind.UPSTREAM_FAILED, detail)
 
 
-def next_version(statuses, *, rank):
-    """Return a version that no rank has had and no other coordinator uses.
+def next_version(statuses, *, rng):
+    """Return a version that no rank has had and no other coordinator draws.
 
     Parameters
     ----------
     statuses : iterable of RankStatus
         All ranks.
-    rank : int
-        Rank of the coordinator.
+    rng : random.Random
+        Source of chance.
 
     Examples
     --------
-    >>> next_version([], rank=3)
-    1027
+    >>> import random
+    >>> next_version([], rng=random.Random(1)) >= VERSION_STRIDE
+    True
     """
     seen = [0]
     for status in statuses:
@@ -62,7 +71,8 @@
             )
             if version is not None
         ]
-    return (max(seen) // VERSION_STRIDE + 1) * VERSION_STRIDE + rank
+    base = max(seen) // VERSION_STRIDE + 1
+    return base * VERSION_STRIDE + rng.randrange(VERSION_STRIDE)
 
 
 class GroupSwitch:
@@ -74,23 +84,23 @@
         One for each rank, in order.
     own : port
         The coordinator's, whose rank holds the pass.
-    own_rank : int
-        Rank of the coordinator.
     epoch : int
         Epoch of the group.
     clock : Clock
         Source of time.
+    rng : random.Random
+        Source of chance.
     """
 
-    __slots__ = ("_clock", "_epoch", "_own", "_own_rank", "_ports", "last_version")
+    __slots__ = ("_clock", "_epoch", "_last_step", "_own", "_ports", "_rng")
 
-    def __init__(self, *, ports, own, own_rank, epoch, clock):
+    def __init__(self, *, ports, own, epoch, clock, rng):
         self._ports = ports
         self._own = own
-        self._own_rank = own_rank
         self._epoch = epoch
         self._clock = clock
-        self.last_version = 0
+        self._rng = rng
+        self._last_step = 0
 
     async def run(self, experts, former_experts):
         """Switch to a map; returns its version.
@@ -108,20 +118,24 @@
             If the group keeps its former map, or could not be reached.
         """
         statuses = await self.statuses()
-        if any(
-            s.armed_version is not None or s.held_step is not None for s in statuses
-        ):
+        if any(is_unsettled(status) for status in statuses):
             await self.settle(former_experts)
             statuses = await self.statuses()
-        version = self._new_version(statuses)
-        await self._prepare(version, experts)
+        if any(status.armed_version is not None for status in statuses):
+            raise SwitchFailed("a former switch waits for its pass")
+        version = next_version(statuses, rng=self._rng)
+        if not await self._prepare(self._ports, version, experts):
+            raise SwitchFailed(f"not all ranks prepared map {version}")
         step = max(s.step for s in await self.statuses()) + LEAD_PASSES
+        step = self._last_step = max(step, self._last_step + 1)
         outcome, _ = await self._own.order("hold", epoch=self._epoch, step=step)
         if outcome != CONFIRMED:
             await self._release(step)
             raise SwitchFailed(f"pass {step} could not be held")
         try:
-            armed = await self._order_all("arm", version=version, step=step)
+            armed = await self._order_all(
+                self._ports, "arm", version=version, step=step
+            )
         except RankUnreachable as exc:
             log_event(_log, "group.arm.failed", detail=exc.detail)
             armed = False
@@ -141,23 +155,22 @@
     async def settle(self, former_experts):
         """Leave no rank armed alone and no pass held, whatever happened before.
 
-        Notes
-        -----
-        Where not all ranks are armed alike, orders to arm may still be on their way.
-        They need their version to be prepared, so preparing a newer one on all ranks
-        makes them void before the pass is released.
+        Parameters
+        ----------
+        former_experts : list of list of list of int
+            Map in use.
         """
-        statuses = await self.statuses()
-        armed = {(s.armed_version, s.armed_step) for s in statuses}
-        if len(armed) > 1 or None in armed.pop():
-            await self._disarm(statuses, former_experts)
-        released = []
-        for port, status in zip(self._ports, statuses, strict=True):
-            if status.held_step is None:
-                continue
-            await port.order("release", epoch=self._epoch, step=status.held_step)
-            released.append(status.held_step)
-        log_event(_log, "group.settled", epoch=self._epoch, released=released)
+        for _ in range(SETTLE_TRIES):
+            statuses = await self.statuses()
+            if not any(is_unsettled(status) for status in statuses):
+                return
+            armed = {(s.armed_version, s.armed_step) for s in statuses}
+            is_whole = len(armed) == 1 and None not in armed.pop()
+            if is_whole or await self._void(statuses, former_experts):
+                await self._release_all(statuses)
+                return
+            await self._clock.sleep(SETTLE_PAUSE_S)
+        raise SwitchFailed("the group could not be settled")
 
     async def statuses(self):
         """Return the status of all ranks.
@@ -172,27 +185,31 @@
             raise RankUnreachable(f"the group has left epoch {self._epoch}")
         return statuses
 
-    async def _prepare(self, version, experts):
-        is_prepared = await self._order_all(
-            "prepare", version=version, placement=pack_experts(experts)
-        )
-        if not is_prepared:
-            raise SwitchFailed(f"not all ranks prepared map {version}")
-
-    async def _disarm(self, statuses, former_experts):
-        versions = {s.armed_version for s in statuses} - {None}
-        for _ in range(DISARM_TRIES):
-            for version in versions:
-                await self._order_all("disarm", version=version)
-            # Refused where an order to arm has come in between.
-            try:
-                await self._prepare(self._new_version(statuses), former_experts)
-            except SwitchFailed:
-                statuses = await self.statuses()
-                versions |= {s.armed_version for s in statuses} - {None}
+    async def _void(self, statuses, former_experts):
+        """Make sure that no rank is armed or can be; returns whether all agreed."""
+        version = next_version(statuses, rng=self._rng)
+        pairs = list(zip(self._ports, statuses, strict=True))
+        free = [port for port, s in pairs if s.armed_version is None]
+        armed = [(port, s.armed_version) for port, s in pairs if s.armed_version]
+        if not await self._prepare(free, version, former_experts):
+            return False
+        for port, armed_version in armed:
+            await port.order("disarm", epoch=self._epoch, version=armed_version)
+        return await self._prepare([port for port, _ in armed], version, former_experts)
+
+    async def _release_all(self, statuses):
+        released = []
+        for port, status in zip(self._ports, statuses, strict=True):
+            if status.held_step is None:
                 continue
-            return
-        raise SwitchFailed("ranks could not be disarmed")
+            await port.order("release", epoch=self._epoch, step=status.held_step)
+            released.append(status.held_step)
+        log_event(_log, "group.settled", epoch=self._epoch, released=released)
+
+    async def _prepare(self, ports, version, experts):
+        return await self._order_all(
+            ports, "prepare", version=version, placement=pack_experts(experts)
+        )
 
     async def _release(self, step):
         while True:
@@ -205,18 +222,13 @@
                 return
             await self._clock.sleep(SETTLE_PAUSE_S)
 
-    async def _order_all(self, operation, **fields):
+    async def _order_all(self, ports, operation, **fields):
         outcomes = await asyncio.gather(
-            *(
-                port.order(operation, epoch=self._epoch, **fields)
-                for port in self._ports
-            )
+            *(port.order(operation, epoch=self._epoch, **fields) for port in ports)
         )
         return all(outcome == CONFIRMED for outcome, _ in outcomes)
 
-    def _new_version(self, statuses):
-        version = next_version(statuses, rank=self._own_rank)
-        while version <= self.last_version:
-            version += VERSION_STRIDE
-        self.last_version = version
-        return version
+
+def is_unsettled(status):
+    """Return whether a rank is armed or holds a pass."""
+    return status.armed_version is not None or status.held_step is not None
