--- a/packages/magnoliagrade/magnoliagrade/node/commands.py
+++ b/packages/magnoliagrade/magnoliagrade/node/commands.py
@@ -52,7 +52,7 @@
     fire.Fire(commands, name=name)
 
 
-def serve_node(node_class, settings_class, file):
+def serve_node(node_class, settings_class, file, *, bounds_logs=False):
     """Run a node until SIGTERM and exit.
 
     Parameters
@@ -63,12 +63,16 @@
         Class of its settings.
     file : str
         Settings in INI.
+    bounds_logs : bool
+        Whether logs go to standard output, at most as many lines as the settings say.
     """
     settings = read_settings_or_exit(settings_class, file)
     configure_logging(
         instance=settings.name,
         data_centre=settings.data_centre,
         level=settings.log_level,
+        stream=sys.stdout if bounds_logs else None,
+        lines_per_s=settings.log_lines_per_s if bounds_logs else None,
     )
     node = node_class(settings=settings)
     sys.exit(run_until_signal(node.start, node.stop))
--- a/packages/magnoliagrade/magnoliagrade/observability/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/observability/__init__.py
@@ -1,6 +1,10 @@
 """Logs, traces and metrics."""
 
-from magnoliagrade.observability.logs import configure_logging, log_event
+from magnoliagrade.observability.logs import (
+    BoundedHandler,
+    configure_logging,
+    log_event,
+)
 from magnoliagrade.observability.metrics import serve_metrics_text
 from magnoliagrade.observability.traces import (
     configure_tracing,
@@ -10,6 +14,7 @@
 )
 
 __all__ = [
+    "BoundedHandler",
     "configure_logging",
     "configure_tracing",
     "extract_context",
