Let an agent go on after SIGHUP

Ruled out: memory (peak 59 MB), a fault in the agent; the last lines are orders that were confirmed. Change: a handler that logs the signal; nothing an agent reads changes while it runs.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/instance.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/instance.py
@@ -1,7 +1,9 @@
 """The direct agent: everything that one process beside a model server holds."""
 
+import asyncio
 import logging
 import random
+import signal
 
 import aiohttp
 from magnoliagrade.clock import SystemClock
@@ -95,6 +97,8 @@
             handle=self._answer_calls,
         )
         self.tasks.start(self.coordinator.run(), name="coordinator")
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, self._note_reload)
         log_event(_log, "agent.started", incarnation=self.identity.incarnation)
 
     async def stop(self):
@@ -140,6 +144,10 @@
             control_address=settings.link_address,
         )
 
+    def _note_reload(self):
+        # Nothing that an agent reads from its settings changes while it runs.
+        log_event(_log, "agent.reloaded")
+
     async def _answer_calls(self, link):
         self._links.add(link)
         try:
