Never answer a refusal into a stream that has begun; refuse at once in an outage

Second, while a group has lost a rank each request was sent to two endpoints that refused it, and callers were told to come back within 0.4 s, once, in an outage of 6 s. Change: a stream that has begun is broken off whatever the reason. A refusal that blames another rank marks the service: one request in 0.4 s finds out whether it is back, others are refused at once and told to come back after a third of their time.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
@@ -101,17 +101,18 @@
             return
         if failed.has_run:
             raise failed
+        wait_s = self.left_s() if failed.is_group_broken else 0.0
         raise MagnoliagradeError(
             ErrorKind.NOT_RUN,
             failed.detail,
-            retry_after=retry_after_s(0.0, rng=self._node.rng),
+            retry_after=retry_after_s(wait_s, self.left_s(), rng=self._node.rng),
         )
 
     def _may_follow(self, failed):
         node = self._node
         if failed.has_run and not self.request.route.is_idempotent:
             return False
-        if self.sent >= self.request.route.max_endpoints:
+        if self.sent >= self.request.route.max_endpoints or failed.is_group_broken:
             return False
         if len(self.tried) >= MAX_CONNECTIONS or self.left_s() < MIN_LEFT_S:
             return False
@@ -155,6 +156,7 @@
     def note_success(self):
         """Note that the endpoint answered as it should."""
         self._node.places.note_success(self._place)
+        self._node.places.note_answer(self._attempts.request.service)
         ATTEMPTS.labels("whole").inc()
         self._log("whole", status=self._answer.status)
 
@@ -162,7 +164,10 @@
         """Note how the attempt failed, and leave the endpoint out if need be."""
         now = self._node.clock.monotonic()
         is_out = False
-        if failed.is_full:
+        if failed.is_group_broken:
+            service = self._attempts.request.service
+            self._node.places.note_outage(service, now=now)
+        elif failed.is_full:
             self._node.places.note_full(self._place, now=now)
         elif self._is_endpoints_fault(failed, now):
             is_out = self._node.places.note_failure(self._place, now=now)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
@@ -54,6 +54,7 @@
     __slots__ = (
         "_room_by_service",
         "_runners",
+        "caller_address",
         "clock",
         "door",
         "identity",
@@ -104,7 +105,7 @@
         """Open every listener and start the background tasks."""
         settings = self.settings
         self._open_clients()
-        self.door, _ = await start_door(
+        self.door, self.caller_address = await start_door(
             make_caller_door(self), settings.caller_address, limits=DoorLimits()
         )
         for routes, address in (
@@ -141,7 +142,7 @@
                     break
             await self.clock.sleep(DRAIN_POLL_S)
         log_event(_log, "entry.stopped", requests_cut=self.requests_in_flight)
-        await self._close()
+        await self.close_now()
 
     def on_site_changed(self):
         """Take over what the store says now."""
@@ -245,11 +246,17 @@
         # Everything that may change while a process runs comes from the store.
         log_event(_log, "entry.reloaded", version=self.knowledge.version)
 
-    async def _close(self):
+    async def close_now(self):
+        """Close everything at once; what is in flight is cut."""
         if self.lease is not None:
             with contextlib.suppress(MagnoliagradeError):
                 await self.store.revoke_lease(self.lease, purpose="instances")
         self.peers.close()
         await self.tasks.stop()
+        for runner in (self.door, *self._runners):
+            for connection in list(runner.server.connections):
+                if connection.transport is not None:
+                    connection.transport.close()
+            await asyncio.gather(*(site.stop() for site in list(runner.sites)))
         await self.upstream_session.close()
         await self.store_session.close()
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/overload.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/overload.py
@@ -14,10 +14,12 @@
 # A plain call's work at its 99th percentile on a full endpoint (site sheets: 45 ms
 # on average).
 PLAIN_WORK_S = 0.15
-# Returns are spread over this much, so that they do not come as a new burst.
-RETURN_SPREAD_S = 0.3
+# Callers come back once, and wait for at most a third of the time that they have left
+# (platform pages).
+RETURN_PART = 1 / 3
+# Returns are spread over this part of the wait, so that they are no new burst.
+RETURN_SPREAD = 0.25
 RETURN_MIN_S = 0.1
-RETURN_MAX_S = 2.0
 
 
 def leave_time(request):
@@ -73,15 +75,23 @@
     return (waiting + 1) / completions_per_s
 
 
-def retry_after_s(wait_s, *, rng):
+def retry_after_s(wait_s, left_s, *, rng):
     """Return when a refused caller should come back, in seconds.
 
     Parameters
     ----------
     wait_s : float
         Expected wait for a place.
+    left_s : float
+        Time that the caller has left.
     rng : random.Random
         Source of chance.
+
+    Notes
+    -----
+    A caller comes back once, so it is told to come too late rather than too early,
+    but not so late that nothing is left.
     """
-    wait_s = min(RETURN_MAX_S, max(RETURN_MIN_S, wait_s))
-    return wait_s + rng.uniform(0, RETURN_SPREAD_S)
+    longest_s = max(RETURN_MIN_S, RETURN_PART * left_s)
+    wait_s = max(RETURN_MIN_S, 2 * wait_s) * (1 + rng.uniform(0, RETURN_SPREAD))
+    return min(wait_s, longest_s * (1 - rng.uniform(0, RETURN_SPREAD)))
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement.py
@@ -15,6 +15,9 @@
 EJECT_MAX_S = 4.0
 # A full endpoint takes new work once one of its requests has ended.
 FULL_PAUSE_S = 0.15
+# While a group has lost a rank, one request at a time finds out whether it is back:
+# a group forms in 0.6 s (site sheets).
+OUTAGE_PROBE_S = 0.4
 # Requests in flight that weigh as much as the way to another data centre.
 FAR_PENALTY = 0.9
 
@@ -64,12 +67,20 @@
         Name of the placement policy.
     """
 
-    __slots__ = ("_data_centre", "_policy", "_rng", "by_id", "ids_by_service")
+    __slots__ = (
+        "_data_centre",
+        "_outage_until_by_service",
+        "_policy",
+        "_rng",
+        "by_id",
+        "ids_by_service",
+    )
 
     def __init__(self, *, data_centre, rng, policy="least-loaded"):
         self._data_centre = data_centre
         self._rng = rng
         self._policy = placement_policies.get(policy)
+        self._outage_until_by_service = {}
         self.by_id = {}
         self.ids_by_service = {}
 
@@ -155,6 +166,29 @@
         for place in self.by_id.values():
             place.peers_by_name.pop(peer, None)
 
+    def is_out(self, service, *, now):
+        """Return whether requests of a service cannot be served now.
+
+        Notes
+        -----
+        Now and then one request is let through, to find out whether that still holds.
+        """
+        until = self._outage_until_by_service.get(service)
+        if until is None:
+            return False
+        if until > now:
+            return True
+        self._outage_until_by_service[service] = now + OUTAGE_PROBE_S
+        return False
+
+    def note_outage(self, service, *, now):
+        """Note that a service's group has lost a rank."""
+        self._outage_until_by_service[service] = now + OUTAGE_PROBE_S
+
+    def note_answer(self, service):
+        """Note that a service has answered a request."""
+        self._outage_until_by_service.pop(service, None)
+
     def note_success(self, place):
         """Note that an endpoint answered."""
         place.failures = 0
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/streams.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/streams.py
@@ -114,6 +114,10 @@
         except AttemptFailed as exc:
             if not relay.may_go_on(exc):
                 return relay.break_off(exc)
+        except MagnoliagradeError as exc:
+            if not relay.has_started:
+                raise
+            return relay.break_off(exc)
 
 
 class _Relay:
@@ -125,6 +129,11 @@
         self._http_request = http_request
         self._response = None
 
+    @property
+    def has_started(self):
+        """Whether the caller has got a part of the answer."""
+        return self._response is not None
+
     async def run_attempt(self):
         """Pass on the events of one endpoint until the stream's end."""
         attempts = self._attempts
--- /dev/null
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_placement.py
@@ -0,0 +1,111 @@
+import random
+
+from magnoliagrade.wire import EndpointWork
+from magnoliagrade.world.site import SiteEndpoint
+
+from magnoliagrade_entry.direct.placement import OUTAGE_PROBE_S, PlaceBook
+from magnoliagrade_entry.direct.retry_budget import RetryBudget
+from magnoliagrade_entry.direct.route_table import RouteTable
+
+
+def test_work_of_all_entries_spreads_evenly_where_chance_piles_it_up():
+    # Forty requests at a time over twelve endpoints, as on a calm day.
+    assert _peak_load("least-loaded") <= 4
+    assert _peak_load("random") >= 6
+
+
+def test_a_full_endpoint_gets_nothing_more():
+    book = _book(2)
+    for _ in range(12):
+        book.choose("s", now=0.0).own += 1
+    assert book.choose("s", now=0.0) is None
+
+
+def test_what_peers_have_in_flight_counts_until_they_are_gone():
+    book = _book(1)
+    rows = [EndpointWork(endpoint="i-0", in_flight=6)]
+    book.take_peer_work("peer", rows, is_complete=True)
+    assert book.choose("s", now=0.0) is None
+    book.forget_peer("peer")
+    assert book.choose("s", now=0.0) is not None
+
+
+def test_an_endpoint_that_fails_again_and_again_is_left_out_longer():
+    book = _book(2)
+    place = book.by_id["i-0"]
+    assert not book.note_failure(place, now=0.0)
+    assert book.note_failure(place, now=0.0)
+    first = place.out_until
+    book.note_failure(place, now=0.0)
+    assert place.out_until > first
+    assert book.choose("s", now=0.0).endpoint.id == "i-1"
+    book.note_success(place)
+    assert place.failures == 0
+
+
+def test_one_request_finds_out_whether_a_group_is_back():
+    book = _book(2)
+    book.note_outage("s", now=0.0)
+    assert book.is_out("s", now=OUTAGE_PROBE_S / 2)
+    assert not book.is_out("s", now=OUTAGE_PROBE_S)
+    assert book.is_out("s", now=OUTAGE_PROBE_S)
+    book.note_answer("s")
+    assert not book.is_out("s", now=OUTAGE_PROBE_S)
+
+
+def test_budgets_of_all_entries_add_up_to_less_than_the_whole():
+    entries, extra, ratio, requests = 7, 90.0, 0.2, 300
+    taken = 0
+    for _ in range(entries):
+        budget = RetryBudget(
+            ratio=ratio, extra=extra, window_s=10.0, count_entries=lambda: entries
+        )
+        for number in range(requests // entries):
+            budget.note_request("s", now=number * 0.01)
+            taken += budget.take("s", now=number * 0.01)
+            taken += budget.take("s", now=number * 0.01)
+    assert taken <= ratio * requests + extra
+    assert taken > 0.5 * (ratio * requests + extra)
+
+
+def test_the_longest_prefix_of_a_path_wins():
+    class Route:
+        def __init__(self, prefix):
+            self.host, self.prefix = "a.example", prefix
+
+    short, long = Route("/a/"), Route("/a/b/")
+    table = RouteTable(routes=[short, long])
+    assert table.find("A.example:80", "/a/b/c?x=/a/") is long
+    assert table.find("a.example", "/a/b") is short
+    assert table.find("a.example", "/a") is None
+    assert table.find("b.example", "/a/b/") is None
+
+
+def _peak_load(policy):
+    book = _book(12, policy=policy)
+    rng = random.Random(4)
+    peak = 0
+    running = []
+    for _ in range(2000):
+        if len(running) >= 40:
+            running.pop(rng.randrange(len(running))).own -= 1
+        place = book.choose("s", now=0.0)
+        place.own += 1
+        running.append(place)
+        peak = max(peak, place.own)
+    return peak
+
+
+def _book(endpoints, *, policy="least-loaded"):
+    book = PlaceBook(data_centre="dc-0", rng=random.Random(5), policy=policy)
+    book.update(
+        SiteEndpoint(
+            id=f"i-{number}",
+            service="s",
+            address="10.0.0.1:80",
+            data_centre=f"dc-{number % 3}",
+            slots=6,
+        )
+        for number in range(endpoints)
+    )
+    return book
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/upstream.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/upstream.py
@@ -11,6 +11,7 @@
     answer_identity,
     endpoint_headers,
     has_not_run,
+    is_group_broken,
 )
 from yarl import URL
 
@@ -34,14 +35,26 @@
         Whether the request may have run; False only if it surely has not.
     is_full : bool
         Whether the endpoint refused it for lack of room.
+    is_group_broken : bool
+        Whether the endpoint refused it because its group has lost a rank.
     was_sent : bool
         Whether the endpoint counts as one that the request was sent to.
     """
 
-    def __init__(self, kind, detail, *, has_run, is_full=False, was_sent=True):
+    def __init__(
+        self,
+        kind,
+        detail,
+        *,
+        has_run,
+        is_full=False,
+        is_group_broken=False,
+        was_sent=True,
+    ):
         super().__init__(kind, detail)
         self.has_run = has_run
         self.is_full = is_full
+        self.is_group_broken = is_group_broken
         self.was_sent = was_sent
 
 
@@ -173,6 +186,7 @@
             f"{endpoint.id} did not run it: {status}",
             has_run=False,
             is_full=status in (429, 503),
+            is_group_broken=is_group_broken(endpoint.id, response.headers),
         )
     request_id, signature = answer_identity(response.headers)
     is_own = request_id in ("", request.id)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/waiting.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/waiting.py
@@ -1,7 +1,6 @@
 """Requests that wait at an entry for an endpoint with room."""
 
 import asyncio
-import math
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -84,11 +83,14 @@
             `OVERLOADED` as soon as no place can be expected in time.
         """
         now = self._clock.monotonic()
+        if self._places.is_out(self._service, now=now):
+            left_s = request.ends_at - now
+            raise self._refusal("a group has lost a rank", request, wait_s=left_s)
         if not self.waiters:
             place = self._choose(excluded, now)
             if place is not None:
                 return place
-        self._refuse_hopeless(excluded, leave_at, now)
+        self._refuse_hopeless(request, excluded, leave_at, now)
         waiter = Waiter(
             request=request,
             excluded=excluded,
@@ -101,7 +103,7 @@
         try:
             return await asyncio.wait_for(waiter.future, max(0.0, leave_at - now))
         except TimeoutError:
-            raise self._refusal("no endpoint had room in time") from None
+            raise self._refusal("no endpoint had room in time", request) from None
         except asyncio.CancelledError:
             if waiter.future.done() and not waiter.future.cancelled():
                 self.release(waiter.future.result())
@@ -140,30 +142,30 @@
             place.own += 1
         return place
 
-    def _refuse_hopeless(self, excluded, leave_at, now):
+    def _refuse_hopeless(self, request, excluded, leave_at, now):
         left = [
             place
             for place in self._places.places_of(self._service)
             if place.endpoint.id not in excluded
         ]
         if not left:
-            raise self._refusal("no endpoint of the service may get requests")
+            raise self._refusal("no endpoint may get requests", request)
         returns_at = self._places.return_time(self._service, now=now)
         if returns_at is not None and returns_at > leave_at:
-            raise self._refusal("every endpoint of the service has failed")
+            raise self._refusal("every endpoint has failed", request)
         if now + self._expected_wait_s(now) > leave_at:
-            raise self._refusal("the queue is longer than the time that is left")
+            raise self._refusal("the queue is too long", request)
 
     def _expected_wait_s(self, now):
         recent = sum(now - at <= RATE_WINDOW_S for at in self._completions)
         return predicted_wait_s(len(self.waiters), recent / RATE_WINDOW_S)
 
-    def _refusal(self, detail):
-        wait_s = self._expected_wait_s(self._clock.monotonic())
+    def _refusal(self, detail, request, *, wait_s=None):
+        now = self._clock.monotonic()
+        if wait_s is None:
+            wait_s = self._expected_wait_s(now)
         return MagnoliagradeError(
             ErrorKind.OVERLOADED,
             f"{detail}: {len(self.waiters)} wait",
-            retry_after=retry_after_s(
-                wait_s if math.isfinite(wait_s) else 0.0, rng=self._rng
-            ),
+            retry_after=retry_after_s(wait_s, request.ends_at - now, rng=self._rng),
         )
--- /dev/null
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/operators/__init__.py
@@ -0,0 +1,20 @@
+"""Stand-ins of the operators' platform: its store and its servers."""
+
+from magnoliagrade_standins.operators.documents import (
+    configuration_document,
+    endpoint_document,
+    route_document,
+)
+from magnoliagrade_standins.operators.endpoint import Behaviour, StandInEndpoint
+from magnoliagrade_standins.operators.site import OperatorsSite
+from magnoliagrade_standins.operators.store import OperatorsStore
+
+__all__ = [
+    "Behaviour",
+    "OperatorsSite",
+    "OperatorsStore",
+    "StandInEndpoint",
+    "configuration_document",
+    "endpoint_document",
+    "route_document",
+]
--- /dev/null
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/operators/documents.py
@@ -0,0 +1,77 @@
+"""Documents that operators and servers write to the platform's store."""
+
+__all__ = ["configuration_document", "endpoint_document", "route_document"]
+
+
+def route_document(prefix, service, *, kind="safe", **fields):
+    """Return a route of the host `a.example`.
+
+    Parameters
+    ----------
+    prefix : str
+        Path prefix.
+    service : str
+        Service.
+    kind : str
+        `safe`, `unsafe` or `streaming`.
+    **fields
+        Fields that differ from the usual ones.
+    """
+    document = {
+        "Name": f"route {prefix}",
+        "Host": "a.example",
+        "Prefix": prefix,
+        "Kind": kind,
+        "TimeoutMs": 5000,
+        "TargetLatencyMs": 400,
+        "Priority": 1,
+        "Service": service,
+        "MaxAttempts": 1 if kind == "unsafe" else 2,
+        "Public": False,
+    }
+    if kind == "streaming":
+        document |= {"Sticky": True, "Resumable": True, "GapAimMs": 120}
+    return document | fields
+
+
+def configuration_document(version, routes, *, keys=("key-1",)):
+    """Return a whole configuration with one organisation, `org-1`.
+
+    Parameters
+    ----------
+    version : int
+        Version.
+    routes : list of dict
+        Routes.
+    keys : sequence of str
+        The organisation's keys.
+    """
+    services = sorted({route["Service"] for route in routes})
+    return {
+        "Version": version,
+        "Routes": routes,
+        "Services": [
+            {"Name": name, "MaxConns": 100, "ColdPerS": 0.0} for name in services
+        ],
+        "Limits": {
+            "MaxHeaderBytes": 16384,
+            "MaxBodyBytes": 4194304,
+            "HeaderTimeoutMs": 3000,
+            "IdleTimeoutMs": 15000,
+        },
+        "Tenants": [{"Name": "org-1", "ApiKeys": list(keys), "Priority": 1}],
+    }
+
+
+def endpoint_document(service, address, *, zone="dc-1", state="ready", slots=6):
+    """Return the entry that a server writes of itself."""
+    return {
+        "Service": service,
+        "Address": address,
+        "Zone": zone,
+        "Version": "v1",
+        "Slots": slots,
+        "State": state,
+        "ColdRemainingMs": 0,
+        "Sequence": 1,
+    }
--- /dev/null
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/operators/site.py
@@ -0,0 +1,130 @@
+"""A whole site on loopback: store, servers and entries in one event loop."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+from aiohttp import web
+from magnoliagrade_entry.direct import DirectEntry, DirectSettings
+from yarl import URL
+
+from magnoliagrade_standins.operators.documents import endpoint_document
+from magnoliagrade_standins.operators.endpoint import Behaviour, StandInEndpoint
+from magnoliagrade_standins.operators.store import OperatorsStore
+
+__all__ = ["OperatorsSite"]
+
+READY_WAIT_S = 10.0
+HOST = "127.0.0.1"
+
+
+class OperatorsSite:
+    """Stand-ins and entries that run while the context is open."""
+
+    def __init__(self):
+        self.store = OperatorsStore()
+        self.endpoint_by_id = {}
+        self.entries = []
+        self._runners = []
+        self._store_address = ""
+        self._session = None
+
+    async def __aenter__(self):
+        """Start the store."""
+        app = web.Application()
+        app.add_routes(self.store.routes())
+        self._store_address = await self._serve(app)
+        self._session = aiohttp.ClientSession()
+        return self
+
+    async def __aexit__(self, *_exc):
+        """Stop everything."""
+        await self._session.close()
+        for entry in self.entries:
+            with contextlib.suppress(Exception):
+                await entry.close_now()
+        for runner in self._runners:
+            await runner.cleanup()
+
+    async def add_endpoint(self, endpoint_id, service, **fields):
+        """Start a server and enter it in the store.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            Id.
+        service : str
+            Service.
+        **fields
+            Fields of its `Behaviour`.
+        """
+        endpoint = StandInEndpoint(id=endpoint_id, behaviour=Behaviour(**fields))
+        runner = web.ServerRunner(
+            web.Server(endpoint.handle, handler_cancellation=True),
+            shutdown_timeout=0.1,
+        )
+        await runner.setup()
+        await web.TCPSite(runner, HOST, 0).start()
+        self._runners.append(runner)
+        port = runner.addresses[0][1]
+        self.endpoint_by_id[endpoint_id] = endpoint
+        self.enter(endpoint_id, service, f"{HOST}:{port}")
+        return endpoint
+
+    def enter(self, endpoint_id, service, address, **fields):
+        """Write a server's entry."""
+        document = endpoint_document(service, address, **fields)
+        self.store.put(f"servers/{endpoint_id}", document)
+
+    def configure(self, document):
+        """Write the operators' configuration."""
+        self.store.put("op/config", document)
+
+    async def add_entry(self, **fields):
+        """Start an entry and wait until it is ready."""
+        settings = DirectSettings(
+            name=f"entry-{len(self.entries)}",
+            data_centre="dc-1",
+            caller_address=f"{HOST}:0",
+            ready_address=f"{HOST}:0",
+            link_address=f"{HOST}:0",
+            metrics_address=f"{HOST}:0",
+            store_address=self._store_address,
+            **fields,
+        )
+        entry = DirectEntry(settings=settings)
+        await entry.start()
+        self.entries.append(entry)
+        async with asyncio.timeout(READY_WAIT_S):
+            while entry.reasons_not_ready() or len(entry.places.by_id) < len(
+                self.endpoint_by_id
+            ):
+                await asyncio.sleep(0.01)
+        return entry
+
+    async def call(self, entry, method, path, *, key="key-1", deadline_ms=3000, **more):
+        """Send a request to an entry; returns status, headers and body.
+
+        Raises
+        ------
+        aiohttp.ClientError
+            If the answer is not whole.
+        """
+        headers = {
+            "Host": "a.example",
+            "Authorization": f"Bearer {key}",
+            "X-Magnoliagrade-Deadline-Ms": str(deadline_ms),
+            **more.pop("headers", {}),
+        }
+        url = URL(f"http://{entry.caller_address}{path}", encoded=True)
+        async with self._session.request(
+            method, url, headers=headers, **more
+        ) as response:
+            return response.status, response.headers, await response.text()
+
+    async def _serve(self, app):
+        runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, HOST, 0).start()
+        self._runners.append(runner)
+        return f"{HOST}:{runner.addresses[0][1]}"
--- a/packages/magnoliagrade/magnoliagrade/platform/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/__init__.py
@@ -10,6 +10,7 @@
     endpoint_headers,
     event_id_of,
     has_not_run,
+    is_group_broken,
     key_of,
     request_id_of,
 )
@@ -49,6 +50,7 @@
     "event_id_of",
     "fetch_configuration",
     "has_not_run",
+    "is_group_broken",
     "instance_key",
     "key_of",
     "list_endpoints",
--- a/packages/magnoliagrade/magnoliagrade/platform/headers.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/headers.py
@@ -11,6 +11,7 @@
     "endpoint_headers",
     "event_id_of",
     "has_not_run",
+    "is_group_broken",
     "key_of",
     "request_id_of",
 ]
@@ -23,6 +24,7 @@
 REQUEST_PRIORITY = "X-Magnoliagrade-Request-Priority"
 STAMP = "X-Magnoliagrade-Response-Stamp"
 NOT_EXECUTED = "X-Magnoliagrade-Not-Executed"
+AT_SERVER = "At-Server"
 LAST_EVENT_ID = "Last-Event-Id"
 _BEARER = "bearer "
 # Headers that end here: of one connection, of the caller's identity, or set anew.
@@ -122,6 +124,11 @@
     return status == 421 or NOT_EXECUTED in headers
 
 
+def is_group_broken(endpoint_id, headers):
+    """Return whether a refusal blames another rank than the endpoint itself."""
+    return headers.get(AT_SERVER, endpoint_id) != endpoint_id
+
+
 def _named_by_connection(headers):
     return {
         name.strip().lower()
