Arm far enough ahead that a lost order does not stop the group

Change: an order waits 80 ms for its answer, not 250; the switch is 8 passes ahead, 24 when an order of this switch had no answer at first.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
@@ -35,6 +35,8 @@
 REMOTE_TIMEOUT_S = 0.5
 # Between readings of the list of servers, which costs a store call.
 MEMBERSHIP_PAUSE_S = 2.0
+# Longer than the passes ahead of a switch take in a busy group.
+SWITCH_WAIT_S = 3.0
 
 SWITCHES = Counter("magnoliagrade_group_switches_total", "Map switches", ["result"])
 _log = logging.getLogger(__name__)
@@ -314,7 +316,7 @@
         self._placement_version = await self._await_version(version)
 
     async def _await_version(self, version):
-        ends_at = self._node.clock.monotonic() + 2.0
+        ends_at = self._node.clock.monotonic() + SWITCH_WAIT_S
         while self._node.clock.monotonic() < ends_at:
             status = await self._own.status()
             if status.map_version == version:
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/instance.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/instance.py
@@ -20,6 +20,7 @@
 
 # Of calls to the server on the same machine, which answers within some ms.
 SERVER_TIMEOUT_S = 0.25
+ORDER_TIMEOUT_S = 0.08
 
 _log = logging.getLogger(__name__)
 
@@ -84,6 +85,7 @@
             address=settings.server_address,
             session=self.session,
             timeout_s=SERVER_TIMEOUT_S,
+            order_timeout_s=ORDER_TIMEOUT_S,
         )
         self.member = RankMember(server=server, clock=self.clock)
         self.coordinator = Coordinator(node=self)
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/member.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/member.py
@@ -50,7 +50,7 @@
     async def carry_out(self, call):
         """Return the `RankReply` to a `RankCall`."""
         try:
-            outcome, status, counts = await self._carry_out(call)
+            outcome, status, counts, tries = await self._carry_out(call)
         except MagnoliagradeError as exc:
             log_event(
                 _log, "rank.call.failed", operation=call.operation, detail=exc.detail
@@ -65,28 +65,30 @@
                 map_version=call.version,
                 step=call.step,
                 outcome=outcome,
+                tries=tries,
             )
         return RankReply(
             call=call.call,
             outcome=outcome,
             status=json.dumps(dataclasses.asdict(status)).encode() if status else b"",
             counts=counts,
+            tries=tries,
         )
 
     async def _carry_out(self, call):
         if call.operation == "status":
-            return CONFIRMED, await self._server.status(), b""
+            return CONFIRMED, await self._server.status(), b"", 1
         if call.operation == "counts":
             epoch, counts = await self._server.counts()
             outcome = CONFIRMED if epoch == call.epoch else REFUSED
             status = await self._server.status()
-            return outcome, status, array.array("q", counts).tobytes()
+            return outcome, status, array.array("q", counts).tobytes(), 1
         if call.operation == "experts":
             _, version, experts = await self._server.experts()
             outcome = CONFIRMED if version == call.version else REFUSED
-            return outcome, None, pack_experts(experts)
-        outcome, status = await self._order(call)
-        return outcome, status, b""
+            return outcome, None, pack_experts(experts), 1
+        outcome, status, tries = await self._order(call)
+        return outcome, status, b"", tries
 
     async def _order(self, call):
         """Give an order until its effect is seen or it is refused."""
@@ -98,16 +100,16 @@
         if call.operation == "prepare":
             fields["experts"] = unpack_experts(call.placement)
         status = None
-        for _ in range(ORDER_TRIES):
+        for tries in range(1, ORDER_TRIES + 1):
             taken = await self._server.order(call.operation, **fields)
             status = await self._read_back(call, taken)
             if status is None:
                 continue
             if _is_in_effect(call, status):
-                return CONFIRMED, status
+                return CONFIRMED, status, tries
             if taken is OrderOutcome.REFUSED:
-                return REFUSED, status
-        return FAILED, status
+                return REFUSED, status, tries
+        return FAILED, status, ORDER_TRIES
 
     async def _read_back(self, call, taken):
         ends_at = self._clock.monotonic() + PREPARE_WAIT_S
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/ports.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/ports.py
@@ -41,9 +41,17 @@
 
 
 class _Port:
-    """Calls to one rank, whichever way they travel."""
+    """Calls to one rank, whichever way they travel.
 
-    __slots__ = ()
+    Notes
+    -----
+    `tries` is how often the order that took most was given, since it was last reset.
+    """
+
+    __slots__ = ("tries",)
+
+    def __init__(self):
+        self.tries = 0
 
     async def status(self):
         """Return the rank's status."""
@@ -62,6 +70,7 @@
         """
         reply = await self.call(RankCall(operation=operation, **fields))
         status = RankStatus(**json.loads(reply.status)) if reply.status else None
+        self.tries = max(self.tries, reply.tries)
         return reply.outcome, status
 
     async def hold(self, *, epoch, step):
@@ -101,6 +110,7 @@
     __slots__ = ("_member", "name")
 
     def __init__(self, *, member):
+        super().__init__()
         self._member = member
         self.name = "own rank"
 
@@ -132,6 +142,7 @@
     )
 
     def __init__(self, *, name, remote, server):
+        super().__init__()
         self.name = name
         self._remote = remote
         self._server = server
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/switching.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/switching.py
@@ -28,9 +28,12 @@
 
 __all__ = ["GroupSwitch", "SwitchFailed", "is_unsettled", "next_version"]
 
-# Passes between the hold and the switch: arming takes some 50 ms, a pass 45 and more,
-# so the pass is released before the group reaches it.
-LEAD_PASSES = 6
+# Passes between the hold and the switch. Arming takes some 50 ms and a pass 30 ms and
+# more, so the pass is released before the group reaches it. Where an order has just
+# had no answer, arming may need several tries of 80 ms: a group that waits for a held
+# pass makes all its streams late.
+LEAD_PASSES = 8
+LEAD_PASSES_LOSSY = 24
 # Versions are drawn from a range, so that an order of another coordinator, or of an
 # earlier process of this one, never carries the same version with another map.
 VERSION_STRIDE = 2**24
@@ -127,9 +130,13 @@
         if any(status.armed_version is not None for status in statuses):
             raise SwitchFailed("a former switch waits for its pass")
         version = next_version(statuses, rng=self._rng)
+        for port in self.ports:
+            port.tries = 0
         if not await self._prepare(self.ports, version, experts):
             raise SwitchFailed(f"not all ranks prepared map {version}")
-        step = max(s.step for s in await self.statuses()) + LEAD_PASSES
+        is_lossy = any(port.tries > 1 for port in self.ports)
+        lead = LEAD_PASSES_LOSSY if is_lossy else LEAD_PASSES
+        step = max(s.step for s in await self.statuses()) + lead
         step = self._last_step = max(step, self._last_step + 1)
         holder = self._holder()
         outcome, _ = await holder.hold(epoch=self._epoch, step=step)
--- a/packages/magnoliagrade/magnoliagrade/platform/ranks.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/ranks.py
@@ -47,12 +47,15 @@
     session : aiohttp.ClientSession
         Session whose connections are used.
     timeout_s : float
-        Longest wait for an answer, in seconds.
+        Longest wait for an answer to a question, in seconds.
+    order_timeout_s : float, optional
+        Longest wait for an answer to an order; that to a question by default.
     """
 
-    __slots__ = ("_session", "_timeout_s", "_url")
+    __slots__ = ("_order_timeout_s", "_session", "_timeout_s", "_url")
 
-    def __init__(self, *, address, session, timeout_s):
+    def __init__(self, *, address, session, timeout_s, order_timeout_s=None):
+        self._order_timeout_s = order_timeout_s or timeout_s
         self._url = f"http://{address}"
         self._session = session
         self._timeout_s = timeout_s
@@ -109,7 +112,9 @@
         if experts is not None:
             document["Map"] = experts
         try:
-            status, _ = await self._call("POST", "/order", json.dumps(document))
+            status, _ = await self._call(
+                "POST", "/order", json.dumps(document), self._order_timeout_s
+            )
         except MagnoliagradeError:
             return OrderOutcome.UNKNOWN
         if status == 200:
@@ -119,16 +124,16 @@
         return OrderOutcome.REFUSED if status < 500 else OrderOutcome.UNKNOWN
 
     async def _get(self, path):
-        status, data = await self._call("GET", path, None)
+        status, data = await self._call("GET", path, None, self._timeout_s)
         if status != 200:
             detail = f"{path} of {self._url}: {status}"
             raise MagnoliagradeError(ErrorKind.UPSTREAM_FAILED, detail)
         return data
 
-    async def _call(self, method, path, data):
+    async def _call(self, method, path, data, timeout_s):
         try:
             async with (
-                asyncio.timeout(self._timeout_s),
+                asyncio.timeout(timeout_s),
                 self._session.request(
                     method,
                     self._url + path,
--- a/packages/magnoliagrade/magnoliagrade/wire/work.capnp
+++ b/packages/magnoliagrade/magnoliagrade/wire/work.capnp
@@ -26,6 +26,7 @@
   outcome @1 :Text;
   status @2 :Data;           # JSON of the rank's status
   counts @3 :Data;           # tokens by set and expert, little-endian 64 bits each
+  tries @4 :UInt32;          # how often an order was given until its effect was seen
 }
 
 struct WorkMessage {
--- a/packages/magnoliagrade/magnoliagrade/wire/work.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/work.py
@@ -43,3 +43,4 @@
     outcome: str = ""
     status: bytes = b""
     counts: bytes = b""
+    tries: int = 0
