Tell other entries at once that a group is broken, or back

Cause: after an outage each entry found out by itself, up to 0.6 s late, and refused callers who had come back once for good; a service of several groups would have been taken as out for one of them. Change: a service counts as out after two endpoints in a row blamed another rank; the first to see it, or its end, tells the other entries.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
@@ -112,7 +112,9 @@
         node = self._node
         if failed.has_run and not self.request.route.is_idempotent:
             return False
-        if self.sent >= self.request.route.max_endpoints or failed.is_group_broken:
+        if self.sent >= self.request.route.max_endpoints:
+            return False
+        if failed.is_group_broken and node.places.is_known_out(self.request.service):
             return False
         if len(self.tried) >= MAX_CONNECTIONS or self.left_s() < MIN_LEFT_S:
             return False
@@ -153,10 +155,16 @@
             raise
         return self._answer
 
+    def note_answer(self):
+        """Note that the service serves requests."""
+        service = self._attempts.request.service
+        if self._node.places.note_answer(service):
+            self._node.on_outage(service, is_out=False)
+
     def note_success(self):
         """Note that the endpoint answered as it should."""
         self._node.places.note_success(self._place)
-        self._node.places.note_answer(self._attempts.request.service)
+        self.note_answer()
         ATTEMPTS.labels("whole").inc()
         self._log("whole", status=self._answer.status)
 
@@ -165,8 +173,8 @@
         now = self._node.clock.monotonic()
         is_out = False
         if failed.is_group_broken:
-            service = self._attempts.request.service
-            self._node.places.note_outage(service, now=now)
+            if self._node.places.note_broken_group(self._place, now=now):
+                self._node.on_outage(self._attempts.request.service, is_out=True)
         elif failed.is_full:
             self._node.places.note_full(self._place, now=now)
         elif self._is_endpoints_fault(failed, now):
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
@@ -160,6 +160,17 @@
         self.peers.update()
         self.wake_rooms()
 
+    def on_outage(self, service, *, is_out):
+        """Log that a service is out, or back, and tell the other entries."""
+        log_event(
+            _log,
+            "service.out" if is_out else "service.back",
+            level=logging.WARNING if is_out else logging.INFO,
+            service=service,
+        )
+        self.peers.tell_outage(service, is_out=is_out)
+        self.wake_rooms()
+
     def on_load_changed(self, endpoint_id):
         """Note that the work in flight at an endpoint has changed."""
         self.peers.note_change(endpoint_id)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/peers.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/peers.py
@@ -11,6 +11,7 @@
     EndpointWork,
     Hello,
     Link,
+    ServiceOutage,
     WorkInFlight,
     keep_linked,
     serve_links,
@@ -101,6 +102,10 @@
                 rows = [self._row(endpoint_id) for endpoint_id in changed]
                 self._broadcast(WorkInFlight(endpoints=rows))
 
+    def tell_outage(self, service, *, is_out):
+        """Tell all peers that a service is out, or back."""
+        self._broadcast(ServiceOutage(service=service, is_out=is_out))
+
     def close(self):
         """Stop listening and close every link."""
         if self._server is not None:
@@ -150,6 +155,8 @@
                     message = await link.receive()
                 if isinstance(message, WorkInFlight):
                     self._take(name, message)
+                elif isinstance(message, ServiceOutage):
+                    self._take_outage(message)
         finally:
             if self.link_by_name.get(name) is link:
                 del self.link_by_name[name]
@@ -163,6 +170,13 @@
         )
         self._node.wake_rooms()
 
+    def _take_outage(self, message):
+        places = self._node.places
+        if message.is_out:
+            places.note_outage(message.service, now=self._node.clock.monotonic())
+        elif places.note_answer(message.service):
+            self._node.wake_rooms()
+
     def _broadcast(self, message):
         for link in list(self.link_by_name.values()):
             link.send(message)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement.py
@@ -18,6 +18,7 @@
 # While a group has lost a rank, one request at a time finds out whether it is back:
 # a group forms in 0.6 s (site sheets).
 OUTAGE_PROBE_S = 0.4
+BROKEN_TO_BE_OUT = 2
 # Requests in flight that weigh as much as the way to another data centre.
 FAR_PENALTY = 0.9
 
@@ -68,6 +69,7 @@
     """
 
     __slots__ = (
+        "_broken_ids_by_service",
         "_data_centre",
         "_outage_until_by_service",
         "_policy",
@@ -80,6 +82,7 @@
         self._data_centre = data_centre
         self._rng = rng
         self._policy = placement_policies.get(policy)
+        self._broken_ids_by_service = {}
         self._outage_until_by_service = {}
         self.by_id = {}
         self.ids_by_service = {}
@@ -179,15 +182,49 @@
         if until > now:
             return True
         self._outage_until_by_service[service] = now + OUTAGE_PROBE_S
+        for place in self.places_of(service):
+            place.out_until = min(place.out_until, now)
         return False
 
+    def is_known_out(self, service):
+        """Return whether a service counts as out."""
+        return service in self._outage_until_by_service
+
+    def note_broken_group(self, place, *, now):
+        """Note that an endpoint's group has lost a rank.
+
+        Returns
+        -------
+        has_begun : bool
+            Whether the whole service counts as out from now on.
+
+        Notes
+        -----
+        A service may have several groups: it counts as out once several endpoints in
+        a row have said so and none has answered.
+        """
+        service = place.endpoint.service
+        place.out_until = max(place.out_until, now + OUTAGE_PROBE_S)
+        broken = self._broken_ids_by_service.setdefault(service, set())
+        broken.add(place.endpoint.id)
+        if len(broken) < min(BROKEN_TO_BE_OUT, len(self.places_of(service))):
+            return False
+        has_begun = service not in self._outage_until_by_service
+        self.note_outage(service, now=now)
+        return has_begun
+
     def note_outage(self, service, *, now):
-        """Note that a service's group has lost a rank."""
+        """Note that a service is out."""
         self._outage_until_by_service[service] = now + OUTAGE_PROBE_S
 
     def note_answer(self, service):
-        """Note that a service has answered a request."""
-        self._outage_until_by_service.pop(service, None)
+        """Note that a service has answered; returns whether it was out."""
+        self._broken_ids_by_service.pop(service, None)
+        if self._outage_until_by_service.pop(service, None) is None:
+            return False
+        for place in self.places_of(service):
+            place.out_until = float("-inf")
+        return True
 
     def note_success(self, place):
         """Note that an endpoint answered."""
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/streams.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/streams.py
@@ -202,6 +202,7 @@
                 break
             events = [e for e in reader.feed(data) if not self._is_known(e)]
             if events:
+                attempt.note_answer()
                 await self._write(answer, events)
         if reader.has_rest:
             raise AttemptFailed(
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_placement.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_placement.py
@@ -43,6 +43,18 @@
     assert place.failures == 0
 
 
+def test_one_broken_endpoint_is_left_out_and_several_are_an_outage():
+    book = _book(4)
+    assert not book.note_broken_group(book.by_id["i-0"], now=0.0)
+    assert not book.is_known_out("s")
+    assert book.choose("s", now=0.0).endpoint.id != "i-0"
+    assert book.note_broken_group(book.by_id["i-1"], now=0.0)
+    assert not book.note_broken_group(book.by_id["i-2"], now=0.0)
+    assert book.note_answer("s")
+    assert not book.is_known_out("s")
+    assert not book.note_answer("s")
+
+
 def test_one_request_finds_out_whether_a_group_is_back():
     book = _book(2)
     book.note_outage("s", now=0.0)
--- a/packages/magnoliagrade/magnoliagrade/wire/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/__init__.py
@@ -54,6 +54,7 @@
     EndpointWork,
     RankCall,
     RankReply,
+    ServiceOutage,
     WorkInFlight,
 )
 
@@ -61,6 +62,7 @@
     "EndpointWork",
     "RankCall",
     "RankReply",
+    "ServiceOutage",
     "WorkInFlight",
     "MAX_MESSAGE_BYTES",
     "ArmAck",
--- a/packages/magnoliagrade/magnoliagrade/wire/work.capnp
+++ b/packages/magnoliagrade/magnoliagrade/wire/work.capnp
@@ -29,10 +29,16 @@
   tries @4 :UInt32;          # how often an order was given until its effect was seen
 }
 
+struct ServiceOutage {
+  service @0 :Text;
+  isOut @1 :Bool;            # false: the service has answered again
+}
+
 struct WorkMessage {
   union {
     inFlight @0 :WorkInFlight;
     rankCall @1 :RankCall;
     rankReply @2 :RankReply;
+    serviceOutage @3 :ServiceOutage;
   }
 }
--- a/packages/magnoliagrade/magnoliagrade/wire/work.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/work.py
@@ -4,7 +4,7 @@
 
 from magnoliagrade.wire.message_table import message
 
-__all__ = ["EndpointWork", "RankCall", "RankReply", "WorkInFlight"]
+__all__ = ["EndpointWork", "RankCall", "RankReply", "ServiceOutage", "WorkInFlight"]
 
 
 @dataclass(slots=True, kw_only=True)
@@ -44,3 +44,11 @@
     status: bytes = b""
     counts: bytes = b""
     tries: int = 0
+
+
+@message("work", "serviceOutage")
+class ServiceOutage:
+    """An entry tells its peers that a service's group is broken, or back."""
+
+    service: str = ""
+    is_out: bool = False
