Balance for slow ranks, and pass an endpoint's own failure on

Change: plans take the pace that ranks report; a failure of an endpoint is passed on where no other can be asked, and nothing says 'not run' after an attempt that ran.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,7 +1,9 @@
 #!/bin/sh
-# Installs the locked libraries and the workspace's packages into target/deps.
+# Installs the locked libraries and the workspace's packages into target/deps, compiled,
+# unless that holds them already.
 set -eu
 libraries=target/deps/libraries-from
+built=target/deps/built
 if ! cmp -s deploy/requirements.lock "$libraries"; then
     rm -rf target/deps
     mkdir -p target/deps
@@ -9,6 +11,11 @@
         --target target/deps -r deploy/requirements.lock
     cp deploy/requirements.lock "$libraries"
 fi
+sources=$(find packages -type f \( -name '*.py' -o -name '*.capnp' \) | sort |
+    xargs sha256sum)
+if [ -f "$built" ] && [ "$sources" = "$(cat "$built")" ]; then
+    exit 0
+fi
 for package in magnoliagrade magnoliagrade-entry magnoliagrade-agent; do
     module=$(echo "$package" | tr - _)
     rm -rf "target/deps/$module"
@@ -17,3 +24,4 @@
 done
 python3 -m compileall -q target/deps/magnoliagrade target/deps/magnoliagrade_entry \
     target/deps/magnoliagrade_agent
+echo "$sources" > "$built"
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/cli.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/cli.py
@@ -2,6 +2,7 @@
 
 from magnoliagrade.node import check_settings, run_command_line, serve_node
 
+from magnoliagrade_agent.direct import DirectAgent, DirectAgentSettings
 from magnoliagrade_agent.instance import AgentInstance
 from magnoliagrade_agent.settings import AgentSettings
 
@@ -21,15 +22,27 @@
         """
         serve_node(AgentInstance, AgentSettings, file)
 
-    def check(self, file):
+    def serve_direct(self, file):
+        """Run an agent on the operators' platform until SIGTERM.
+
+        Parameters
+        ----------
+        file : str
+            Settings in INI, as deploy/agent.ini.template renders them.
+        """
+        serve_node(DirectAgent, DirectAgentSettings, file, bounds_logs=True)
+
+    def check(self, file, direct=False):
         """Check a settings file without starting anything.
 
         Parameters
         ----------
         file : str
             Settings in INI.
+        direct : bool
+            Whether the file is of an agent on the operators' platform.
         """
-        check_settings(AgentSettings, file)
+        check_settings(DirectAgentSettings if direct else AgentSettings, file)
 
 
 def main():
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
@@ -277,15 +277,21 @@
         if not pressure:
             return
         choices = self._window.choices
+        speeds = planning.speeds_of(statuses)
         planned = planning.plan_placement(
             self._placement,
             choices,
+            speeds,
             places=engine.places,
             spare=engine.spare,
             least_gain=planning.least_gain(pressure) / engine.expert_share,
         )
         saving = planning.saving(
-            self._placement, planned, choices, expert_share=engine.expert_share
+            self._placement,
+            planned,
+            choices,
+            speeds,
+            expert_share=engine.expert_share,
         )
         if saving < planning.LEAST_SAVING:
             return
@@ -297,6 +303,7 @@
             saving=round(saving, 3),
             copies=int((planned & ~self._placement).sum()),
             skew=round(planning.skew_of(self._placement, choices), 2),
+            slowest_pace=max(status.pace for status in statuses),
         )
         await self._switch_to(planned)
 
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/planning.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/planning.py
@@ -19,6 +19,7 @@
     "pressure",
     "saving",
     "skew_of",
+    "speeds_of",
     "least_gain",
     "plan_placement",
     "LEAST_SAVING",
@@ -34,6 +35,8 @@
 # from which each bit of a pass counts: below, events keep well within objectives.
 PRESSURE_FROM = 0.4
 PRESSURE_FULL = 0.75
+# A rank this much slower than usual makes passes long at any load.
+SLOW_PACE = 1.3
 # Part of a pass that one copied expert has to save at full pressure.
 LEAST_GAIN_PER_COPY = 0.0015
 MAX_MOVES = 64
@@ -107,6 +110,8 @@
     slots : int
         Requests that a rank runs at once.
     """
+    if max(status.pace for status in statuses) >= SLOW_PACE:
+        return 1.0
     used = sum(s.running + s.waiting for s in statuses) / (slots * len(statuses))
     part = (used - PRESSURE_FROM) / (PRESSURE_FULL - PRESSURE_FROM)
     return min(1.0, max(0.0, part))
@@ -117,7 +122,7 @@
     return LEAST_GAIN_PER_COPY / pressure_now if pressure_now > 0 else float("inf")
 
 
-def plan_placement(holds, rates, *, places, spare, least_gain=0.0):
+def plan_placement(holds, rates, speeds, *, places, spare, least_gain=0.0):
     """Return a placement with a shorter step that one switch can reach.
 
     Parameters
@@ -126,6 +131,8 @@
         Placement in use.
     rates : ndarray of shape (sets, experts)
         Choices of each expert.
+    speeds : ndarray of shape (ranks,)
+        Speed of each rank.
     places : int
         Experts of a set that a rank holds at most.
     spare : int
@@ -134,7 +141,6 @@
         Part of a step that one copied expert has to save.
     """
     planned = holds.copy()
-    speeds = np.ones(holds.shape[1])
     floor = least_gain * step_time(rank_times(holds, rates, speeds))
     for index in range(len(holds)):
         _improve(
@@ -149,7 +155,12 @@
     return planned
 
 
-def saving(holds, planned, rates, *, expert_share):
+def speeds_of(statuses):
+    """Return the speed of each rank, from the pace that it reports."""
+    return np.array([1.0 / status.pace for status in statuses])
+
+
+def saving(holds, planned, rates, speeds, *, expert_share):
     """Return the part of a pass that a planned placement saves.
 
     Parameters
@@ -158,10 +169,11 @@
         Placement in use and planned.
     rates : ndarray of shape (sets, experts)
         Choices of each expert.
+    speeds : ndarray of shape (ranks,)
+        Speed of each rank.
     expert_share : float
         Part of a token's work that the experts do.
     """
-    speeds = np.ones(holds.shape[1])
     before = step_time(rank_times(holds, rates, speeds))
     after = step_time(rank_times(planned, rates, speeds))
     return expert_share * (before - after) / before if before > 0 else 0.0
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/test_planning.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/test_planning.py
@@ -14,6 +14,7 @@
 )
 
 SETS, RANKS, EXPERTS, PLACES, SPARE = 4, 12, 72, 8, 3
+EVEN = np.ones(RANKS)
 
 
 def test_shifts_every_few_seconds_skew_passes_less_than_the_first_map():
@@ -24,7 +25,7 @@
         rates = _demand(rng)
         for _ in range(2):
             holds = plan_placement(
-                holds, rates, places=PLACES, spare=SPARE, least_gain=0.0015
+                holds, rates, EVEN, places=PLACES, spare=SPARE, least_gain=0.0015
             )
         before.append(_skew(first, rates))
         after.append(_skew(holds, rates))
@@ -32,11 +33,27 @@
     assert np.mean(after) < 1.3
 
 
+def test_a_slow_rank_gets_less_of_the_experts_work():
+    rng = np.random.default_rng(5)
+    rates = _demand(rng)
+    speeds = EVEN.copy()
+    speeds[3] = 1 / 1.6
+    even = slow = first_placement(sets=SETS, ranks=RANKS, experts=EXPERTS)
+    for _ in range(3):
+        even = plan_placement(even, rates, EVEN, places=PLACES, spare=SPARE)
+        slow = plan_placement(slow, rates, speeds, places=PLACES, spare=SPARE)
+
+    def step(holds):
+        return rank_times(holds, rates, speeds).max(axis=1).sum()
+
+    assert step(slow) < 0.9 * step(even)
+
+
 def test_a_plan_is_one_that_a_server_accepts():
     rng = np.random.default_rng(2)
     holds = first_placement(sets=SETS, ranks=RANKS, experts=EXPERTS)
     for _ in range(6):
-        planned = plan_placement(holds, _demand(rng), places=PLACES, spare=SPARE)
+        planned = plan_placement(holds, _demand(rng), EVEN, places=PLACES, spare=SPARE)
         assert (planned.sum(axis=2) <= PLACES).all()
         assert (planned.sum(axis=1) >= 1).all()
         assert ((planned & ~holds).sum(axis=2) <= SPARE).all()
@@ -49,7 +66,7 @@
 
     def copies(gain):
         planned = plan_placement(
-            first, rates, places=PLACES, spare=SPARE, least_gain=gain
+            first, rates, EVEN, places=PLACES, spare=SPARE, least_gain=gain
         )
         return (planned & ~first).sum()
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/cli.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/cli.py
@@ -82,6 +82,18 @@
         """
         serve_node(EntryInstance, EntrySettings, file)
 
+    def serve_direct(self, file):
+        """Run an entry on the operators' platform until SIGTERM.
+
+        Parameters
+        ----------
+        file : str
+            Settings in INI, as deploy/entry.ini.template renders them.
+        """
+        from magnoliagrade_entry.direct import DirectEntry, DirectSettings
+
+        serve_node(DirectEntry, DirectSettings, file, bounds_logs=True)
+
     def check(self, file, kind="settings"):
         """Check a file without starting or changing anything.
 
@@ -90,8 +102,13 @@
         file : str
             Settings or configuration in INI.
         kind : str
-            `settings` or `configuration`.
+            `settings`, `direct` (settings of a direct entry) or `configuration`.
         """
+        if kind == "direct":
+            from magnoliagrade_entry.direct import DirectSettings
+
+            check_settings(DirectSettings, file)
+            return
         if kind == "configuration":
             commands.run_command(commands.check_configuration(file))
         check_settings(EntrySettings, file)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
@@ -37,12 +37,21 @@
         The request.
     """
 
-    __slots__ = ("_node", "_place", "last_event_id", "request", "sent", "tried")
+    __slots__ = (
+        "_node",
+        "_place",
+        "has_run",
+        "last_event_id",
+        "request",
+        "sent",
+        "tried",
+    )
 
     def __init__(self, *, node, request):
         self._node = node
         self._place = None
         self.request = request
+        self.has_run = False
         self.sent = 0
         self.tried = set()
         self.last_event_id = request.last_event_id
@@ -62,13 +71,20 @@
         Raises
         ------
         MagnoliagradeError
-            `OVERLOADED` if none can be expected in time.
+            `OVERLOADED` if none can be expected in time, or `UPSTREAM_FAILED` if the
+            request has run at an endpoint before.
         """
-        if self._place is None:
-            room = self._node.room_of(self.request.service)
+        if self._place is not None:
+            return
+        room = self._node.room_of(self.request.service)
+        try:
             self._place = await room.take_place(
                 self.request, excluded=self.tried, leave_at=leave_time(self.request)
             )
+        except MagnoliagradeError as exc:
+            if not self.has_run:
+                raise
+            raise _after_run(exc) from exc
 
     @contextlib.asynccontextmanager
     async def next_attempt(self):
@@ -97,10 +113,13 @@
         MagnoliagradeError
             What the caller is told otherwise.
         """
+        self.has_run = self.has_run or failed.has_run
         if self._may_follow(failed):
             return
         if failed.has_run:
             raise failed
+        if self.has_run:
+            raise _after_run(failed)
         wait_s = self.left_s() if failed.is_group_broken else 0.0
         raise MagnoliagradeError(
             ErrorKind.NOT_RUN,
@@ -123,6 +142,12 @@
         return node.retry_budget.take(self.request.service, now=node.clock.monotonic())
 
 
+def _after_run(error):
+    # What says "not run" must be true of all attempts.
+    detail = f"it ran and failed, and then: {error.detail}"
+    return MagnoliagradeError(ErrorKind.UPSTREAM_FAILED, detail)
+
+
 class Attempt:
     """One attempt at one endpoint."""
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving.py
@@ -43,11 +43,27 @@
 
 
 async def _serve_plain(attempts):
+    """Serve a request that may be repeated.
+
+    An endpoint's own failure is passed on if no other endpoint can be asked.
+    """
+    failure = None
     while True:
         try:
             return await _one_plain(attempts)
         except AttemptFailed as exc:
-            attempts.check_next(exc)
+            failure = exc.answer or failure
+            error = exc
+        except MagnoliagradeError:
+            if failure is None:
+                raise
+            return failure
+        try:
+            attempts.check_next(error)
+        except MagnoliagradeError:
+            if failure is None:
+                raise
+            return failure
 
 
 async def _serve_once(node, attempts):
@@ -83,16 +99,18 @@
                 f"{attempt.endpoint.id} did not answer in {limit_s:.2f} s",
                 has_run=True,
             ) from None
+        response = web.Response(
+            status=answer.status, headers=answer_headers(answer.headers), body=body
+        )
         if answer.status >= 500 and attempts.may_repeat():
             raise AttemptFailed(
                 ErrorKind.UPSTREAM_FAILED,
                 f"{attempt.endpoint.id} answered {answer.status}",
                 has_run=True,
+                answer=response,
             )
         attempt.note_success()
-        return web.Response(
-            status=answer.status, headers=answer_headers(answer.headers), body=body
-        )
+        return response
 
 
 def _limit_s(attempts):
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/upstream.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/upstream.py
@@ -39,6 +39,8 @@
         Whether the endpoint refused it because its group has lost a rank.
     was_sent : bool
         Whether the endpoint counts as one that the request was sent to.
+    answer : aiohttp.web.Response or None
+        The endpoint's own whole answer, where that is a failure.
     """
 
     def __init__(
@@ -50,12 +52,14 @@
         is_full=False,
         is_group_broken=False,
         was_sent=True,
+        answer=None,
     ):
         super().__init__(kind, detail)
         self.has_run = has_run
         self.is_full = is_full
         self.is_group_broken = is_group_broken
         self.was_sent = was_sent
+        self.answer = answer
 
 
 class EndpointConnector(aiohttp.TCPConnector):
--- a/packages/magnoliagrade/magnoliagrade/platform/ranks.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/ranks.py
@@ -175,6 +175,7 @@
         held_step=_whole(document, "held"),
         running=int(number(document, "Running", 0)),
         waiting=int(number(document, "Waiting", 0)),
+        pace=max(0.1, number(document, "pace", 1.0)),
     )
 
 
--- a/packages/magnoliagrade/magnoliagrade/world/site.py
+++ b/packages/magnoliagrade/magnoliagrade/world/site.py
@@ -259,6 +259,8 @@
         Pass that the group does not begin until it is released.
     running, waiting : int
         Requests that run and that wait at the rank.
+    pace : float
+        Time that its work takes, as a multiple of the usual; above 1 it is slow.
     """
 
     group: str = ""
@@ -275,3 +277,4 @@
     held_step: int | None = None
     running: int = 0
     waiting: int = 0
+    pace: float = 1.0
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -76,6 +76,7 @@
 
 def test_lookup_goes_to_another_endpoint_after_a_failure():
     async def scenario(site, entry):
+        entry.places.by_id["plain-2"].own += 1
         for fault in ("reset", "cut-body", "other-answer", "error", "busy"):
             site.endpoint_by_id["plain-1"].behaviour.fault = fault
             for _ in range(6):
@@ -87,6 +88,18 @@
     _run(scenario, plain=2, retry_extra=1000.0)
 
 
+def test_failure_of_the_only_endpoint_is_passed_on_and_not_called_unrun():
+    async def scenario(site, entry):
+        site.endpoint_by_id["plain-1"].behaviour.fault = "error"
+        status, headers, _ = await site.call(entry, "GET", "/look/1")
+        assert status == 500
+        assert headers["X-Magnoliagrade-Response-Stamp"] == "stamp of plain-1"
+        site.endpoint_by_id["plain-1"].behaviour.fault = "reset"
+        assert (await site.call(entry, "GET", "/look/1"))[0] in (502, 504)
+
+    _run(scenario)
+
+
 def test_order_that_an_endpoint_did_not_run_goes_to_no_second_but_is_told_so():
     async def scenario(site, entry):
         site.endpoint_by_id["plain-1"].behaviour.fault = "busy"
@@ -103,8 +116,11 @@
         for name in ("model-1", "model-2"):
             site.endpoint_by_id[name].behaviour.delay_s = 0.01
         site.endpoint_by_id["model-1"].behaviour.fault = "cut-stream"
+        # Makes the first attempt go to the other one.
+        entry.places.by_id["model-2"].own += 1
         for _ in range(6):
             entry.places.by_id["model-1"].failures = 0
+            entry.places.by_id["model-1"].out_until = 0.0
             status, _, text = await site.call(entry, "POST", "/stream/1", data="p")
             assert status == 200
             assert text == "".join(f"id: {n}\ndata: {n}\n\n" for n in range(1, 6))
