--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
@@ -17,6 +17,8 @@
 
 # Plans are made this often; a reading of all counters moves some 10 KB.
 INTERVAL_S = 0.4
+# While shorter passes would serve nobody better.
+CALM_INTERVAL_S = 0.7
 # Agents of other ranks look this often whether they have to take over.
 STANDBY_INTERVAL_S = 1.0
 # The next ranks' agents look this often, and release a pass that the coordinator has
@@ -70,9 +72,11 @@
         "_dialling_by_address",
         "_epoch_key",
         "_failure",
+        "_is_calm",
         "_listed_at",
         "_node",
         "_own",
+        "_pass_mark",
         "_placement",
         "_placement_version",
         "_port_by_address",
@@ -90,6 +94,7 @@
         self._listed_at = float("-inf")
         self._port_by_address = {}
         self._failure = ""
+        self._is_calm = False
         self._progress = None
         self._progress_at = 0.0
         self._dialling_by_address = {}
@@ -103,7 +108,7 @@
                 pause_s = _pause_s(status)
                 if self._is_turn(status):
                     await self._step(status)
-                    pause_s = INTERVAL_S
+                    pause_s = CALM_INTERVAL_S if self._is_calm else INTERVAL_S
                 elif self._is_left_standing(status):
                     await self._rescue(status)
                 self._note_failure("")
@@ -260,6 +265,7 @@
         if engine is None or not engine.experts:
             return
         now = self._node.clock.monotonic()
+        pass_s = self._pass_length_s(statuses[0].step, now)
         if self._window is None:
             self._window = planning.CountWindow(
                 sets=engine.sets, experts=engine.experts
@@ -273,8 +279,14 @@
             self._placement_version = version
         if not self._window.has_enough:
             return
-        pressure = planning.pressure(statuses, slots=engine.slots)
-        if not pressure:
+        pressure = planning.pressure(
+            statuses,
+            slots=engine.slots,
+            pass_s=pass_s,
+            gap_objective_s=self._node.gap_objective_s,
+        )
+        self._is_calm = not pressure
+        if self._is_calm:
             return
         choices = self._window.choices
         speeds = planning.speeds_of(statuses)
@@ -300,6 +312,7 @@
             "group.planned",
             map_version=version,
             pressure=round(pressure, 2),
+            pass_s=round(pass_s, 3),
             saving=round(saving, 3),
             copies=int((planned & ~self._placement).sum()),
             skew=round(planning.skew_of(self._placement, choices), 2),
@@ -307,6 +320,12 @@
         )
         await self._switch_to(planned)
 
+    def _pass_length_s(self, step, now):
+        """Return the mean length of the passes since the last look; 0 without any."""
+        last_step, last_at = self._pass_mark or (step, now)
+        self._pass_mark = (step, now)
+        return (now - last_at) / (step - last_step) if step > last_step else 0.0
+
     async def _switch_to(self, planned):
         try:
             version = await self._switch.run(
@@ -354,6 +373,7 @@
         return [list(ranks) for ranks in zip(*by_rank, strict=True)]
 
     def _reset(self):
+        self._pass_mark = None
         self._ports = []
         self._switch = None
         self._window = None
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/instance.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/instance.py
@@ -44,6 +44,7 @@
         "_server",
         "clock",
         "coordinator",
+        "gap_objective_s",
         "identity",
         "last_caller",
         "member",
@@ -67,6 +68,7 @@
         self._called_at = self.clock.monotonic()
         self.last_caller = ""
         self._engine = None
+        self.gap_objective_s = 0.0
         self._links = set()
 
     async def start(self):
@@ -122,12 +124,24 @@
         """Return the `EngineProfile` of the group's service, or None."""
         if self._engine is None:
             configuration = await fetch_configuration(self.store, purpose="group")
-            services = configuration.service_by_name.values() if configuration else ()
-            for service in services:
-                if service.engine is not None and service.engine.experts:
-                    self._engine = service.engine
+            if configuration is not None:
+                self._take_engine(configuration)
         return self._engine
 
+    def _take_engine(self, configuration):
+        for service in configuration.service_by_name.values():
+            if service.engine is not None and service.engine.experts:
+                self._engine = service.engine
+                self.gap_objective_s = min(
+                    (
+                        route.gap_objective_s
+                        for route in configuration.routes
+                        if route.gap_objective_s
+                        and any(s.service == service.name for s in route.shares)
+                    ),
+                    default=0.0,
+                )
+
     def make_link(self, *, reader, writer, is_dialled=False):
         """Return a link over a new connection."""
         return Link(
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/planning.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/planning.py
@@ -31,10 +31,13 @@
 # Shorter passes that a switch has to bring: copies make passes 15 % longer for some
 # 0.4 s of the 3 s until the next shift.
 LEAST_SAVING = 0.04
-# Part of the slots in use from which shorter passes begin to serve callers better, and
-# from which each bit of a pass counts: below, events keep well within objectives.
-PRESSURE_FROM = 0.4
-PRESSURE_FULL = 0.75
+# Parts of the gaps' objective that a pass takes, from which shorter passes begin to
+# serve callers better, and from which each bit counts: below, events are in time.
+PASS_FROM = 0.6
+PASS_FULL = 0.85
+# The same as parts of the slots in use: close to full, shorter passes are capacity.
+SLOTS_FROM = 0.55
+SLOTS_FULL = 0.85
 # A rank this much slower than usual makes passes long at any load.
 SLOW_PACE = 1.3
 # Part of a pass that one copied expert has to save at full pressure.
@@ -100,7 +103,7 @@
     return holds
 
 
-def pressure(statuses, *, slots):
+def pressure(statuses, *, slots, pass_s, gap_objective_s):
     """Return how much shorter passes matter now, from 0 to 1.
 
     Parameters
@@ -109,12 +112,20 @@
         All ranks.
     slots : int
         Requests that a rank runs at once.
+    pass_s : float
+        Recent length of a pass in seconds; 0 if the group begins none.
+    gap_objective_s : float
+        Longest pause between events that counts as in time; 0 if there is none.
     """
     if max(status.pace for status in statuses) >= SLOW_PACE:
         return 1.0
     used = sum(s.running + s.waiting for s in statuses) / (slots * len(statuses))
-    part = (used - PRESSURE_FROM) / (PRESSURE_FULL - PRESSURE_FROM)
-    return min(1.0, max(0.0, part))
+    by_slots = (used - SLOTS_FROM) / (SLOTS_FULL - SLOTS_FROM)
+    by_pass = 0.0
+    if gap_objective_s:
+        part = pass_s / gap_objective_s
+        by_pass = (part - PASS_FROM) / (PASS_FULL - PASS_FROM)
+    return min(1.0, max(0.0, by_slots, by_pass))
 
 
 def least_gain(pressure_now):
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/test_planning.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/test_planning.py
@@ -76,8 +76,13 @@
 def test_nothing_is_copied_for_a_group_that_is_hardly_used():
     idle = [RankStatus(running=1)] * RANKS
     full = [RankStatus(running=6, waiting=2)] * RANKS
-    assert pressure(idle, slots=6) == 0
-    assert pressure(full, slots=6) == 1
+    calm = {"slots": 6, "pass_s": 0.04, "gap_objective_s": 0.12}
+    assert pressure(idle, **calm) == 0
+    assert pressure(full, **calm) == 1
+    assert pressure(idle, **calm | {"pass_s": 0.11}) == 1
+    assert 0 < pressure(idle, **calm | {"pass_s": 0.08}) < 1
+    slow = [*idle[1:], RankStatus(running=1, pace=1.6)]
+    assert pressure(slow, **calm) == 1
     assert least_gain(0.0) == float("inf")
 
 
--- a/packages/magnoliagrade/magnoliagrade/observability/traces.py
+++ b/packages/magnoliagrade/magnoliagrade/observability/traces.py
@@ -6,11 +6,6 @@
 import sys
 
 from opentelemetry import trace
-from opentelemetry.exporter.otlp.proto.http.trace_exporter import OTLPSpanExporter
-from opentelemetry.sdk.resources import Resource
-from opentelemetry.sdk.trace import TracerProvider
-from opentelemetry.sdk.trace.export import BatchSpanProcessor, ConsoleSpanExporter
-from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
 from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
 
 __all__ = [
@@ -106,6 +101,12 @@
     provider : TracerProvider
         To be shut down when the process ends.
     """
+    # Loaded only by processes that trace: they take several MB.
+    from opentelemetry.sdk.resources import Resource
+    from opentelemetry.sdk.trace import TracerProvider
+    from opentelemetry.sdk.trace.export import BatchSpanProcessor, ConsoleSpanExporter
+    from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
+
     resource = Resource.create(
         {"service.name": "magnoliagrade", "service.instance.id": instance}
     )
@@ -113,6 +114,10 @@
         resource=resource, sampler=ParentBased(TraceIdRatioBased(sampling))
     )
     if otlp_url:
+        from opentelemetry.exporter.otlp.proto.http.trace_exporter import (
+            OTLPSpanExporter,
+        )
+
         exporter = OTLPSpanExporter(endpoint=otlp_url)
     else:
         exporter = ConsoleSpanExporter(
