--- a/packages/magnoliagrade-standins/magnoliagrade_standins/pages.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/pages.py
@@ -8,6 +8,8 @@
 from magnoliagrade.configuration import describe_settings
 from magnoliagrade.errors import ANSWER_BY_KIND
 from magnoliagrade_agent import AgentSettings
+from magnoliagrade_agent.direct import DirectAgentSettings
+from magnoliagrade_entry.direct import DirectSettings
 from magnoliagrade_entry.settings import EntrySettings
 from prometheus_client import REGISTRY
 
@@ -53,7 +55,8 @@
 Made by `python -m magnoliagrade_standins pages` from the code; a test keeps the page
 and the code together.
 
-Each process writes JSON lines to standard error. Every line has `timestamp`, `level`,
+Each process writes JSON lines to standard error, direct entries and agents to standard
+output (see [OPERATIONS.md](../OPERATIONS.md)). Every line has `timestamp`, `level`,
 `name` (the module), `event`, `instance` and `data_centre`; the fields below come on
 top. Names of events and fields are stable. Neither bodies nor keys are ever written.
 Spans of traces that are recorded go to the same place, as lines that start with
@@ -91,6 +94,8 @@
     for binary, cls in (
         ("magnoliagrade", EntrySettings),
         ("magnoliagrade-agent", AgentSettings),
+        ("magnoliagrade serve_direct", DirectSettings),
+        ("magnoliagrade-agent serve_direct", DirectAgentSettings),
     ):
         rows = "\n".join(describe_settings(cls))
         parts.append(f"## {binary}\n\n{rows}\n")
@@ -186,17 +191,23 @@
             continue
         called = getattr(node.func, "id", getattr(node.func, "attr", ""))
         if called == "log_event" and len(node.args) > 1:
-            event = ast.literal_eval(node.args[1])
+            events = _literals(node.args[1])
         elif called in ("error", "exception") and _is_logger(node.func):
-            event = ast.literal_eval(node.args[0])
+            events = _literals(node.args[0])
         else:
             continue
         fields = sorted({k.arg or "..." for k in node.keywords} - _NO_FIELDS)
         module = path.relative_to(root).with_suffix("").as_posix().replace("/", ".")
-        rows.add(f"| {event} | {', '.join(fields)} | {module} |")
+        rows |= {f"| {event} | {', '.join(fields)} | {module} |" for event in events}
     return rows
 
 
+def _literals(node):
+    if isinstance(node, ast.IfExp):
+        return _literals(node.body) + _literals(node.orelse)
+    return [ast.literal_eval(node)]
+
+
 _NO_FIELDS = {"level", "exc_info", "extra"}
 
 
