--- a/packages/magnoliagrade/magnoliagrade/node/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/node/__init__.py
@@ -12,6 +12,7 @@
     register_spread,
 )
 from magnoliagrade.node.configuration_state import ConfigurationState
+from magnoliagrade.node.direct_settings import DirectProcessSettings
 from magnoliagrade.node.handlers import HandlerTable
 from magnoliagrade.node.links import LinkBook, run_link, send_heartbeats
 from magnoliagrade.node.node import Node
@@ -26,6 +27,7 @@
     "AttemptBook",
     "ConfigurationSpread",
     "ConfigurationState",
+    "DirectProcessSettings",
     "HandlerTable",
     "LinkBook",
     "Node",
