--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
@@ -5,13 +5,11 @@
 
 from magnoliagrade.errors import MagnoliagradeError
 from magnoliagrade.observability import log_event
-from magnoliagrade.platform import RankServer, list_endpoints
-from magnoliagrade.wire import keep_linked
 from prometheus_client import Counter
 
-from magnoliagrade_agent.direct.member import RankMember
-from magnoliagrade_agent.direct.ports import LinkPort, OwnPort, RankUnreachable
-from magnoliagrade_agent.direct.switching import GroupSwitch
+from magnoliagrade_agent.direct.ports import OwnPort, RankUnreachable
+from magnoliagrade_agent.direct.rank_directory import RankDirectory, formation_of
+from magnoliagrade_agent.direct.switching import GroupSwitch, is_unsettled
 
 __all__ = ["Coordinator", "is_coordinator"]
 
@@ -32,11 +30,6 @@
 TAKE_OVER_S = 2.5
 TAKE_OVER_RANK_S = 2.0
 CANDIDATES = 4
-# Reports are some hundred ms old when read from another machine (platform pages).
-REMOTE_LAG_S = 0.4
-REMOTE_TIMEOUT_S = 0.5
-# Between readings of the list of servers, which costs a store call.
-MEMBERSHIP_PAUSE_S = 2.0
 # Longer than the passes ahead of a switch take in a busy group.
 SWITCH_WAIT_S = 3.0
 
@@ -69,17 +62,15 @@
     """
 
     __slots__ = (
-        "_dialling_by_address",
-        "_epoch_key",
+        "_directory",
         "_failure",
+        "_formation",
         "_is_calm",
-        "_listed_at",
         "_node",
         "_own",
         "_pass_mark",
         "_placement",
         "_placement_version",
-        "_port_by_address",
         "_ports",
         "_progress",
         "_progress_at",
@@ -90,14 +81,12 @@
     def __init__(self, *, node):
         self._node = node
         self._own = OwnPort(member=node.member)
-        self._epoch_key = None
-        self._listed_at = float("-inf")
-        self._port_by_address = {}
+        self._directory = RankDirectory(node=node, own=self._own)
+        self._formation = None
         self._failure = ""
         self._is_calm = False
         self._progress = None
         self._progress_at = 0.0
-        self._dialling_by_address = {}
         self._reset()
 
     async def run(self):
@@ -115,6 +104,10 @@
             except MagnoliagradeError as exc:
                 self._note_failure(exc.detail)
                 pause_s = INTERVAL_S
+            except (KeyError, TypeError, ValueError) as exc:
+                # What a server says may be of another shape than expected.
+                self._note_failure(f"{type(exc).__name__}: {exc}")
+                pause_s = INTERVAL_S
             await self._node.clock.sleep(pause_s)
 
     def _note_failure(self, detail):
@@ -136,10 +129,7 @@
 
     async def _rescue(self, status):
         """Release a pass that another agent has held and left."""
-        if self._epoch_key != _epoch_key(status) or not self._switch:
-            self._reset()
-            self._epoch_key = _epoch_key(status)
-            await self._find_ranks(status, may_miss=self._node.last_caller)
+        await self._take_formation(status, may_miss=self._node.last_caller)
         caller = self._node.last_caller
         coordinator = next((p for p in self._ports if p.name == caller), None)
         log_event(
@@ -158,46 +148,25 @@
         return is_coordinator(status.rank, silent_s=self._node.silent_s())
 
     async def _step(self, status):
-        if _epoch_key(status) != self._epoch_key or not self._switch:
-            self._reset()
-            self._epoch_key = _epoch_key(status)
-            await self._find_ranks(status)
+        await self._take_formation(status)
         states = await asyncio.gather(
             *(port.counts(status.epoch) for port in self._ports)
         )
         statuses = [state for state, _ in states]
-        if any(
-            s.held_step is not None or s.armed_version is not None for s in statuses
-        ):
+        if any(is_unsettled(status) for status in statuses):
             experts = await self._experts_in_use(statuses)
             await self._switch.settle(experts)
             self._placement_version = None
             return
         await self._balance(statuses, [counts for _, counts in states])
 
-    async def _find_ranks(self, status, *, may_miss=""):
-        """Link to the agents of all ranks and put their ports in order."""
-        await self._link_agents()
-        port_by_rank = {status.rank: self._own}
-        ports = list(self._port_by_address.values())
-        others = await asyncio.gather(
-            *(port.status() for port in ports), return_exceptions=True
-        )
-        for port, other in zip(ports, others, strict=True):
-            if isinstance(other, MagnoliagradeError):
-                log_event(_log, "group.rank.silent", peer=port.name)
-            elif isinstance(other, BaseException):
-                raise other
-            elif _epoch_key(other) == _epoch_key(status):
-                port_by_rank[other.rank] = port
-        ranks_left = [r for r in range(status.size) if r not in port_by_rank]
-        if len(ranks_left) == 1 and may_miss in self._port_by_address:
-            # Its rank is the one that nobody else has.
-            port_by_rank[ranks_left[0]] = self._port_by_address[may_miss]
-        if len(port_by_rank) != status.size:
-            missing = status.size - len(port_by_rank)
-            raise RankUnreachable(f"{missing} of {status.size} ranks are not found")
-        self._ports = [port_by_rank[rank] for rank in range(status.size)]
+    async def _take_formation(self, status, *, may_miss=""):
+        """Find the ranks anew if the group has formed anew."""
+        if formation_of(status) == self._formation and self._switch:
+            return
+        self._reset()
+        self._formation = formation_of(status)
+        self._ports = await self._directory.find(status, may_miss=may_miss)
         self._switch = GroupSwitch(
             ports=self._ports,
             own=self._own,
@@ -205,57 +174,6 @@
             clock=self._node.clock,
             rng=self._node.rng,
         )
-        log_event(
-            _log,
-            "group.found",
-            group=status.group,
-            epoch=status.epoch,
-            ranks=status.size,
-            own_rank=status.rank,
-        )
-
-    async def _link_agents(self):
-        now = self._node.clock.monotonic()
-        if now - self._listed_at < MEMBERSHIP_PAUSE_S:
-            return
-        self._listed_at = now
-        endpoints = await list_endpoints(self._node.store, purpose="group")
-        settings = self._node.settings
-        own = settings.server_address
-        service = next((e.service for e in endpoints if e.address == own), None)
-        wanted = {
-            e.address for e in endpoints if e.service == service and e.address != own
-        }
-        for address in [a for a in self._port_by_address if a not in wanted]:
-            del self._port_by_address[address]
-            self._dialling_by_address.pop(address).cancel()
-        for address in wanted - self._port_by_address.keys():
-            self._port_by_address[address] = self._dial(address)
-        # Links come up within a few ways between data centres.
-        await self._node.clock.sleep(0.1)
-
-    def _dial(self, server_address):
-        node = self._node
-        host = server_address.rpartition(":")[0]
-        link_port = node.settings.link_address.rpartition(":")[2]
-        server = RankServer(
-            address=server_address, session=node.session, timeout_s=REMOTE_TIMEOUT_S
-        )
-        remote = RankMember(server=server, clock=node.clock, read_lag_s=REMOTE_LAG_S)
-        port = LinkPort(name=server_address, remote=remote, server=server)
-        dialling = keep_linked(
-            address=f"{host}:{link_port}",
-            make_link=node.make_link,
-            hello=node.hello,
-            handle=port.run,
-            clock=node.clock,
-            rng=node.rng,
-            source=node.settings.source_address,
-        )
-        self._dialling_by_address[server_address] = node.tasks.start(
-            dialling, name=f"link to agent at {host}"
-        )
-        return port
 
     async def _balance(self, statuses, counts):
         # Only the coordinator needs arrays, and its agent's memory.
@@ -381,10 +299,6 @@
         self._placement_version = None
 
 
-def _epoch_key(status):
-    return status.group, status.epoch, status.size
-
-
 def _pause_s(status):
     if status.rank == 0:
         return INTERVAL_S
