Leave out endpoints whose address another incarnation has

Cause: after a loss of power all servers come back under new ids, and their old entries stand for three more heartbeats.

Ruled out: late watches (new entries were known at once), the group being down (others were served meanwhile).

Change: the entry with the newest revision has an address, older ones are removed; an endpoint that answers as another incarnation is left out for four seconds, and the request goes on without having been counted as sent to it. It still takes from the retry budget. Entries of services that nobody configured replace nothing.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
@@ -176,7 +176,8 @@
                 last_event_id=attempts.last_event_id,
             )
         except AttemptFailed as exc:
-            attempts.sent -= not exc.was_sent
+            # The endpoint that it was meant for is gone and never got it.
+            attempts.sent -= not exc.was_sent or exc.is_replaced
             raise
         return self._answer
 
@@ -200,6 +201,9 @@
         if failed.is_group_broken:
             if self._node.places.note_broken_group(self._place, now=now):
                 self._node.on_outage(self._attempts.request.service, is_out=True)
+        elif failed.is_replaced:
+            self._node.places.note_replaced(self._place, now=now)
+            is_out = True
         elif failed.is_full:
             self._node.places.note_full(self._place, now=now)
         elif self._is_endpoints_fault(failed, now):
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge.py
@@ -35,6 +35,7 @@
     __slots__ = (
         "_clock",
         "_gone_at_by_id",
+        "_revision_by_id",
         "_revision_by_key",
         "configuration",
         "confirmed_at",
@@ -49,6 +50,7 @@
         self._clock = clock
         self._revision_by_key = {}
         self._gone_at_by_id = {}
+        self._revision_by_id = {}
         self.configuration = None
         self.confirmed_at = float("-inf")
         self.endpoint_by_id = {}
@@ -197,9 +199,12 @@
         if item.endpoint is None:
             self._lose(item.id)
             return
+        if not self._takes_address(item, revision):
+            return
         self._gone_at_by_id.pop(item.id, None)
         known = self.endpoint_by_id.get(item.id)
         self.endpoint_by_id[item.id] = item.endpoint
+        self._revision_by_id[item.id] = revision
         if known is None or known.is_draining != item.endpoint.is_draining:
             log_event(
                 _log,
@@ -211,6 +216,30 @@
                 revision=revision,
             )
 
+    def _takes_address(self, item, revision):
+        """Return whether an entry is the newest of its address; removes older ones.
+
+        Entries of servers that crashed stand for some heartbeats, while the next
+        server at the address has registered already.
+        """
+        if (
+            self.configuration is None
+            or item.endpoint.service not in self.configuration.service_by_name
+        ):
+            return True
+        others = [
+            endpoint
+            for endpoint in self.endpoint_by_id.values()
+            if endpoint.address == item.endpoint.address and endpoint.id != item.id
+        ]
+        if any(self._revision_by_id[other.id] > revision for other in others):
+            log_event(_log, "site.endpoint.outdated", endpoint=item.id)
+            self._remove(item.id, "a newer server has its address")
+            return False
+        for other in others:
+            self._remove(other.id, f"{item.id} has its address")
+        return True
+
     def _lose(self, endpoint_id):
         if endpoint_id not in self.endpoint_by_id:
             return
@@ -223,6 +252,7 @@
 
     def _remove(self, endpoint_id, reason):
         self._gone_at_by_id.pop(endpoint_id, None)
+        self._revision_by_id.pop(endpoint_id, None)
         if self.endpoint_by_id.pop(endpoint_id, None) is not None:
             log_event(_log, "site.endpoint.gone", endpoint=endpoint_id, reason=reason)
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement.py
@@ -23,6 +23,9 @@
 OUTAGE_PROBE_S = 0.4
 # One refusal may be of one group among several.
 BROKEN_TO_BE_OUT = 2
+# An endpoint that is another incarnation than its entry says: the entry is gone after
+# three heartbeats of 1.2 s (platform pages, settings of the sites).
+REPLACED_PAUSE_S = 4.0
 # Requests in flight that weigh as much as the way to another data centre: nearly one,
 # so that even load goes first.
 FAR_PENALTY = 0.9
@@ -245,6 +248,10 @@
         place.out_until = now + pause * self._rng.uniform(0.8, 1.2)
         return True
 
+    def note_replaced(self, place, *, now):
+        """Leave out an endpoint at whose address another incarnation answers."""
+        place.out_until = now + REPLACED_PAUSE_S
+
     def note_full(self, place, *, now):
         """Leave out an endpoint that refused a request because it was full."""
         place.out_until = max(place.out_until, now + FULL_PAUSE_S)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_knowledge.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_knowledge.py
@@ -99,6 +99,32 @@
     assert not knowledge.endpoints_of("s")
 
 
+def test_a_newer_server_at_an_address_replaces_the_one_that_had_it():
+    # Power comes back: servers start under new ids while the old entries still stand.
+    knowledge, _ = _knowledge()
+    assert knowledge.apply("servers/i-2", _bytes(SERVER), 20)
+    assert [e.id for e in knowledge.endpoints_of("s")] == ["i-2"]
+    knowledge.apply("servers/i-1", _bytes(SERVER), 19)
+    assert [e.id for e in knowledge.endpoints_of("s")] == ["i-2"]
+
+
+def test_a_listing_in_any_order_keeps_the_newest_server_of_an_address():
+    for order in (("i-1", 20), ("i-2", 40)), (("i-2", 40), ("i-1", 20)):
+        knowledge, _ = _knowledge()
+        values = [
+            StoreValue(key=f"servers/{name}", value=_bytes(SERVER), revision=revision)
+            for name, revision in order
+        ]
+        knowledge.replace(values, 50)
+        assert [e.id for e in knowledge.endpoints_of("s")] == ["i-2"], order
+
+
+def test_an_entry_of_a_service_that_nobody_configured_replaces_nothing():
+    knowledge, _ = _knowledge()
+    knowledge.apply("servers/i-2", _bytes(SERVER | {"Service": "forged"}), 20)
+    assert [e.id for e in knowledge.endpoints_of("s")] == ["i-1"]
+
+
 def test_a_listing_deletes_what_it_lacks():
     knowledge, _ = _knowledge()
     value = StoreValue(key="op/config", value=_bytes(CONFIGURATION), revision=3)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_placement.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_placement.py
@@ -43,6 +43,15 @@
     assert place.failures == 0
 
 
+def test_an_endpoint_whose_address_another_has_is_left_out_at_once():
+    book = _book(2)
+    book.note_replaced(book.by_id["i-0"], now=0.0)
+    for _ in range(6):
+        book.choose("s", now=0.0).own += 1
+    assert book.by_id["i-0"].own == 0
+    assert book.choose("s", now=0.0) is None
+
+
 def test_one_broken_endpoint_is_left_out_and_several_are_an_outage():
     book = _book(4)
     assert not book.note_broken_group(book.by_id["i-0"], now=0.0)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/upstream.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/upstream.py
@@ -12,6 +12,7 @@
     endpoint_headers,
     has_not_run,
     is_group_broken,
+    is_replaced,
 )
 from yarl import URL
 
@@ -37,6 +38,8 @@
         Whether the endpoint refused it for lack of room.
     is_group_broken : bool
         Whether the endpoint refused it because its group has lost a rank.
+    is_replaced : bool
+        Whether another incarnation refused it than the one that it was sent to.
     was_sent : bool
         Whether the endpoint counts as one that the request was sent to.
     answer : aiohttp.web.Response or None
@@ -51,6 +54,7 @@
         has_run,
         is_full=False,
         is_group_broken=False,
+        is_replaced=False,
         was_sent=True,
         answer=None,
     ):
@@ -58,6 +62,7 @@
         self.has_run = has_run
         self.is_full = is_full
         self.is_group_broken = is_group_broken
+        self.is_replaced = is_replaced
         self.was_sent = was_sent
         self.answer = answer
 
@@ -191,6 +196,7 @@
             has_run=False,
             is_full=status in (429, 503),
             is_group_broken=is_group_broken(endpoint.id, response.headers),
+            is_replaced=is_replaced(status, endpoint.id, response.headers),
         )
     request_id, signature = answer_identity(response.headers)
     is_own = request_id in ("", request.id)
--- a/packages/magnoliagrade/magnoliagrade/platform/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/__init__.py
@@ -11,6 +11,7 @@
     event_id_of,
     has_not_run,
     is_group_broken,
+    is_replaced,
     key_of,
     request_id_of,
 )
@@ -51,6 +52,7 @@
     "fetch_configuration",
     "has_not_run",
     "is_group_broken",
+    "is_replaced",
     "instance_key",
     "key_of",
     "list_endpoints",
--- a/packages/magnoliagrade/magnoliagrade/platform/headers.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/headers.py
@@ -12,6 +12,7 @@
     "event_id_of",
     "has_not_run",
     "is_group_broken",
+    "is_replaced",
     "key_of",
     "request_id_of",
 ]
@@ -124,6 +125,11 @@
     return status == 421 or NOT_EXECUTED in headers
 
 
+def is_replaced(status, endpoint_id, headers):
+    """Return whether another incarnation than the expected one has refused."""
+    return status == 421 and not is_group_broken(endpoint_id, headers)
+
+
 def is_group_broken(endpoint_id, headers):
     """Return whether a refusal blames another rank than the endpoint itself."""
     return headers.get(AT_SERVER, endpoint_id) != endpoint_id
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -111,6 +111,24 @@
     _run(scenario)
 
 
+def test_requests_pass_over_endpoints_whose_addresses_others_have():
+    # After a loss of power all servers have new ids, and some old entries still stand.
+    async def scenario(site, entry):
+        live = site.endpoint_by_id["plain-1"]
+        for number in range(2, 5):
+            site.endpoint_by_id[f"plain-{number}"].id = "another incarnation"
+        for number in range(6):
+            path = "/order/" if number % 2 else "/look/"
+            method = "POST" if number % 2 else "GET"
+            assert (await site.call(entry, method, f"{path}{number}"))[0] == 200
+        assert len(live.runs) == 6
+        for number in range(2, 5):
+            seen = site.endpoint_by_id[f"plain-{number}"].headers_seen
+            assert len(seen) <= 1
+
+    _run(scenario, plain=4, retry_extra=90)
+
+
 def test_broken_stream_goes_on_elsewhere_without_a_gap():
     async def scenario(site, entry):
         for name in ("model-1", "model-2"):
