Arm a switch ahead by time instead of by passes

Ruled out: slow planning (0.2 s), lost orders (all confirmed at once).

Change: a switch is armed 0.25 s ahead, 0.75 s after an order without an answer, by the recent length of a pass; two passes at least. The pass stays held until all ranks are armed, as before; the random walks now know a right, a wrong or no length.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
@@ -238,7 +238,7 @@
             skew=round(planning.skew_of(self._placement, choices), 2),
             slowest_pace=max(status.pace for status in statuses),
         )
-        await self._switch_to(planned)
+        await self._switch_to(planned, pass_s)
 
     def _pass_length_s(self, step, now):
         """Return the mean length of the passes since the last look; 0 without any."""
@@ -246,10 +246,10 @@
         self._pass_mark = (step, now)
         return (now - last_at) / (step - last_step) if step > last_step else 0.0
 
-    async def _switch_to(self, planned):
+    async def _switch_to(self, planned, pass_s):
         try:
             version = await self._switch.run(
-                _as_experts(planned), _as_experts(self._placement)
+                _as_experts(planned), _as_experts(self._placement), pass_s=pass_s
             )
         except MagnoliagradeError:
             SWITCHES.labels("failed").inc()
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/switching.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/switching.py
@@ -18,6 +18,7 @@
 
 import asyncio
 import logging
+import math
 
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
 from magnoliagrade.observability import log_event
@@ -26,14 +27,23 @@
 from magnoliagrade_agent.direct.placement_code import pack_experts
 from magnoliagrade_agent.direct.ports import RankUnreachable
 
-__all__ = ["GroupSwitch", "SwitchFailed", "is_unsettled", "next_version"]
-
-# Passes between the hold and the switch. Arming takes some 50 ms and a pass 30 ms and
-# more, so the pass is released before the group reaches it. Where an order has just
-# had no answer, arming may need several tries of 80 ms: a group that waits for a held
-# pass makes all its streams late.
-LEAD_PASSES = 8
-LEAD_PASSES_LOSSY = 24
+__all__ = [
+    "GroupSwitch",
+    "SwitchFailed",
+    "is_unsettled",
+    "lead_passes",
+    "next_version",
+]
+
+# Time between the hold and the switch. Arming takes some 50 ms, so the pass is released
+# before the group reaches it. Where an order has just had no answer, arming may need
+# several tries of 80 ms: a group that waits for a held pass makes all its streams late.
+LEAD_S = 0.25
+LEAD_LOSSY_S = 0.75
+# The shortest pass of a group (site sheets: 5 steps of 5.85 ms).
+SHORTEST_PASS_S = 0.03
+# The pass that is under way may end at once.
+LEAD_MIN_PASSES = 2
 # Versions are drawn from a range, so that an order of another coordinator, or of an
 # earlier process of this one, never carries the same version with another map.
 VERSION_STRIDE = 2**24
@@ -45,6 +55,31 @@
 _log = logging.getLogger(__name__)
 
 
+def lead_passes(pass_s, *, is_lossy=False):
+    """Return how many passes ahead a switch is armed.
+
+    Parameters
+    ----------
+    pass_s : float
+        Recent length of a pass in seconds; 0 if that is not known.
+    is_lossy : bool
+        Whether orders have just had no answer.
+
+    Notes
+    -----
+    Load pattern: one rank turns several times slower, and passes take half a second. A
+    switch that is armed many passes ahead would come when the slow time is over.
+
+    Examples
+    --------
+    >>> lead_passes(0.06), lead_passes(0.6), lead_passes(0.0)
+    (6, 2, 10)
+    """
+    lead_s = LEAD_LOSSY_S if is_lossy else LEAD_S
+    passes = math.ceil(lead_s / max(SHORTEST_PASS_S, pass_s))
+    return max(LEAD_MIN_PASSES, passes + 1)
+
+
 class SwitchFailed(MagnoliagradeError):
     """A switch did not take place; the group has its former map."""
 
@@ -110,7 +145,7 @@
         self._rng = rng
         self._last_step = 0
 
-    async def run(self, experts, former_experts):
+    async def run(self, experts, former_experts, *, pass_s=0.0):
         """Switch to a map; returns its version.
 
         Parameters
@@ -119,6 +154,8 @@
             Experts by set and rank.
         former_experts : list of list of list of int
             Map in use, which a failed switch falls back to.
+        pass_s : float, optional
+            Recent length of a pass in seconds; 0 if that is not known.
 
         Raises
         ------
@@ -137,7 +174,7 @@
         if not await self._prepare(self.ports, version, experts):
             raise SwitchFailed(f"not all ranks prepared map {version}")
         is_lossy = any(port.tries > 1 for port in self.ports)
-        lead = LEAD_PASSES_LOSSY if is_lossy else LEAD_PASSES
+        lead = lead_passes(pass_s, is_lossy=is_lossy)
         step = max(s.step for s in await self.statuses()) + lead
         step = self._last_step = max(step, self._last_step + 1)
         holder = self._holder()
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/test_switching.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/test_switching.py
@@ -28,6 +28,15 @@
     assert group.step >= 2.0 / PASS_S - 2
 
 
+def test_switch_of_a_group_with_a_slow_rank_comes_within_two_seconds():
+    # A rank is twelve times slower for some seconds: passes take 0.6 s.
+    group, clock = _group(random.Random(1), late=0.0, lost=0.0)
+    work = _switch(group, clock, 0).run([["a"]], [["b"]], pass_s=0.6)
+    asyncio.run(_play(group, clock, work, 2.0, pass_s=0.6))
+    assert {rank.version for rank in group.ranks} != {0}
+    assert group.mixed_passes == 0
+
+
 def test_no_pass_sees_two_maps_whatever_orders_do():
     switched = 0
     for seed in range(SEEDS):
@@ -84,7 +93,10 @@
     for turn in range(5):
         own = rng.randrange(2)
         pass_s = rng.choice([0.03, PASS_S, 0.4, 2.0])
-        work = _switch(group, clock, own).run([[f"map {turn}"]], [["former"]])
+        known_s = rng.choice([0.0, pass_s, rng.choice([0.03, 0.6])])
+        work = _switch(group, clock, own).run(
+            [[f"map {turn}"]], [["former"]], pass_s=known_s
+        )
         await _play(group, clock, work, rng.uniform(0.02, 4.0), pass_s=pass_s)
         if rng.random() < 0.1:
             group.form_anew()
