Ask for reports in an outage, and foresee the wait from work in flight

Right after the outage 21 requests were refused because the queue was held to be too long: nothing had been completed in the last two seconds, though all places had just been taken.

Ruled out: telling peers sooner (they are told within 50 ms).

Change: an entry asks a near server for its report every 0.4 s while a service is out; requests are let through only where no report can be had. The rate at which places come free is at least the work in flight over its usual time. A stream that goes on elsewhere counts its caller's patience from the last event, not from its arrival.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
@@ -41,6 +41,7 @@
         "_node",
         "_place",
         "has_run",
+        "last_event_at",
         "last_event_id",
         "request",
         "sent",
@@ -55,6 +56,7 @@
         self.sent = 0
         self.tried = set()
         self.last_event_id = request.last_event_id
+        self.last_event_at = None
 
     def left_s(self):
         """Return the seconds until the request has to be answered."""
@@ -79,7 +81,7 @@
         room = self._node.room_of(self.request.service)
         try:
             self._place = await room.take_place(
-                self.request, excluded=self.tried, leave_at=leave_time(self.request)
+                self.request, excluded=self.tried, leave_at=self._leave_at()
             )
         except MagnoliagradeError as exc:
             if not self.has_run:
@@ -127,6 +129,9 @@
             retry_after=retry_after_s(wait_s, self.left_s(), rng=self._node.rng),
         )
 
+    def _leave_at(self):
+        return leave_time(self.request, last_event_at=self.last_event_at)
+
     def _may_follow(self, failed):
         node = self._node
         if failed.has_run and not self.request.route.is_idempotent:
@@ -151,13 +156,22 @@
 class Attempt:
     """One attempt at one endpoint."""
 
-    __slots__ = ("_answer", "_attempts", "_began_at", "_node", "_place", "endpoint")
+    __slots__ = (
+        "_answer",
+        "_attempts",
+        "_began_at",
+        "_is_whole",
+        "_node",
+        "_place",
+        "endpoint",
+    )
 
     def __init__(self, *, node, attempts, place):
         self._node = node
         self._attempts = attempts
         self._place = place
         self._answer = None
+        self._is_whole = False
         self._began_at = node.clock.monotonic()
         self.endpoint = place.endpoint
         attempts.tried.add(place.endpoint.id)
@@ -189,6 +203,7 @@
 
     def note_success(self):
         """Note that the endpoint answered as it should."""
+        self._is_whole = True
         self._node.places.note_success(self._place)
         self.note_answer()
         ATTEMPTS.labels("whole").inc()
@@ -220,7 +235,9 @@
         """Close the connection and give the place back."""
         if self._answer is not None:
             self._answer.close()
-        self._node.room_of(self._attempts.request.service).release(self._place)
+        took_s = self._node.clock.monotonic() - self._began_at
+        room = self._node.room_of(self._attempts.request.service)
+        room.release(self._place, work_s=took_s if self._is_whole else None)
         self._node.on_load_changed(self.endpoint.id)
 
     def _is_endpoints_fault(self, failed, now):
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
@@ -19,6 +19,7 @@
 from magnoliagrade_entry.direct.knowledge import RETURN_SETTLE_S, SiteKnowledge
 from magnoliagrade_entry.direct.peers import PeerLinks, keep_registered
 from magnoliagrade_entry.direct.placement import PlaceBook
+from magnoliagrade_entry.direct.recovery import watch_recovery
 from magnoliagrade_entry.direct.retry_budget import RetryBudget
 from magnoliagrade_entry.direct.site_watch import follow_site
 from magnoliagrade_entry.direct.upstream import EndpointConnector
@@ -53,6 +54,7 @@
     """
 
     __slots__ = (
+        "_recovery_by_service",
         "_room_by_service",
         "_runners",
         "caller_address",
@@ -99,6 +101,7 @@
         self.refuses_requests = False
         self.requests_in_flight = 0
         self.door = None
+        self._recovery_by_service = {}
         self._room_by_service = {}
         self._runners = []
 
@@ -170,8 +173,18 @@
             service=service,
         )
         self.peers.tell_outage(service, is_out=is_out)
+        if is_out:
+            self.start_recovery_watch(service)
         self.wake_rooms()
 
+    def start_recovery_watch(self, service):
+        """Ask endpoints of a service that is out whether they are back."""
+        running = self._recovery_by_service.get(service)
+        if running is None or running.done():
+            self._recovery_by_service[service] = self.tasks.start(
+                watch_recovery(self, service), name=f"recovery of {service}"
+            )
+
     def on_load_changed(self, endpoint_id):
         """Note that the work in flight at an endpoint has changed."""
         self.peers.note_change(endpoint_id)
--- /dev/null
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/outages.py
@@ -0,0 +1,103 @@
+"""Which services cannot serve now, since when, and how to notice that they are back.
+
+Load pattern: a rank of an expert-parallel group crashes or is cut off, and its service
+answers nothing for some seconds.
+"""
+
+__all__ = ["OutageBook"]
+
+# One request at a time finds out whether a service is back while no report says so: a
+# group forms in 0.6 s (site sheets).
+REQUEST_PROBE_S = 0.4
+# While reports arrive, requests are not spent on finding out: twice the interval of
+# reports and a lost one.
+REPORT_SILENCE_S = 1.2
+# One refusal may be of one group among several.
+BROKEN_TO_BE_OUT = 2
+
+
+class OutageBook:
+    """Services whose group has lost a rank.
+
+    Examples
+    --------
+    >>> book = OutageBook()
+    >>> book.note_broken("s", "i-1", endpoints=1, now=5.0)
+    True
+    >>> book.age_s("s", now=7.5)
+    2.5
+    >>> book.end("s")
+    True
+    """
+
+    __slots__ = (
+        "_began_at_by_service",
+        "_broken_ids_by_service",
+        "_probe_at_by_service",
+    )
+
+    def __init__(self):
+        self._began_at_by_service = {}
+        self._broken_ids_by_service = {}
+        self._probe_at_by_service = {}
+
+    def is_out(self, service):
+        """Return whether a service counts as out."""
+        return service in self._began_at_by_service
+
+    def age_s(self, service, *, now):
+        """Return for how many seconds a service has been out; 0 if it is not."""
+        return now - self._began_at_by_service.get(service, now)
+
+    def take_probe(self, service, *, now):
+        """Return whether a request may find out now whether a service is back."""
+        if self._probe_at_by_service.get(service, now) > now:
+            return False
+        self._probe_at_by_service[service] = now + REQUEST_PROBE_S
+        return True
+
+    def note_report(self, service, *, now):
+        """Note that an endpoint has said that its group is still broken."""
+        if service in self._began_at_by_service:
+            self._probe_at_by_service[service] = now + REPORT_SILENCE_S
+
+    def note_broken(self, service, endpoint_id, *, endpoints, now):
+        """Note that an endpoint's group has lost a rank.
+
+        Parameters
+        ----------
+        service, endpoint_id : str
+            Service and the endpoint that said so.
+        endpoints : int
+            Endpoints of the service.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        has_begun : bool
+            Whether the whole service counts as out from now on.
+
+        Notes
+        -----
+        A service may have several groups: it counts as out once several endpoints in
+        a row have said so and none has answered.
+        """
+        broken = self._broken_ids_by_service.setdefault(service, set())
+        broken.add(endpoint_id)
+        if len(broken) < min(BROKEN_TO_BE_OUT, endpoints):
+            return False
+        return self.begin(service, now=now)
+
+    def begin(self, service, *, now):
+        """Note that a service is out; returns whether that is new."""
+        has_begun = service not in self._began_at_by_service
+        self._began_at_by_service.setdefault(service, now)
+        self._probe_at_by_service[service] = now + REQUEST_PROBE_S
+        return has_begun
+
+    def end(self, service):
+        """Note that a service answers; returns whether it was out."""
+        self._broken_ids_by_service.pop(service, None)
+        self._probe_at_by_service.pop(service, None)
+        return self._began_at_by_service.pop(service, None) is not None
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/overload.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/overload.py
@@ -3,7 +3,13 @@
 Load pattern: bursts of 1.5 to 2 times what the endpoints complete, for seconds.
 """
 
-__all__ = ["leave_time", "order_of", "predicted_wait_s", "retry_after_s"]
+__all__ = [
+    "completion_rate",
+    "leave_time",
+    "order_of",
+    "predicted_wait_s",
+    "retry_after_s",
+]
 
 # Callers of streams give up without a first event after two seconds, or four times
 # the latency objective if that is longer (platform pages).
@@ -23,21 +29,23 @@
 RETURN_MIN_S = 0.1
 
 
-def leave_time(request):
+def leave_time(request, *, last_event_at=None):
     """Return the time after which a place is of no use to a request.
 
     Parameters
     ----------
     request : DirectRequest
         The request.
+    last_event_at : float, optional
+        Time of the last event that the caller of a stream has got.
     """
-    if request.route.is_stream:
-        patience = max(
-            STREAM_PATIENCE_S, STREAM_PATIENCE_OBJECTIVES * request.route.objective_s
-        )
-        patience = min(patience, request.ends_at - request.arrived_at)
-        return request.arrived_at + patience - FIRST_EVENT_S
-    return request.ends_at - PLAIN_WORK_S
+    if not request.route.is_stream:
+        return request.ends_at - PLAIN_WORK_S
+    since = request.arrived_at if last_event_at is None else last_event_at
+    patience_s = max(
+        STREAM_PATIENCE_S, STREAM_PATIENCE_OBJECTIVES * request.route.objective_s
+    )
+    return min(since + patience_s, request.ends_at) - FIRST_EVENT_S
 
 
 def order_of(request, now):
@@ -61,6 +69,27 @@
     return request.priority, is_late, turn
 
 
+def completion_rate(recent_per_s, in_flight, work_s):
+    """Return the rate at which places are expected to come free.
+
+    Parameters
+    ----------
+    recent_per_s : float
+        Rate of the last seconds.
+    in_flight : int
+        Requests of this entry that hold a place.
+    work_s : float
+        Usual time that a request holds its place; 0 if that is not known.
+
+    Notes
+    -----
+    Right after an outage all places have just been taken: nothing has been completed
+    lately, and much will be soon.
+    """
+    by_work = in_flight / work_s if work_s > 0 else 0.0
+    return max(recent_per_s, by_work)
+
+
 def predicted_wait_s(waiting, completions_per_s):
     """Return how long a request that comes now would wait for a place.
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/peers.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/peers.py
@@ -175,7 +175,8 @@
     def _take_outage(self, message):
         places = self._node.places
         if message.is_out:
-            places.note_outage(message.service, now=self._node.clock.monotonic())
+            if places.note_outage(message.service, now=self._node.clock.monotonic()):
+                self._node.start_recovery_watch(message.service)
         elif places.note_answer(message.service):
             self._node.wake_rooms()
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement.py
@@ -7,6 +7,8 @@
 
 from magnoliagrade.registry import Registry
 
+from magnoliagrade_entry.direct.outages import OutageBook
+
 __all__ = ["Place", "PlaceBook", "placement_policies"]
 
 # An endpoint that failed this often in a row is left out for a while; failures by
@@ -18,11 +20,8 @@
 EJECT_MAX_S = 4.0
 # A full endpoint takes new work once one of its requests has ended.
 FULL_PAUSE_S = 0.15
-# While a group has lost a rank, one request at a time finds out whether it is back:
-# a group forms in 0.6 s (site sheets).
-OUTAGE_PROBE_S = 0.4
-# One refusal may be of one group among several.
-BROKEN_TO_BE_OUT = 2
+# An endpoint of a group that has lost a rank; a group forms in 0.6 s (site sheets).
+BROKEN_PAUSE_S = 0.4
 # An endpoint that is another incarnation than its entry says: the entry is gone after
 # three heartbeats of 1.2 s (platform pages, settings of the sites).
 REPLACED_PAUSE_S = 4.0
@@ -77,9 +76,8 @@
     """
 
     __slots__ = (
-        "_broken_ids_by_service",
         "_data_centre",
-        "_outage_until_by_service",
+        "_outages",
         "_policy",
         "_rng",
         "by_id",
@@ -90,8 +88,7 @@
         self._data_centre = data_centre
         self._rng = rng
         self._policy = placement_policies.get(policy)
-        self._broken_ids_by_service = {}
-        self._outage_until_by_service = {}
+        self._outages = OutageBook()
         self.by_id = {}
         self.ids_by_service = {}
 
@@ -184,19 +181,25 @@
         -----
         Now and then one request is let through, to find out whether that still holds.
         """
-        until = self._outage_until_by_service.get(service)
-        if until is None:
+        if not self._outages.is_out(service):
             return False
-        if until > now:
+        if not self._outages.take_probe(service, now=now):
             return True
-        self._outage_until_by_service[service] = now + OUTAGE_PROBE_S
         for place in self.places_of(service):
             place.out_until = min(place.out_until, now)
         return False
 
     def is_known_out(self, service):
         """Return whether a service counts as out."""
-        return service in self._outage_until_by_service
+        return self._outages.is_out(service)
+
+    def outage_age_s(self, service, *, now):
+        """Return for how many seconds a service has been out; 0 if it is not."""
+        return self._outages.age_s(service, now=now)
+
+    def note_report(self, service, *, now):
+        """Note that an endpoint has said that its group is still broken."""
+        self._outages.note_report(service, now=now)
 
     def note_broken_group(self, place, *, now):
         """Note that an endpoint's group has lost a rank.
@@ -205,30 +208,23 @@
         -------
         has_begun : bool
             Whether the whole service counts as out from now on.
-
-        Notes
-        -----
-        A service may have several groups: it counts as out once several endpoints in
-        a row have said so and none has answered.
         """
         service = place.endpoint.service
-        place.out_until = max(place.out_until, now + OUTAGE_PROBE_S)
-        broken = self._broken_ids_by_service.setdefault(service, set())
-        broken.add(place.endpoint.id)
-        if len(broken) < min(BROKEN_TO_BE_OUT, len(self.places_of(service))):
-            return False
-        has_begun = service not in self._outage_until_by_service
-        self.note_outage(service, now=now)
-        return has_begun
+        place.out_until = max(place.out_until, now + BROKEN_PAUSE_S)
+        return self._outages.note_broken(
+            service,
+            place.endpoint.id,
+            endpoints=len(self.places_of(service)),
+            now=now,
+        )
 
     def note_outage(self, service, *, now):
-        """Note that a service is out."""
-        self._outage_until_by_service[service] = now + OUTAGE_PROBE_S
+        """Note that a service is out; returns whether that is new."""
+        return self._outages.begin(service, now=now)
 
     def note_answer(self, service):
         """Note that a service has answered; returns whether it was out."""
-        self._broken_ids_by_service.pop(service, None)
-        if self._outage_until_by_service.pop(service, None) is None:
+        if not self._outages.end(service):
             return False
         for place in self.places_of(service):
             place.out_until = float("-inf")
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/streams.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/streams.py
@@ -244,6 +244,7 @@
         for event in events:
             if event.id:
                 self._attempts.last_event_id = event.id
+        self._attempts.last_event_at = self._node.clock.monotonic()
         await self._response.write(b"".join(event.data for event in events))
 
     async def _start(self, answer):
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_overload.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_overload.py
@@ -8,6 +8,7 @@
 
 from magnoliagrade_entry.direct.overload import (
     FIRST_EVENT_S,
+    completion_rate,
     leave_time,
     order_of,
     predicted_wait_s,
@@ -59,6 +60,12 @@
     assert _served_after_outage(ours) > 0.35
 
 
+def test_a_backlog_is_not_held_to_be_hopeless_because_nothing_was_completed_lately():
+    # Right after an outage: ten requests that take two seconds have just begun.
+    assert predicted_wait_s(3, completion_rate(0.5, 10, 2.0)) < 1.0
+    assert predicted_wait_s(3, completion_rate(0.5, 0, 0.0)) > 5.0
+
+
 def test_returns_are_spread():
     rng = random.Random(3)
     returns = [retry_after_s(1.0, 9.0, rng=rng) for _ in range(200)]
@@ -69,6 +76,7 @@
 def test_waiting_ends_before_the_caller_of_a_stream_gives_up():
     request = Arrival(arrived_at=10.0, ends_at=18.0)
     assert leave_time(request) == 10.0 + 2.0 - FIRST_EVENT_S
+    assert leave_time(request, last_event_at=13.0) == 13.0 + 2.0 - FIRST_EVENT_S
 
 
 def test_wait_grows_with_the_queue():
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_placement.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_placement.py
@@ -3,7 +3,8 @@
 from magnoliagrade.wire import EndpointWork
 from magnoliagrade.world.site import SiteEndpoint
 
-from magnoliagrade_entry.direct.placement import OUTAGE_PROBE_S, PlaceBook
+from magnoliagrade_entry.direct.outages import REQUEST_PROBE_S
+from magnoliagrade_entry.direct.placement import PlaceBook
 from magnoliagrade_entry.direct.retry_budget import RetryBudget
 from magnoliagrade_entry.direct.route_table import RouteTable
 
@@ -67,11 +68,11 @@
 def test_one_request_finds_out_whether_a_group_is_back():
     book = _book(2)
     book.note_outage("s", now=0.0)
-    assert book.is_out("s", now=OUTAGE_PROBE_S / 2)
-    assert not book.is_out("s", now=OUTAGE_PROBE_S)
-    assert book.is_out("s", now=OUTAGE_PROBE_S)
+    assert book.is_out("s", now=REQUEST_PROBE_S / 2)
+    assert not book.is_out("s", now=REQUEST_PROBE_S)
+    assert book.is_out("s", now=REQUEST_PROBE_S)
     book.note_answer("s")
-    assert not book.is_out("s", now=OUTAGE_PROBE_S)
+    assert not book.is_out("s", now=REQUEST_PROBE_S)
 
 
 def test_budgets_of_all_entries_add_up_to_less_than_the_whole():
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/waiting.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/waiting.py
@@ -7,6 +7,7 @@
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
 
 from magnoliagrade_entry.direct.overload import (
+    completion_rate,
     order_of,
     predicted_wait_s,
     retry_after_s,
@@ -17,6 +18,9 @@
 # Completions of this span give the rate at which places come free; longer than a
 # usual stream, so that each place counts.
 RATE_WINDOW_S = 2.0
+# Weight of the newest request in the usual time that one holds its place: some ten
+# requests, a few seconds of an entry's traffic.
+WORK_WEIGHT = 0.1
 
 
 @dataclass(slots=True, kw_only=True)
@@ -56,7 +60,16 @@
         Source of chance, which spreads returns.
     """
 
-    __slots__ = ("_clock", "_completions", "_places", "_rng", "_service", "waiters")
+    __slots__ = (
+        "_clock",
+        "_completions",
+        "_in_flight",
+        "_places",
+        "_rng",
+        "_service",
+        "_work_s",
+        "waiters",
+    )
 
     def __init__(self, *, service, places, clock, rng):
         self._service = service
@@ -64,6 +77,8 @@
         self._clock = clock
         self._rng = rng
         self._completions = deque()
+        self._in_flight = 0
+        self._work_s = 0.0
         self.waiters = []
 
     async def take_place(self, request, *, excluded, leave_at):
@@ -85,9 +100,9 @@
         """
         now = self._clock.monotonic()
         if self._places.is_out(self._service, now=now):
-            left_s = request.ends_at - now
-            raise self._refusal("a group has lost a rank", request, wait_s=left_s)
-        if not self.waiters:
+            raise self._outage_refusal(request, now)
+        # In an outage a request that is let through does not wait behind others.
+        if not self.waiters or self._places.is_known_out(self._service):
             place = self._choose(excluded, now)
             if place is not None:
                 return place
@@ -104,6 +119,9 @@
         try:
             return await asyncio.wait_for(waiter.future, max(0.0, leave_at - now))
         except TimeoutError:
+            now = self._clock.monotonic()
+            if self._places.is_known_out(self._service):
+                raise self._outage_refusal(request, now) from None
             raise self._refusal("no endpoint had room in time", request) from None
         except asyncio.CancelledError:
             if waiter.future.done() and not waiter.future.cancelled():
@@ -113,9 +131,21 @@
             if waiter in self.waiters:
                 self.waiters.remove(waiter)
 
-    def release(self, place):
-        """Give a place back and wake whoever it suits."""
+    def release(self, place, *, work_s=None):
+        """Give a place back and wake whoever it suits.
+
+        Parameters
+        ----------
+        place : Place
+            The place.
+        work_s : float, optional
+            Time that a whole answer took.
+        """
         place.own -= 1
+        self._in_flight -= 1
+        if work_s is not None:
+            weight = WORK_WEIGHT if self._work_s else 1.0
+            self._work_s += weight * (work_s - self._work_s)
         now = self._clock.monotonic()
         self._completions.append(now)
         while now - self._completions[0] > RATE_WINDOW_S:
@@ -124,7 +154,7 @@
 
     def wake(self):
         """Give free places to those that wait, in order."""
-        if not self.waiters:
+        if not self.waiters or self._places.is_known_out(self._service):
             return
         now = self._clock.monotonic()
         for waiter in sorted(self.waiters, key=lambda w: order_of(w.request, now)):
@@ -141,6 +171,7 @@
         place = self._places.choose(self._service, now=now, excluded=excluded)
         if place is not None:
             place.own += 1
+            self._in_flight += 1
         return place
 
     def _refuse_hopeless(self, request, excluded, leave_at, now):
@@ -159,7 +190,12 @@
 
     def _expected_wait_s(self, now):
         recent = sum(now - at <= RATE_WINDOW_S for at in self._completions)
-        return predicted_wait_s(len(self.waiters), recent / RATE_WINDOW_S)
+        rate = completion_rate(recent / RATE_WINDOW_S, self._in_flight, self._work_s)
+        return predicted_wait_s(len(self.waiters), rate)
+
+    def _outage_refusal(self, request, now):
+        left_s = request.ends_at - now
+        return self._refusal("a group has lost a rank", request, wait_s=left_s)
 
     def _refusal(self, detail, request, *, wait_s=None):
         now = self._clock.monotonic()
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/operators/endpoint.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/operators/endpoint.py
@@ -54,9 +54,12 @@
     runs: list = field(default_factory=list)
     cancelled: list = field(default_factory=list)
     headers_seen: list = field(default_factory=list)
+    reports: int = 0
 
     async def handle(self, request):
         """Serve a request."""
+        if request.path == "/report":
+            return self._report()
         self.headers_seen.append(request.headers.copy())
         request_id = request.headers.get(REQUEST_ID, "")
         expected = request.headers.get("X-Magnoliagrade-Expect-Instance")
@@ -74,6 +77,13 @@
             self.cancelled.append(request_id)
             raise
 
+    def _report(self):
+        self.reports += 1
+        is_broken = self.behaviour.fault == "broken-group"
+        state = "broken" if is_broken else "open"
+        group = {"Name": "g", "epoch": 1, "rank": 0, "State": state}
+        return web.json_response({"group": group, "size": 1, "step": 0, "Map": 0})
+
     async def _run(self, request, request_id, fault):
         if fault == "hang":
             await asyncio.sleep(3600)
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -198,6 +198,23 @@
     _run(scenario)
 
 
+def test_reports_end_an_outage_without_a_request():
+    async def scenario(site, entry):
+        endpoint = site.endpoint_by_id["model-1"]
+        endpoint.behaviour.fault = "broken-group"
+        assert (await site.call(entry, "POST", "/stream/1", data="p"))[0] == 503
+        assert entry.places.is_known_out("model")
+        seen = len(endpoint.headers_seen)
+        endpoint.behaviour.fault = ""
+        async with asyncio.timeout(5):
+            while entry.places.is_known_out("model"):
+                await asyncio.sleep(0.02)
+        assert endpoint.reports
+        assert len(endpoint.headers_seen) == seen
+
+    _run(scenario)
+
+
 def test_keys_are_not_honoured_longer_than_the_bound_without_the_store():
     async def scenario(site, entry):
         site.store.outage = "silent"
