Place less on slow ranks, and move streams off very slow ones

Cause: a pass lasts as long as the slowest rank's own part, which grows with that rank's requests. Entries cannot see it: all ranks step together, and each report they ask for is priced.

Ruled out: the map (planned and switched within 1.4 s, five times).

Change: the coordinator's agent, which reads the pace of all ranks for nothing, writes slow ranks under a key of the store, renewed every 2 s while there are any; entries hear of it by the watch that they have anyway, and forget it after 6 s. A rank of pace p gets at most 1/p of its slots, and counts as p times as loaded. Resumable streams leave a rank of pace 3 and more where another endpoint has room and the retry budget allows it.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
@@ -9,6 +9,7 @@
 
 from magnoliagrade_agent.direct.ports import OwnPort, RankUnreachable, ask_briefly
 from magnoliagrade_agent.direct.rank_directory import RankDirectory, formation_of
+from magnoliagrade_agent.direct.slow_ranks import SlowRankNotice
 from magnoliagrade_agent.direct.switching import (
     GroupSwitch,
     is_next_pass_held,
@@ -86,6 +87,7 @@
         "_placement",
         "_placement_version",
         "_ports",
+        "_slow_ranks",
         "_progress",
         "_progress_at",
         "_standing_pass_s",
@@ -101,6 +103,7 @@
         self._failure = ""
         self._is_calm = False
         self._find_at = 0.0
+        self._slow_ranks = SlowRankNotice(store=node.store, clock=node.clock)
         self._progress = None
         self._progress_at = 0.0
         self._standing_pass_s = 0.0
@@ -194,6 +197,13 @@
             *(port.counts(status.epoch) for port in self._ports)
         )
         statuses = [state for state, _ in states]
+        await self._slow_ranks.update(
+            status.group,
+            {
+                self._address_of(port): state.pace
+                for port, state in zip(self._ports, statuses, strict=True)
+            },
+        )
         if any(is_unsettled(status) for status in statuses):
             experts = await self._experts_in_use(statuses)
             await self._switch.settle(experts)
@@ -201,6 +211,9 @@
             return
         await self._balance(statuses, [counts for _, counts in states])
 
+    def _address_of(self, port):
+        return self._node.settings.server_address if port is self._own else port.name
+
     async def _take_formation(self, status, *, may_miss=""):
         """Find the ranks anew if the group has formed anew."""
         if formation_of(status) == self._formation and self._switch:
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/planning.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/planning.py
@@ -13,6 +13,8 @@
     step_time,
 )
 
+from magnoliagrade_agent.direct.slow_ranks import SLOW_PACE
+
 __all__ = [
     "CountWindow",
     "first_placement",
@@ -37,9 +39,6 @@
 # The same as parts of the slots in use: close to full, shorter passes are capacity.
 SLOTS_FROM = 0.55
 SLOTS_FULL = 0.85
-# A rank this much slower than usual makes passes long at any load: half of what the
-# least slow servers of the sites' days lose (1.6).
-SLOW_PACE = 1.3
 # Part of a pass that one copied expert has to save at full pressure: its price (site
 # files) over what callers gain by the same part in the 3 s until the next shift.
 LEAST_GAIN_PER_COPY = 0.0015
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/test_coordinator.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/test_coordinator.py
@@ -22,7 +22,9 @@
 def test_an_answer_of_another_shape_does_not_end_coordination():
     async def scenario():
         clock = ManualClock()
-        node = SimpleNamespace(clock=clock, member=None, silent_s=lambda: 0.0)
+        node = SimpleNamespace(
+            clock=clock, member=None, store=None, silent_s=lambda: 0.0
+        )
         coordinator = Coordinator(node=node)
         coordinator._own = port = OddPort()
         task = asyncio.create_task(coordinator.run())
@@ -66,7 +68,7 @@
 
 
 def _standby(clock):
-    node = SimpleNamespace(clock=clock, member=None, silent_s=lambda: 0.0)
+    node = SimpleNamespace(clock=clock, member=None, store=None, silent_s=lambda: 0.0)
     return Coordinator(node=node)
 
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
@@ -19,6 +19,9 @@
 # A request whose own time ended sooner says nothing about its endpoint: several times
 # the mean work of a plain call (site sheets: 45 ms).
 SLOW_S = 0.3
+# Streams leave a rank this much slower than usual: reading a prompt again takes some
+# 15 ms, and the rank's own part of a pass is then longer than all of a usual pass.
+MOVE_PACE = 3.0
 
 ATTEMPTS = Counter(
     "magnoliagrade_direct_attempts_total", "Attempts at endpoints", ["result"]
@@ -116,7 +119,7 @@
             What the caller is told otherwise.
         """
         self.has_run = self.has_run or failed.has_run
-        if self._may_follow(failed):
+        if failed.is_moved or self._may_follow(failed):
             return
         if failed.has_run:
             raise failed
@@ -195,6 +198,27 @@
             raise
         return self._answer
 
+    def take_move(self):
+        """Return whether the stream is to go on at a faster endpoint now.
+
+        Notes
+        -----
+        Load pattern: one rank turns several times slower, and its streams make every
+        pass of the group as long. A move takes from the retry budget and only happens
+        where another endpoint has room.
+        """
+        node, attempts = self._node, self._attempts
+        now = node.clock.monotonic()
+        if self._place.pace_at(now) < MOVE_PACE or not attempts.may_repeat():
+            return False
+        service = attempts.request.service
+        if node.room_of(service).waiters or node.places.is_known_out(service):
+            return False
+        place = node.places.choose(service, now=now, excluded=attempts.tried)
+        if place is None or place.pace_at(now) >= MOVE_PACE:
+            return False
+        return node.retry_budget.take(service, now=now)
+
     def note_answer(self):
         """Note that the service serves requests."""
         service = self._attempts.request.service
@@ -213,7 +237,9 @@
         """Note how the attempt failed, and leave the endpoint out if need be."""
         now = self._node.clock.monotonic()
         is_out = False
-        if failed.is_group_broken:
+        if failed.is_moved:
+            pass
+        elif failed.is_group_broken:
             if self._node.places.note_broken_group(self._place, now=now):
                 self._node.on_outage(self._attempts.request.service, is_out=True)
         elif failed.is_replaced:
@@ -223,7 +249,8 @@
             self._node.places.note_full(self._place, now=now)
         elif self._is_endpoints_fault(failed, now):
             is_out = self._node.places.note_failure(self._place, now=now)
-        ATTEMPTS.labels(failed.kind.value.lower()).inc()
+        result = "moved" if failed.is_moved else failed.kind.value.lower()
+        ATTEMPTS.labels(result).inc()
         self._log(
             failed.kind.value,
             detail=failed.detail,
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
@@ -160,6 +160,7 @@
             for endpoint in knowledge.endpoints_of(service)
         ]
         self.places.update(endpoints)
+        self.places.take_slow_ranks(knowledge.slow_ranks_by_group.values())
         self._apply_limits(configuration.limits)
         self.peers.update()
         self.wake_rooms()
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge.py
@@ -1,14 +1,17 @@
 """What an entry believes about its site, and as of when."""
 
 import logging
+from dataclasses import dataclass
 
 from magnoliagrade.observability import log_event
 from magnoliagrade.platform import (
+    SLOW_RANKS_LIFE_S,
     ConfigurationItem,
     EndpointItem,
     EvacuationItem,
     FormatError,
     InstanceItem,
+    SlowRanksItem,
     decode_item,
 )
 
@@ -23,6 +26,14 @@
 _log = logging.getLogger(__name__)
 
 
+@dataclass(slots=True, kw_only=True)
+class SlowRanks:
+    """Pace of a group's slow ranks by address, and the time until which it holds."""
+
+    pace_by_address: dict
+    until: float
+
+
 class SiteKnowledge:
     """Configuration, endpoints, evacuated data centres and other entries.
 
@@ -43,6 +54,7 @@
         "evacuated",
         "link_address_by_name",
         "route_table",
+        "slow_ranks_by_group",
         "store_returned_at",
     )
 
@@ -57,6 +69,7 @@
         self.evacuated = set()
         self.link_address_by_name = {}
         self.route_table = RouteTable(routes=[])
+        self.slow_ranks_by_group = {}
         self.store_returned_at = float("-inf")
 
     @property
@@ -176,11 +189,29 @@
                 data_centre_changed=item.data_centre,
                 revision=revision,
             )
+        elif isinstance(item, SlowRanksItem):
+            self._apply_slow_ranks(item, revision)
         elif isinstance(item, InstanceItem) and item.address:
             self.link_address_by_name[item.name] = item.address
         elif isinstance(item, InstanceItem):
             self.link_address_by_name.pop(item.name, None)
 
+    def _apply_slow_ranks(self, item, revision):
+        known = self.slow_ranks_by_group.pop(item.group, None)
+        if item.pace_by_address:
+            self.slow_ranks_by_group[item.group] = SlowRanks(
+                pace_by_address=item.pace_by_address,
+                until=self._clock.monotonic() + SLOW_RANKS_LIFE_S,
+            )
+        if known is None or known.pace_by_address != item.pace_by_address:
+            log_event(
+                _log,
+                "site.slow_ranks",
+                group=item.group,
+                pace_by_address=item.pace_by_address,
+                revision=revision,
+            )
+
     def _apply_configuration(self, configuration, revision):
         if configuration is None or configuration.version <= self.version:
             # A version never goes back within the life of a process.
@@ -260,4 +291,4 @@
 def _without_value(key):
     # What cannot be read names no endpoint; a configuration stays as it was.
     item = decode_item(key, None)
-    return item if isinstance(item, EndpointItem) else None
+    return item if isinstance(item, (EndpointItem, SlowRanksItem)) else None
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement.py
@@ -48,6 +48,10 @@
         Failures in a row.
     out_until : float
         Time until which it is left out.
+    pace : float
+        Time that its work takes, as a multiple of the usual.
+    slow_until : float
+        Time until which that pace holds.
     """
 
     endpoint: object
@@ -55,6 +59,12 @@
     peers_by_name: dict = field(default_factory=dict)
     failures: int = 0
     out_until: float = float("-inf")
+    pace: float = 1.0
+    slow_until: float = float("-inf")
+
+    def pace_at(self, now):
+        """Return the pace that holds at a time."""
+        return self.pace if now < self.slow_until else 1.0
 
     @property
     def load(self):
@@ -128,15 +138,37 @@
         excluded : collection of str
             Ids of endpoints that were tried.
         """
+        places = self.places_of(service)
+        best_pace = min((place.pace_at(now) for place in places), default=1.0)
         free = [
             place
-            for place in self.places_of(service)
+            for place in places
             if place.endpoint.id not in excluded
             and place.out_until <= now
-            and place.load < place.endpoint.slots
+            and place.load < _room(place, place.pace_at(now) / best_pace)
             and (not place.failures or not place.own)
         ]
-        return self._policy(free, self._data_centre, self._rng) if free else None
+        if not free:
+            return None
+        return self._policy(free, self._data_centre, self._rng, now)
+
+    def take_slow_ranks(self, notices):
+        """Take over the paces of slow ranks.
+
+        Parameters
+        ----------
+        notices : iterable of SlowRanks
+            One for each group that has any.
+        """
+        pace_and_end = {
+            address: (pace, notice.until)
+            for notice in notices
+            for address, pace in notice.pace_by_address.items()
+        }
+        usual = (1.0, float("-inf"))
+        for place in self.by_id.values():
+            address = place.endpoint.address
+            place.pace, place.slow_until = pace_and_end.get(address, usual)
 
     def return_time(self, service, *, now):
         """Return when the first place that is left out comes back, or None.
@@ -254,17 +286,27 @@
 
 
 @placement_policies.register("least-loaded")
-def _least_loaded(places, data_centre, rng):
+def _least_loaded(places, data_centre, rng, now):
     """Even load: ranks step together, so the fullest endpoint slows all of them."""
 
     def cost(place):
         far = place.endpoint.data_centre != data_centre
-        return place.load + FAR_PENALTY * far, rng.random()
+        work = (place.load + 1) * place.pace_at(now)
+        return work + FAR_PENALTY * far, rng.random()
 
     return min(places, key=cost)
 
 
 @placement_policies.register("random")
-def _random(places, _data_centre, rng):
+def _random(places, _data_centre, rng, _now):
     """Baseline."""
     return rng.choice(places)
+
+
+def _room(place, pace):
+    """Return how many requests an endpoint is given.
+
+    A rank's own part of a pass grows with its requests and its pace; beyond this it is
+    longer than that of a full rank of the usual pace, and slows the whole group.
+    """
+    return int(place.endpoint.slots / pace)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/streams.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/streams.py
@@ -204,6 +204,13 @@
             if events:
                 attempt.note_answer()
                 await self._write(answer, events)
+                if not reader.has_rest and attempt.take_move():
+                    raise AttemptFailed(
+                        ErrorKind.UPSTREAM_FAILED,
+                        f"{attempt.endpoint.id} is slow",
+                        has_run=True,
+                        is_moved=True,
+                    )
         if reader.has_rest:
             raise AttemptFailed(
                 ErrorKind.ANSWER_BROKEN,
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_knowledge.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_knowledge.py
@@ -1,6 +1,7 @@
 import json
 
 from magnoliagrade.clock import ManualClock
+from magnoliagrade.platform import encode_slow_ranks, slow_ranks_key
 from magnoliagrade.store import StoreValue
 
 from magnoliagrade_entry.direct.knowledge import RETURN_SETTLE_S, SiteKnowledge
@@ -125,6 +126,20 @@
     assert [e.id for e in knowledge.endpoints_of("s")] == ["i-1"]
 
 
+def test_slow_ranks_are_known_until_they_are_taken_back():
+    knowledge, clock = _knowledge()
+    value = encode_slow_ranks({"10.0.0.1:80": 5.0})
+    knowledge.apply(slow_ranks_key("g"), value, 20)
+    slow = knowledge.slow_ranks_by_group["g"]
+    assert slow.pace_by_address == {"10.0.0.1:80": 5.0}
+    assert slow.until > clock.monotonic()
+    knowledge.apply(slow_ranks_key("g"), b'{"pace_by_address": {"a": "x"}}', 21)
+    assert "g" not in knowledge.slow_ranks_by_group
+    knowledge.apply(slow_ranks_key("g"), value, 22)
+    knowledge.apply(slow_ranks_key("g"), None, 23)
+    assert not knowledge.slow_ranks_by_group
+
+
 def test_a_listing_deletes_what_it_lacks():
     knowledge, _ = _knowledge()
     value = StoreValue(key="op/config", value=_bytes(CONFIGURATION), revision=3)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_placement.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_placement.py
@@ -3,6 +3,7 @@
 from magnoliagrade.wire import EndpointWork
 from magnoliagrade.world.site import SiteEndpoint
 
+from magnoliagrade_entry.direct.knowledge import SlowRanks
 from magnoliagrade_entry.direct.outages import REQUEST_PROBE_S
 from magnoliagrade_entry.direct.placement import PlaceBook
 from magnoliagrade_entry.direct.retry_budget import RetryBudget
@@ -15,6 +16,27 @@
     assert _peak_load("random") >= 6
 
 
+def test_a_slow_rank_gets_less_and_a_very_slow_one_nothing_until_the_notice_ends():
+    for pace, expected in ((1.6, 3), (5.0, 1), (12.0, 0)):
+        book = _book(3)
+        notice = SlowRanks(pace_by_address={"10.0.0.0:80": pace}, until=9.0)
+        book.take_slow_ranks([notice])
+        while (place := book.choose("s", now=5.0)) is not None:
+            place.own += 1
+        assert book.by_id["i-0"].own == expected, pace
+        assert book.by_id["i-1"].own == book.by_id["i-2"].own == 6
+        assert book.choose("s", now=9.0) is book.by_id["i-0"]
+
+
+def test_endpoints_that_are_all_slow_are_used_evenly():
+    book = _book(2)
+    paces = {"10.0.0.0:80": 12.0, "10.0.0.1:80": 12.0}
+    book.take_slow_ranks([SlowRanks(pace_by_address=paces, until=9.0)])
+    for _ in range(12):
+        book.choose("s", now=5.0).own += 1
+    assert book.choose("s", now=5.0) is None
+
+
 def test_a_full_endpoint_gets_nothing_more():
     book = _book(2)
     for _ in range(12):
@@ -124,7 +146,7 @@
         SiteEndpoint(
             id=f"i-{number}",
             service="s",
-            address="10.0.0.1:80",
+            address=f"10.0.0.{number}:80",
             data_centre=f"dc-{number % 3}",
             slots=6,
         )
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/upstream.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/upstream.py
@@ -38,6 +38,8 @@
         Whether the endpoint refused it for lack of room.
     is_group_broken : bool
         Whether the endpoint refused it because its group has lost a rank.
+    is_moved : bool
+        Whether this entry ended it itself, to go on at a faster endpoint.
     is_replaced : bool
         Whether another incarnation refused it than the one that it was sent to.
     was_sent : bool
@@ -54,6 +56,7 @@
         has_run,
         is_full=False,
         is_group_broken=False,
+        is_moved=False,
         is_replaced=False,
         was_sent=True,
         answer=None,
@@ -62,6 +65,7 @@
         self.has_run = has_run
         self.is_full = is_full
         self.is_group_broken = is_group_broken
+        self.is_moved = is_moved
         self.is_replaced = is_replaced
         self.was_sent = was_sent
         self.answer = answer
--- a/packages/magnoliagrade/magnoliagrade/platform/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/__init__.py
@@ -16,20 +16,25 @@
     request_id_of,
 )
 from magnoliagrade.platform.items import (
+    SLOW_RANKS_LIFE_S,
     ConfigurationItem,
     EndpointItem,
     EvacuationItem,
     InstanceItem,
+    SlowRanksItem,
     decode_item,
     encode_instance,
+    encode_slow_ranks,
     fetch_configuration,
     instance_key,
     list_endpoints,
+    slow_ranks_key,
 )
 from magnoliagrade.platform.ranks import OrderOutcome, RankServer
 from magnoliagrade.platform.store import HistoryLost, PlatformStore, StoreEvent
 
 __all__ = [
+    "SLOW_RANKS_LIFE_S",
     "ConfigurationItem",
     "EndpointItem",
     "EvacuationItem",
@@ -39,6 +44,7 @@
     "OrderOutcome",
     "PlatformStore",
     "RankServer",
+    "SlowRanksItem",
     "StoreEvent",
     "answer_headers",
     "answer_identity",
@@ -47,6 +53,7 @@
     "decode_endpoint",
     "decode_item",
     "encode_instance",
+    "encode_slow_ranks",
     "endpoint_headers",
     "event_id_of",
     "fetch_configuration",
@@ -57,4 +64,5 @@
     "key_of",
     "list_endpoints",
     "request_id_of",
+    "slow_ranks_key",
 ]
--- a/packages/magnoliagrade/magnoliagrade/platform/items.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/items.py
@@ -7,19 +7,23 @@
 from magnoliagrade.observability import log_event
 from magnoliagrade.platform.configuration import decode_configuration
 from magnoliagrade.platform.endpoints import decode_endpoint
-from magnoliagrade.platform.fields import FormatError, load, text
+from magnoliagrade.platform.fields import FormatError, load, number, optional, text
 from magnoliagrade.world.site import SiteConfiguration, SiteEndpoint
 
 __all__ = [
+    "SLOW_RANKS_LIFE_S",
     "ConfigurationItem",
     "EndpointItem",
     "EvacuationItem",
     "InstanceItem",
+    "SlowRanksItem",
     "decode_item",
     "encode_instance",
+    "encode_slow_ranks",
     "fetch_configuration",
     "instance_key",
     "list_endpoints",
+    "slow_ranks_key",
 ]
 
 _log = logging.getLogger(__name__)
@@ -28,6 +32,10 @@
 _EVACUATION_PREFIX = "op/evacuate/"
 _ENDPOINT_PREFIX = "servers/"
 _INSTANCE_PREFIX = "magnoliagrade/instances/"
+_SLOW_RANKS_PREFIX = "magnoliagrade/slow-ranks/"
+# A notice of slow ranks holds for so long after it was seen, should its coordinator
+# stop; servers of the sites' days are slow for 4 to 9 s.
+SLOW_RANKS_LIFE_S = 6.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -61,6 +69,14 @@
     address: str
 
 
+@dataclass(slots=True, kw_only=True)
+class SlowRanksItem:
+    """Pace of the slow ranks of a group, by their servers' addresses."""
+
+    group: str
+    pace_by_address: dict
+
+
 def decode_item(key, value):
     """Return what a key of the store says.
 
@@ -95,6 +111,11 @@
         name = key.removeprefix(_INSTANCE_PREFIX)
         address = "" if value is None else text(load(value), "link_address")
         return InstanceItem(name=name, address=address)
+    if key.startswith(_SLOW_RANKS_PREFIX):
+        return SlowRanksItem(
+            group=key.removeprefix(_SLOW_RANKS_PREFIX),
+            pace_by_address={} if value is None else _paces(load(value)),
+        )
     return None
 
 
@@ -137,6 +158,21 @@
     return _INSTANCE_PREFIX + name
 
 
+def slow_ranks_key(group):
+    """Return the key under which the slow ranks of a group stand."""
+    return _SLOW_RANKS_PREFIX + group
+
+
+def encode_slow_ranks(pace_by_address):
+    """Return the value that names slow ranks."""
+    return json.dumps({"pace_by_address": pace_by_address}).encode()
+
+
+def _paces(document):
+    paces = optional(document, "pace_by_address") or {}
+    return {address: number(paces, address, low=0.1) for address in paces}
+
+
 def encode_instance(link_address):
     """Return the value that an own process writes of itself."""
     return json.dumps({"link_address": link_address}).encode()
--- a/packages/magnoliagrade/magnoliagrade/platform/store.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/store.py
@@ -127,6 +127,15 @@
             raise StoreConflict(f"lease {lease} of key {key} has ended")
         return answer.body["Revision"]
 
+    async def delete(self, key, *, purpose):
+        """Delete a key, whether it exists or not."""
+        await self._call(
+            "POST",
+            "/kv-txn",
+            document={"Precondition": [], "Writes": [], "Deletes": [key]},
+            why=purpose,
+        )
+
     async def grant_lease(self, ttl_s, *, purpose):
         """Return the id of a new lease."""
         answer = await self._call(
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import aiohttp
+from magnoliagrade.platform import slow_ranks_key
 from magnoliagrade_standins.operators import (
     OperatorsSite,
     configuration_document,
@@ -147,6 +148,28 @@
     _run(scenario, model=2, retry_extra=1000.0)
 
 
+def test_stream_leaves_a_rank_that_turns_slow():
+    async def scenario(site, entry):
+        slow, other = (site.endpoint_by_id[f"model-{n}"] for n in (1, 2))
+        for endpoint in (slow, other):
+            endpoint.behaviour.delay_s = 0.1
+            endpoint.behaviour.events = 12
+        stream = asyncio.create_task(site.call(entry, "POST", "/stream/1", data="p"))
+        async with asyncio.timeout(5):
+            while not slow.runs:
+                await asyncio.sleep(0.01)
+        entry.places.by_id["model-2"].out_until = 0.0
+        address = entry.places.by_id["model-1"].endpoint.address
+        site.store.put(slow_ranks_key("g"), {"pace_by_address": {address: 12.0}})
+        status, _, text = await stream
+        assert status == 200
+        assert text == "".join(f"id: {n}\ndata: {n}\n\n" for n in range(1, 13))
+        assert len(slow.runs) == len(other.runs) == 1
+        assert slow.cancelled
+
+    _run(scenario, model=2, only="model-1")
+
+
 def test_stream_that_cannot_go_on_does_not_look_complete():
     async def scenario(site, entry):
         site.endpoint_by_id["model-1"].behaviour.fault = "cut-stream"
