Accept callers before the libraries are imported

Most of that time is spent on importing libraries, 80 ms of it on certificates that nobody uses. Those who came before the first configuration was read, 0.1 s later, were refused.

Ruled out: the restart itself (the platform's), reading the configuration (two calls).

Change: the listener for callers is opened from the settings file before anything else is imported; requests of a process's first 0.4 s wait for the configuration. The HTTP library is pointed to no certificates.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/__main__.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/__main__.py
@@ -2,9 +2,18 @@
 
 import sys
 
-from magnoliagrade.node import serve_node
+from magnoliagrade.early_start import leave_out_certificates
+
+
+def main(file):
+    """Import what an agent needs and serve."""
+    leave_out_certificates()
+    from magnoliagrade.node import serve_node
+
+    from magnoliagrade_agent.direct import DirectAgent, DirectAgentSettings
+
+    serve_node(DirectAgent, DirectAgentSettings, file, bounds_logs=True)
 
-from magnoliagrade_agent.direct import DirectAgent, DirectAgentSettings
 
 if __name__ == "__main__":
-    serve_node(DirectAgent, DirectAgentSettings, sys.argv[1], bounds_logs=True)
+    main(sys.argv[1])
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/__main__.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/__main__.py
@@ -1,10 +1,22 @@
 """Runs a direct entry: `python -m magnoliagrade_entry.direct FILE`."""
 
+import functools
 import sys
 
-from magnoliagrade.node import serve_node
+from magnoliagrade.early_start import leave_out_certificates, open_listener
+
+
+def main(file):
+    """Listen for callers, then import the rest and serve."""
+    listener = open_listener(file, section="listen", option="caller_address")
+    leave_out_certificates()
+    from magnoliagrade.node import serve_node
+
+    from magnoliagrade_entry.direct import DirectEntry, DirectSettings
+
+    node_class = functools.partial(DirectEntry, listener=listener)
+    serve_node(node_class, DirectSettings, file, bounds_logs=True)
 
-from magnoliagrade_entry.direct import DirectEntry, DirectSettings
 
 if __name__ == "__main__":
-    serve_node(DirectEntry, DirectSettings, sys.argv[1], bounds_logs=True)
+    main(sys.argv[1])
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/arrival.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/arrival.py
@@ -1,6 +1,7 @@
 """From an HTTP request of a caller to a checked request."""
 
 import asyncio
+import contextlib
 from dataclasses import dataclass
 
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
@@ -19,6 +20,9 @@
 STORE_RETRY_S = 1.0
 # Sent by an entry that stops: another one takes the request at once.
 LEAVING_RETRY_S = 0.05
+# The first configuration is read within some 0.1 s of the start; the store takes up to
+# some hundred ms on slow days. Callers wait for a third of a second at least.
+FIRST_READ_S = 0.4
 # Waited for where a caller names no deadline.
 DEADLINE_DEFAULT_S = 30.0
 
@@ -96,6 +100,8 @@
     if not target.startswith("/"):
         raise MagnoliagradeError(ErrorKind.INVALID_REQUEST, "the target is no path")
     knowledge = node.knowledge
+    if knowledge.configuration is None:
+        await _await_configuration(node)
     if knowledge.configuration is None:
         raise MagnoliagradeError(
             ErrorKind.NOT_RUN,
@@ -126,6 +132,14 @@
     )
 
 
+async def _await_configuration(node):
+    """Wait for the first configuration, if this process has just started."""
+    left_s = node.started_at + FIRST_READ_S - node.clock.monotonic()
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(max(0.0, left_s)):
+            await node.configured.wait()
+
+
 def _organisation(node, headers, route):
     by_key = node.knowledge.configuration.organisation_by_key
     if by_key is None:
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
@@ -51,14 +51,18 @@
         Checked settings.
     clock : Clock, optional
         Source of time; the system's by default.
+    listener : socket.socket, optional
+        Socket that listens for callers already.
     """
 
     __slots__ = (
+        "_listener",
         "_recovery_by_service",
         "_room_by_service",
         "_runners",
         "caller_address",
         "clock",
+        "configured",
         "door",
         "identity",
         "is_leaving",
@@ -71,13 +75,14 @@
         "retry_budget",
         "rng",
         "settings",
+        "started_at",
         "store",
         "store_session",
         "tasks",
         "upstream_session",
     )
 
-    def __init__(self, *, settings, clock=None):
+    def __init__(self, *, settings, clock=None, listener=None):
         self.settings = settings
         self.clock = clock or SystemClock()
         self.identity = InstanceIdentity(
@@ -101,6 +106,9 @@
         self.refuses_requests = False
         self.requests_in_flight = 0
         self.door = None
+        self._listener = listener
+        self.configured = asyncio.Event()
+        self.started_at = self.clock.monotonic()
         self._recovery_by_service = {}
         self._room_by_service = {}
         self._runners = []
@@ -110,7 +118,10 @@
         settings = self.settings
         self._open_clients()
         self.door, self.caller_address = await start_door(
-            make_caller_door(self), settings.caller_address, limits=DoorLimits()
+            make_caller_door(self),
+            settings.caller_address,
+            limits=DoorLimits(),
+            listener=self._listener,
         )
         for routes, address in (
             (ready_routes(self), settings.ready_address),
@@ -154,6 +165,7 @@
         configuration = knowledge.configuration
         if configuration is None:
             return
+        self.configured.set()
         endpoints = [
             endpoint
             for service in configuration.service_by_name
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/operators/site.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/operators/site.py
@@ -80,8 +80,8 @@
         """Write the operators' configuration."""
         self.store.put("op/config", document)
 
-    async def add_entry(self, **fields):
-        """Start an entry and wait until it is ready."""
+    async def add_entry(self, *, awaits_ready=True, **fields):
+        """Start an entry and, unless told otherwise, wait until it is ready."""
         settings = DirectSettings(
             name=f"entry-{len(self.entries)}",
             data_centre="dc-1",
@@ -95,6 +95,8 @@
         entry = DirectEntry(settings=settings)
         await entry.start()
         self.entries.append(entry)
+        if not awaits_ready:
+            return entry
         async with asyncio.timeout(READY_WAIT_S):
             while entry.reasons_not_ready() or len(entry.places.by_id) < len(
                 self.endpoint_by_id
--- a/packages/magnoliagrade/magnoliagrade/http/server.py
+++ b/packages/magnoliagrade/magnoliagrade/http/server.py
@@ -50,7 +50,7 @@
     idle_timeout_s: float = 600.0
 
 
-async def start_door(handle, address, *, limits, is_internal=False):
+async def start_door(handle, address, *, limits, is_internal=False, listener=None):
     """Serve a door and return its runner and bound address.
 
     Parameters
@@ -63,6 +63,8 @@
         What a connection may ask.
     is_internal : bool
         Whether own processes are on the other side.
+    listener : socket.socket, optional
+        Socket that listens on the address already.
 
     Returns
     -------
@@ -82,7 +84,7 @@
         is_internal=is_internal,
     )
     runner = web.ServerRunner(server)
-    return runner, await listen(runner, address)
+    return runner, await listen(runner, address, listener=listener)
 
 
 def change_limits(runner, limits):
@@ -103,7 +105,7 @@
         connection._keepalive_timeout = limits.idle_timeout_s
 
 
-async def listen(runner, address):
+async def listen(runner, address, *, listener=None):
     """Let a runner listen and return the bound address.
 
     Parameters
@@ -112,6 +114,8 @@
         A runner that is not set up yet.
     address : str
         `host:port`; port 0 takes a free one.
+    listener : socket.socket, optional
+        Socket that listens on the address already.
 
     Returns
     -------
@@ -120,7 +124,11 @@
     """
     host, _, port = address.rpartition(":")
     await runner.setup()
-    await web.TCPSite(runner, host, int(port), backlog=BACKLOG_CONNECTIONS).start()
+    if listener is None:
+        site = web.TCPSite(runner, host, int(port), backlog=BACKLOG_CONNECTIONS)
+    else:
+        site = web.SockSite(runner, listener, backlog=BACKLOG_CONNECTIONS)
+    await site.start()
     bound_host, bound_port = runner.addresses[0][:2]
     return f"{bound_host}:{bound_port}"
 
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 from magnoliagrade.platform import slow_ranks_key
+from magnoliagrade_entry.direct.arrival import FIRST_READ_S
 from magnoliagrade_standins.operators import (
     OperatorsSite,
     configuration_document,
@@ -253,6 +254,32 @@
     _run(scenario, revoke_ms=1700)
 
 
+def test_entry_that_has_just_started_lets_callers_wait_for_its_first_configuration():
+    async def scenario():
+        async with asyncio.timeout(TEST_LIMIT_S), OperatorsSite() as site:
+            await site.add_endpoint("plain-1", "plain")
+            entry = await site.add_entry(awaits_ready=False)
+            early = asyncio.create_task(site.call(entry, "GET", "/look/1"))
+            await asyncio.sleep(0.1)
+            assert not early.done()
+            site.configure(configuration_document(3, ROUTES))
+            assert (await early)[0] == 200
+
+    asyncio.run(scenario())
+
+
+def test_entry_without_a_configuration_refuses_once_it_is_no_longer_new():
+    async def scenario():
+        async with asyncio.timeout(TEST_LIMIT_S), OperatorsSite() as site:
+            entry = await site.add_entry(awaits_ready=False)
+            status, headers, _ = await site.call(entry, "GET", "/look/1")
+            assert status == 503
+            assert "Retry-After" in headers
+            assert entry.clock.monotonic() >= entry.started_at + FIRST_READ_S
+
+    asyncio.run(scenario())
+
+
 def test_change_of_key_route_and_endpoint_is_in_force_without_a_restart():
     async def scenario(site, entry):
         site.configure(configuration_document(9, ROUTES[:1], keys=["key-2"]))
