Place nothing on ranks of pace two and more

Reading one prompt of 800 tokens at 61 a ms takes a slow rank as long as a usual pass.

Ruled out: the map (switched at 13.2, skew 1.2 to 1.4), streams already there (moved).

Change: a rank of pace 2 and more gets nothing while others are faster.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement.py
@@ -25,6 +25,9 @@
 # An endpoint that is another incarnation than its entry says: the entry is gone after
 # three heartbeats of 1.2 s (platform pages, settings of the sites).
 REPLACED_PAUSE_S = 4.0
+# A rank this much slower than the others gets nothing: reading one prompt there takes
+# as long as a usual pass of a full rank, and all ranks wait for it.
+AVOID_PACE = 2.0
 # Requests in flight that weigh as much as the way to another data centre: nearly one,
 # so that even load goes first.
 FAR_PENALTY = 0.9
@@ -309,4 +312,4 @@
     A rank's own part of a pass grows with its requests and its pace; beyond this it is
     longer than that of a full rank of the usual pace, and slows the whole group.
     """
-    return int(place.endpoint.slots / pace)
+    return 0 if pace >= AVOID_PACE else int(place.endpoint.slots / pace)
