Leave an endpoint out after four requests in a row that took too long

Cause: some requests last longer than their route allows, at any endpoint.

Ruled out: endpoints that were really slow then (their other answers came in 50 ms).

Change: of plain requests, four timeouts in a row are needed, other failures two as before. An endpoint that failed last gets one request of an entry at a time, as before.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
@@ -248,7 +248,12 @@
         elif failed.is_full:
             self._node.places.note_full(self._place, now=now)
         elif self._is_endpoints_fault(failed, now):
-            is_out = self._node.places.note_failure(self._place, now=now)
+            is_plain = not self._attempts.request.route.is_stream
+            is_out = self._node.places.note_failure(
+                self._place,
+                now=now,
+                is_timeout=is_plain and failed.kind is ErrorKind.DEADLINE,
+            )
         result = "moved" if failed.is_moved else failed.kind.value.lower()
         ATTEMPTS.labels(result).inc()
         self._log(
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement.py
@@ -14,6 +14,9 @@
 # An endpoint that failed this often in a row is left out for a while; failures by
 # chance are one in seven (site sheets).
 FAILURES_TO_EJECT = 2
+# The same for requests that took too long: some take longer than their route allows at
+# any endpoint, and an entry sends an endpoint of a plain service few others.
+TIMEOUTS_TO_EJECT = 4
 # Longer than a lookup's objective, shorter than a stall of a group.
 EJECT_FIRST_S = 0.5
 # The usual length of a crash in the sites' days.
@@ -269,12 +272,23 @@
         """Note that an endpoint answered."""
         place.failures = 0
 
-    def note_failure(self, place, *, now):
-        """Note that an endpoint failed; returns whether it is left out now."""
+    def note_failure(self, place, *, now, is_timeout=False):
+        """Note that an endpoint failed; returns whether it is left out now.
+
+        Parameters
+        ----------
+        place : Place
+            The endpoint.
+        now : float
+            Time in seconds.
+        is_timeout : bool
+            Whether the request took too long, which may be its own fault.
+        """
         place.failures += 1
-        if place.failures < FAILURES_TO_EJECT:
+        needed = TIMEOUTS_TO_EJECT if is_timeout else FAILURES_TO_EJECT
+        if place.failures < needed:
             return False
-        doublings = place.failures - FAILURES_TO_EJECT
+        doublings = place.failures - needed
         pause = min(EJECT_MAX_S, EJECT_FIRST_S * 2**doublings)
         place.out_until = now + pause * self._rng.uniform(0.8, 1.2)
         return True
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_placement.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_placement.py
@@ -66,6 +66,29 @@
     assert place.failures == 0
 
 
+def test_requests_that_are_too_long_anywhere_leave_no_sound_endpoint_out():
+    # One in three requests of a route lasts longer than the route allows.
+    rng = random.Random(6)
+    book = _book(3)
+    left_out = 0
+    for number in range(300):
+        place = book.choose("s", now=float(number))
+        if rng.random() < 0.33:
+            left_out += book.note_failure(place, now=float(number), is_timeout=True)
+        else:
+            book.note_success(place)
+    assert left_out <= 3
+
+
+def test_an_endpoint_that_never_answers_is_left_out():
+    book = _book(2)
+    place = book.by_id["i-0"]
+    for _ in range(4):
+        is_out = book.note_failure(place, now=0.0, is_timeout=True)
+    assert is_out
+    assert place.out_until > 0.0
+
+
 def test_an_endpoint_whose_address_another_has_is_left_out_at_once():
     book = _book(2)
     book.note_replaced(book.by_id["i-0"], now=0.0)
