Close connections of an entry that is not ready

Change: answers of an entry that is not ready say that the connection closes, as those of one that leaves did before. The next request reaches an entry that is ready.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/door.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/door.py
@@ -39,7 +39,8 @@
         node.requests_in_flight += 1
         try:
             response = await _serve(node, http_request)
-            if node.is_leaving and not response.prepared:
+            if not response.prepared and node.reasons_not_ready():
+                # The caller's next request reaches an entry that is ready.
                 response.force_close()
             return response
         except (ConnectionError, asyncio.CancelledError):
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/streams.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/streams.py
@@ -258,7 +258,7 @@
         response = web.StreamResponse(
             status=answer.status, headers=answer_headers(answer.headers)
         )
-        if self._node.is_leaving:
+        if self._node.reasons_not_ready():
             response.force_close()
         if self._http_request.version >= (1, 1):
             response.enable_chunked_encoding()
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -242,6 +242,12 @@
 def test_keys_are_not_honoured_longer_than_the_bound_without_the_store():
     async def scenario(site, entry):
         site.store.outage = "silent"
+        async with asyncio.timeout(10):
+            while entry.knowledge.age_s() < 1.3:
+                await asyncio.sleep(0.02)
+        status, headers, _ = await site.call(entry, "GET", "/look/1")
+        assert (status, headers["Connection"]) == (200, "close")
+        site.endpoint_by_id["plain-1"].runs.clear()
         async with asyncio.timeout(10):
             while entry.knowledge.age_s() < 1.6:
                 await asyncio.sleep(0.05)
@@ -250,6 +256,8 @@
         assert "Retry-After" in headers
         assert not site.endpoint_by_id["plain-1"].runs
         assert entry.reasons_not_ready()
+        # The caller's next connection is sent to an entry that is ready.
+        assert headers["Connection"] == "close"
 
     _run(scenario, revoke_ms=1700)
 
