Gather changes of the store for 0.2 s before asking for more

Change: after an answer with changes an entry waits for 0.2 s before its next call, a tenth of the platform's bound on changes.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/site_watch.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/site_watch.py
@@ -15,6 +15,10 @@
 # (RevokeMs, 5 s) at 0.7 calls a second.
 WATCH_WAIT_S = 1.5
 ALL_KEYS = ""
+# Changes in quick succession come with one call: servers register within two seconds
+# and configurations follow each other within 0.1 s. A tenth of the platform's bound on
+# changes (ConfigApplyMs, 2 s).
+GATHER_S = 0.2
 # Calls are priced also while the store refuses them.
 BACKOFF_FIRST_S = 0.1
 # Heard from again within a second of the store's return.
@@ -58,6 +62,7 @@
         node = self._node
         knowledge = node.knowledge
         began = node.clock.boot_time()
+        events = []
         if self.revision is None:
             values, revision = await node.store.list(ALL_KEYS, purpose="site")
             self._note_answer()
@@ -75,6 +80,8 @@
         self.revision = revision
         knowledge.confirm(began)
         node.on_site_changed()
+        if events:
+            await node.clock.sleep(GATHER_S)
 
     async def wait_after(self, exc):
         """Note a failed call and wait before the next one."""
