List commands and flags of the stand-ins, and refuse unknown flags in one line

Change: they use the command line of the two binaries; commands name the classes and functions that their further flags come from.

--- a/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
@@ -3,16 +3,21 @@
 import asyncio
 import sys
 
-import fire
 from magnoliagrade.clock import SystemClock
-from magnoliagrade.node import announce_ready, run_until_signal, start_site
+from magnoliagrade.node import (
+    announce_ready,
+    has_further_flags,
+    run_command_line,
+    run_until_signal,
+    start_site,
+)
 
-from magnoliagrade_standins.balance import balance_command
+from magnoliagrade_standins.balance import BalancePlan, balance_command
 from magnoliagrade_standins.bench import bench_command
-from magnoliagrade_standins.demo import demo_command
+from magnoliagrade_standins.demo import DemoPlan, demo_command
 from magnoliagrade_standins.engine import Engine, EngineProfile, make_engine_app
-from magnoliagrade_standins.explore import explore_command
-from magnoliagrade_standins.load import load_command
+from magnoliagrade_standins.explore import ExplorationPlan, explore_command
+from magnoliagrade_standins.load import LoadPlan, load_command
 from magnoliagrade_standins.platform import (
     ListedInstances,
     MemoryStore,
@@ -20,6 +25,7 @@
 )
 from magnoliagrade_standins.proxy import FaultProxy, make_proxy_app
 from magnoliagrade_standins.ranks.command import ranks_command
+from magnoliagrade_standins.ranks.server import GroupProfile
 from magnoliagrade_standins.service import PlainService, make_service_app
 from magnoliagrade_standins.slopes import slopes_command
 from magnoliagrade_standins.traces import (
@@ -27,7 +33,7 @@
     read_spans,
     trace_lines,
 )
-from magnoliagrade_standins.trials import run_trial
+from magnoliagrade_standins.trials import run_trial, trial_functions
 from magnoliagrade_standins.weights import WeightStore, make_weights_app
 
 LOOPBACK = "127.0.0.1:0"
@@ -46,22 +52,27 @@
 
         _serve(make, address)
 
+    @has_further_flags(BalancePlan)
     def balance(self, output="", **sizes):
         """Compare rebalancing policies over a day of drifting popularity."""
         balance_command(output=output, **sizes)
 
+    @has_further_flags(ExplorationPlan)
     def explore(self, **bounds):
         """Explore the switch of a group's map; exits with 1 if it finds a fault."""
         sys.exit(explore_command(**bounds))
 
+    @has_further_flags(bench_command)
     def bench(self, **options):
         """Measure the added latency and the throughput of entry and agent."""
         bench_command(**options)
 
+    @has_further_flags(DemoPlan, LoadPlan)
     def demo(self, hold=False, **sizes):
         """Run the main job: a site, a load, a report; Ctrl-C stops it."""
         sys.exit(demo_command(hold=hold, **sizes))
 
+    @has_further_flags(EngineProfile)
     def engine(self, address=LOOPBACK, name="engine", **profile):
         """Serve a model engine; further flags are fields of its profile."""
 
@@ -75,6 +86,7 @@
 
         _serve(make, address)
 
+    @has_further_flags(LoadPlan)
     def load(self, urls, records="", json_path="", plot_path="", **plan):
         """Put a load on entries; further flags are fields of its plan."""
         paths = {"json_path": json_path, "plot_path": plot_path}
@@ -99,16 +111,19 @@
                 spans += read_spans(lines)
         print("\n".join(trace_lines(assemble_traces(spans))))
 
+    @has_further_flags(find=trial_functions)
     def trial(self, name, seed=1, json=False, **options):
         """Run a trial; exit code 1 if one of its checks failed."""
         if not run_trial(name, seed=seed, as_json=json, **options).passed:
             sys.exit(1)
 
+    @has_further_flags(slopes_command)
     def slopes(self, families="", json_path="", plot_path="", **durations):
         """Measure what control costs at several sizes and what it would at fleet."""
         paths = {"json_path": json_path, "plot_path": plot_path}
         sys.exit(slopes_command(families=families, **paths, **durations))
 
+    @has_further_flags(GroupProfile)
     def ranks(self, address=LOOPBACK, weights_url="", **profile):
         """Serve a group of ranks in lock-step, each on a port of its own."""
         ranks_command(address, weights_url=weights_url, **profile)
@@ -161,4 +176,4 @@
 
 
 if __name__ == "__main__":
-    fire.Fire(StandIns, name="magnoliagrade_standins")
+    run_command_line(StandIns, name="python -m magnoliagrade_standins")
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/trials/__init__.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/trials/__init__.py
@@ -1,5 +1,11 @@
 """Trials: experiments with real processes, run by one command each."""
 
-from magnoliagrade_standins.trials.registry import Check, TrialResult, run_trial, trials
+from magnoliagrade_standins.trials.registry import (
+    Check,
+    TrialResult,
+    run_trial,
+    trial_functions,
+    trials,
+)
 
-__all__ = ["Check", "TrialResult", "run_trial", "trials"]
+__all__ = ["Check", "TrialResult", "run_trial", "trial_functions", "trials"]
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/trials/registry.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/trials/registry.py
@@ -7,7 +7,7 @@
 
 from magnoliagrade.registry import Registry
 
-__all__ = ["Check", "TrialResult", "run_trial", "trials"]
+__all__ = ["Check", "TrialResult", "run_trial", "trial_functions", "trials"]
 
 trials = Registry(family="trial")
 
@@ -104,9 +104,19 @@
     result : TrialResult
         What was found.
     """
-    for module in TRIAL_MODULES:
-        importlib.import_module(module)
+    _import_trials()
     result = asyncio.run(trials.get(name)(seed=seed, **options))
     text = json.dumps(asdict(result)) if as_json else "\n".join(result.lines())
     print(text)
     return result
+
+
+def trial_functions():
+    """Return the functions of all trials."""
+    _import_trials()
+    return [trials.get(name) for name in trials.names()]
+
+
+def _import_trials():
+    for module in TRIAL_MODULES:
+        importlib.import_module(module)
--- a/packages/magnoliagrade/magnoliagrade/node/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/node/__init__.py
@@ -1,6 +1,7 @@
 """What the entry and the agent have in common as running processes."""
 
 from magnoliagrade.node.attempts import AttemptBook
+from magnoliagrade.node.command_line import has_further_flags
 from magnoliagrade.node.commands import (
     EXIT_INVALID,
     check_settings,
@@ -37,6 +38,7 @@
     "Tasks",
     "announce_ready",
     "check_settings",
+    "has_further_flags",
     "register_spread",
     "register_status",
     "run_command_line",
--- a/packages/magnoliagrade/magnoliagrade/node/command_line.py
+++ b/packages/magnoliagrade/magnoliagrade/node/command_line.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "command_help",
+    "has_further_flags",
     "overview",
     "problem_with",
     "public_commands",
@@ -47,6 +48,33 @@
     return (positional[0] if positional else None), positional[1:], flags
 
 
+def has_further_flags(*targets, find=tuple):
+    """Return a decorator that names where a command's further flags come from.
+
+    Parameters
+    ----------
+    *targets : type or callable
+        Classes or functions whose parameters with a default are flags of the command
+        too.
+    find : callable, optional
+        Returns more of them, for those that are not imported unless they are needed.
+
+    Examples
+    --------
+    >>> def plan(*, ranks=3): ...
+    >>> @has_further_flags(plan)
+    ... def explore(self, **bounds): ...
+    >>> [parameter.name for parameter in _flags_of(explore)]
+    ['ranks']
+    """
+
+    def note_targets(function):
+        function.further_flags = lambda: [*targets, *find()]
+        return function
+
+    return note_targets
+
+
 def problem_with(commands, arguments):
     """Return what is wrong with the arguments, or an empty text.
 
@@ -78,12 +106,14 @@
     if command not in by_name:
         return f"unknown command {command!r}; known: {', '.join(by_name)}"
     own = inspect.signature(by_name[command]).parameters
-    known = [p.name for p in [*_options(commands), *_without_self(own)]]
+    known = [p.name for p in [*_options(commands), *_flags_of(by_name[command])]]
     for flag in flags:
         if flag not in known:
             flags_known = ", ".join(_flag(name) for name in known)
             return f"{command}: unknown flag {_flag(flag)}; known: {flags_known}"
-    wanted = [p for p in _without_self(own) if p.kind is not p.KEYWORD_ONLY]
+    wanted = [
+        p for p in _without_self(own) if p.kind not in (p.KEYWORD_ONLY, p.VAR_KEYWORD)
+    ]
     is_open = any(p.kind is p.VAR_POSITIONAL for p in wanted)
     if len(positional) > len(wanted) and not is_open:
         return f"{command}: unexpected argument {positional[len(wanted)]!r}"
@@ -129,7 +159,7 @@
         Name of the command.
     """
     function = public_commands(commands)[command]
-    words = [_shown(p) for p in _without_self(inspect.signature(function).parameters)]
+    words = [_shown(p) for p in _flags_of(function)]
     lines = [f"usage: {' '.join([name, command, *words])}", ""]
     lines += inspect.getdoc(function).splitlines()
     if _options(commands):
@@ -159,11 +189,25 @@
     return [p for name, p in parameters.items() if name != "self"]
 
 
+def _flags_of(function):
+    """Return the parameters that a command takes, those of its targets included."""
+    own = _without_self(inspect.signature(function).parameters)
+    flags = [p for p in own if p.kind is not p.VAR_KEYWORD]
+    names = {parameter.name for parameter in flags}
+    for target in getattr(function, "further_flags", tuple)():
+        for parameter in inspect.signature(target).parameters.values():
+            has_default = parameter.default is not parameter.empty
+            if has_default and parameter.name not in names:
+                names.add(parameter.name)
+                flags.append(parameter)
+    return flags
+
+
 def _switches(commands):
     functions = [commands.__init__, *public_commands(commands).values()]
     switches = {"help", "h"}
     for function in functions:
-        for parameter in inspect.signature(function).parameters.values():
+        for parameter in _flags_of(function):
             if isinstance(parameter.default, bool):
                 switches.add(parameter.name)
     return switches
@@ -195,7 +239,8 @@
         return name
     if isinstance(parameter.default, bool):
         return f"[{_flag(parameter.name)}]"
-    return f"[{_flag(parameter.name)}={parameter.default}]"
+    shown = "" if repr(parameter.default).startswith("<") else parameter.default
+    return f"[{_flag(parameter.name)}={shown}]"
 
 
 def _flag(name):
--- a/packages/magnoliagrade/magnoliagrade/node/tests/test_command_line.py
+++ b/packages/magnoliagrade/magnoliagrade/node/tests/test_command_line.py
@@ -1,4 +1,9 @@
-from magnoliagrade.node.command_line import problem_with, split_arguments
+from magnoliagrade.node.command_line import (
+    command_help,
+    has_further_flags,
+    problem_with,
+    split_arguments,
+)
 
 
 class Commands:
@@ -48,3 +53,26 @@
         Commands, ["--store", "u", "drain", "a", "--json", "b"]
     )
     assert (command, positional, flags) == ("drain", ["a", "b"], ["store", "json"])
+
+
+def test_commands_that_take_any_flags_know_those_of_their_targets():
+    def plan(*, ranks=3, is_slow=False): ...
+
+    class Commands:
+        """Commands."""
+
+        @has_further_flags(plan)
+        def explore(self, seed=1, **bounds):
+            """Explore."""
+
+        @has_further_flags(find=lambda: [plan])
+        def trial(self, name, **options):
+            """Try."""
+
+    assert not problem_with(Commands, ["explore", "--ranks=2", "--is-slow"])
+    assert not problem_with(Commands, ["trial", "one", "--is-slow", "--ranks", "2"])
+    assert "unknown flag --rank;" in problem_with(Commands, ["explore", "--rank=2"])
+    assert "unexpected argument" in problem_with(Commands, ["trial", "one", "two"])
+    shown = command_help(Commands, name="x", command="explore")
+    assert "[--seed=1] [--ranks=3] [--is-slow]" in shown
+    assert "bounds" not in shown
