--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
@@ -107,6 +107,7 @@
         self._progress = None
         self._progress_at = 0.0
         self._standing_pass_s = 0.0
+        self._window = None
         self._reset()
 
     async def run(self):
@@ -354,8 +355,9 @@
         self._pass_mark = None
         self._ports = []
         self._switch = None
-        self._window = None
         self._placement = None
+        if self._window is not None:
+            self._window.start_anew()
         self._placement_version = None
 
 
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/planning.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/planning.py
@@ -86,6 +86,14 @@
             if last is not None and (counts >= last).all():
                 self.choices += counts - last
 
+    def start_anew(self):
+        """Go on after a group has formed anew: counters start at 0, ranks may differ.
+
+        What was chosen lately is kept: requests choose much the same as before, and a
+        new group has the map that helps least.
+        """
+        self._last_by_rank = {}
+
     @property
     def has_enough(self):
         """Whether there are enough choices to decide on."""
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/test_planning.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/test_planning.py
@@ -49,6 +49,19 @@
     assert step(slow) < 0.9 * step(even)
 
 
+def test_what_was_chosen_lately_outlasts_a_new_formation_of_the_group():
+    window = CountWindow(sets=1, experts=2)
+    window.add({0: _counters([0, 0])}, now=0.0)
+    window.add({0: _counters([9000, 3000])}, now=0.4)
+    window.start_anew()
+    # Counters begin at 0 again, and another server may have the rank.
+    window.add({0: _counters([50, 10])}, now=1.4)
+    assert window.has_enough
+    assert window.choices[0, 0] == 3 * window.choices[0, 1]
+    window.add({0: _counters([60, 30])}, now=1.4)
+    assert (window.choices == [[4510.0, 1520.0]]).all()
+
+
 def test_a_plan_is_one_that_a_server_accepts():
     rng = np.random.default_rng(2)
     holds = first_placement(sets=SETS, ranks=RANKS, experts=EXPERTS)
@@ -107,3 +120,7 @@
 
 def _skew(holds, rates):
     return skew(rank_times(holds, rates, np.ones(RANKS)))
+
+
+def _counters(counts):
+    return np.array(counts, dtype="<i8").tobytes()
