--- a/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/__main__.py
@@ -119,9 +119,10 @@
             sys.exit(1)
 
     @has_further_flags(SoakPlan)
-    def soak(self, seeds=1, seed=1, **sizes):
+    def soak(self, seeds=1, seed=1, regressions=False, **sizes):
         """Strike direct entries with random faults; 1 if a promise is broken."""
-        sys.exit(soak_command(seeds=seeds, seed=seed, **sizes))
+        plans = {"seeds": seeds, "seed": seed, "regressions": regressions}
+        sys.exit(soak_command(**plans, **sizes))
 
     @has_further_flags(slopes_command)
     def slopes(self, families="", json_path="", plot_path="", **durations):
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/operators/endpoint.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/operators/endpoint.py
@@ -94,7 +94,8 @@
         if fault == "reset":
             request.transport.abort()
             return web.Response()
-        headers = {REQUEST_ID: request_id, STAMP: f"stamp of {self.id}"}
+        own_id = self.id
+        headers = {REQUEST_ID: request_id, STAMP: f"stamp of {own_id}"}
         if fault == "other-answer":
             headers[REQUEST_ID] = "another"
         if "stream" in request.path:
@@ -104,7 +105,7 @@
             return await self._cut_body(request, headers)
         status = 500 if fault == "error" else 200
         body = await request.read()
-        text = f"{request.method} {request.path_qs} {body.decode()} by {self.id}"
+        text = f"{request.method} {request.path_qs} {body.decode()} by {own_id}"
         return web.Response(status=status, headers=headers, text=text)
 
     async def _stream(self, request, headers, fault):
