Let the coordinator look on after a switch, and tell slow ranks beside it

A rank turned 6.8 times slower right after a switch had been armed; the coordinator waited for its pass for three seconds and told nobody. When the store was silent, each try to tell held the coordinator for a second.

Ruled out: the report of the rank (fresh at once).

Change: a switch that is under way is waited for in the loop, which goes on looking at paces; notices are written by a task of their own.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
@@ -9,7 +9,6 @@
 
 from magnoliagrade_agent.direct.ports import OwnPort, RankUnreachable, ask_briefly
 from magnoliagrade_agent.direct.rank_directory import RankDirectory, formation_of
-from magnoliagrade_agent.direct.slow_ranks import SlowRankNotice
 from magnoliagrade_agent.direct.switching import (
     GroupSwitch,
     is_next_pass_held,
@@ -44,7 +43,7 @@
 TAKE_OVER_RANK_S = 2.0
 # Ranks that may coordinate: two machines and one data centre may be lost at once.
 CANDIDATES = 4
-# Longer than the passes ahead of a switch take in a busy group.
+# Longer than the passes ahead of a switch take in a busy group; then it is looked into.
 SWITCH_WAIT_S = 3.0
 
 SWITCHES = Counter("magnoliagrade_group_switches_total", "Map switches", ["result"])
@@ -77,6 +76,8 @@
 
     __slots__ = (
         "_directory",
+        "_due_until",
+        "_due_version",
         "_failure",
         "_find_at",
         "_formation",
@@ -103,7 +104,8 @@
         self._failure = ""
         self._is_calm = False
         self._find_at = 0.0
-        self._slow_ranks = SlowRankNotice(store=node.store, clock=node.clock)
+        self._due_until = 0.0
+        self._slow_ranks = node.slow_ranks
         self._progress = None
         self._progress_at = 0.0
         self._standing_pass_s = 0.0
@@ -198,13 +200,15 @@
             *(port.counts(status.epoch) for port in self._ports)
         )
         statuses = [state for state, _ in states]
-        await self._slow_ranks.update(
+        self._slow_ranks.note(
             status.group,
             {
                 self._address_of(port): state.pace
                 for port, state in zip(self._ports, statuses, strict=True)
             },
         )
+        if self._awaits_switch(statuses):
+            return
         if any(is_unsettled(status) for status in statuses):
             experts = await self._experts_in_use(statuses)
             await self._switch.settle(experts)
@@ -310,18 +314,26 @@
             raise
         SWITCHES.labels("done").inc()
         self._placement = planned
-        # Ranks report the former map until the pass of the switch has begun.
-        self._placement_version = None
-        self._placement_version = await self._await_version(version)
+        self._placement_version = version
+        self._due_version = version
+        self._due_until = self._node.clock.monotonic() + SWITCH_WAIT_S
+
+    def _awaits_switch(self, statuses):
+        """Return whether the group has yet to reach the pass of the last switch.
 
-    async def _await_version(self, version):
-        ends_at = self._node.clock.monotonic() + SWITCH_WAIT_S
-        while self._node.clock.monotonic() < ends_at:
-            status = await self._own.status()
-            if status.map_version == version:
-                return version
-            await self._node.clock.sleep(0.05)
-        return None
+        Ranks report the former map until then. The loop goes on meanwhile: a rank that
+        turns slow right after a switch makes the way to its pass seconds long.
+        """
+        if self._due_version is None:
+            return False
+        if all(status.map_version == self._due_version for status in statuses):
+            self._due_version = None
+            return False
+        if self._node.clock.monotonic() < self._due_until:
+            return True
+        self._due_version = None
+        self._placement_version = None
+        return False
 
     async def _experts_in_use(self, statuses):
         version = statuses[0].map_version
@@ -356,6 +368,7 @@
         self._ports = []
         self._switch = None
         self._placement = None
+        self._due_version = None
         if self._window is not None:
             self._window.start_anew()
         self._placement_version = None
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/instance.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/instance.py
@@ -15,6 +15,7 @@
 
 from magnoliagrade_agent.direct.coordinator import Coordinator
 from magnoliagrade_agent.direct.member import RankMember
+from magnoliagrade_agent.direct.slow_ranks import SlowRankNotice
 
 __all__ = ["DirectAgent"]
 
@@ -52,6 +53,7 @@
         "rng",
         "session",
         "settings",
+        "slow_ranks",
         "store",
         "tasks",
     )
@@ -91,6 +93,7 @@
             order_timeout_s=ORDER_TIMEOUT_S,
         )
         self.member = RankMember(server=server, clock=self.clock)
+        self.slow_ranks = SlowRankNotice(store=self.store, clock=self.clock)
         self.coordinator = Coordinator(node=self)
         app = aiohttp.web.Application()
         app.add_routes([aiohttp.web.get("/metrics", serve_metrics_text)])
@@ -104,6 +107,7 @@
             handle=self._answer_calls,
         )
         self.tasks.start(self.coordinator.run(), name="coordinator")
+        self.tasks.start(self.slow_ranks.run(), name="slow ranks")
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._note_reload)
         log_event(_log, "agent.started", incarnation=self.identity.incarnation)
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/slow_ranks.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/slow_ranks.py
@@ -19,6 +19,8 @@
 RENEW_S = SLOW_RANKS_LIFE_S / 3
 # Calls are priced also while the store refuses them.
 RETRY_S = 1.0
+# Between looks at what was noted; a pass of a group takes as long.
+POLL_S = 0.05
 
 _log = logging.getLogger(__name__)
 
@@ -34,17 +36,17 @@
         Source of time.
     """
 
-    __slots__ = ("_clock", "_has_failed", "_next_at", "_store", "_told")
+    __slots__ = ("_clock", "_group", "_slow", "_store", "_told")
 
     def __init__(self, *, store, clock):
         self._store = store
         self._clock = clock
+        self._group = ""
+        self._slow = {}
         self._told = {}
-        self._has_failed = False
-        self._next_at = 0.0
 
-    async def update(self, group, pace_by_address):
-        """Tell the paces of a group's ranks if they differ from what was told.
+    def note(self, group, pace_by_address):
+        """Note the paces of a group's ranks; `run` tells them if they are news.
 
         Parameters
         ----------
@@ -53,28 +55,42 @@
         pace_by_address : dict of str to float
             Pace of each rank by its server's address.
         """
-        now = self._clock.monotonic()
-        slow = {
+        self._group = group
+        self._slow = {
             address: round(pace, 1)
             for address, pace in pace_by_address.items()
             if pace >= SLOW_PACE
         }
-        is_news = slow.keys() != self._told.keys()
-        is_due = now >= self._next_at and (slow or is_news)
-        if not is_due and not (is_news and not self._has_failed):
-            return
+
+    async def run(self):
+        """Tell what was noted, until cancelled.
+
+        Notes
+        -----
+        It runs beside the coordinator, which must not wait for a store that is silent.
+        """
+        next_at = 0.0
+        while True:
+            now = self._clock.monotonic()
+            is_news = self._slow.keys() != self._told.keys()
+            if is_news or (self._slow and now >= next_at):
+                has_told = await self._tell_now(is_news)
+                next_at = now + RENEW_S
+                if not has_told:
+                    await self._clock.sleep(RETRY_S)
+            await self._clock.sleep(POLL_S)
+
+    async def _tell_now(self, is_news):
+        slow = self._slow
         try:
-            await self._tell(slow_ranks_key(group), slow)
+            await self._tell(slow_ranks_key(self._group), slow)
         except MagnoliagradeError as exc:
-            self._has_failed = True
-            self._next_at = now + RETRY_S
             log_event(_log, "group.slow_ranks.untold", detail=exc.detail)
-            return
+            return False
         if is_news:
-            log_event(_log, "group.slow_ranks", group=group, pace_by_address=slow)
+            log_event(_log, "group.slow_ranks", group=self._group, pace_by_address=slow)
         self._told = slow
-        self._has_failed = False
-        self._next_at = now + RENEW_S
+        return True
 
     async def _tell(self, key, slow):
         if slow:
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/test_coordinator.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/test_coordinator.py
@@ -23,7 +23,7 @@
     async def scenario():
         clock = ManualClock()
         node = SimpleNamespace(
-            clock=clock, member=None, store=None, silent_s=lambda: 0.0
+            clock=clock, member=None, slow_ranks=None, silent_s=lambda: 0.0
         )
         coordinator = Coordinator(node=node)
         coordinator._own = port = OddPort()
@@ -67,8 +67,25 @@
     assert 1.0 < noticed_s < 2.5
 
 
+def test_a_switch_that_is_under_way_does_not_stop_the_coordinator_from_looking():
+    clock = ManualClock(start=10.0)
+    coordinator = _standby(clock)
+    coordinator._due_version, coordinator._due_until = 7, 12.0
+    former = [_status(rank=rank) for rank in range(2)]
+    reached = [RankStatus(map_version=7) for _ in range(2)]
+    assert coordinator._awaits_switch(former)
+    assert coordinator._awaits_switch([former[0], reached[0]])
+    assert not coordinator._awaits_switch(reached)
+    coordinator._due_version = 8
+    clock._time = 12.5
+    assert not coordinator._awaits_switch(reached)
+    assert coordinator._placement_version is None
+
+
 def _standby(clock):
-    node = SimpleNamespace(clock=clock, member=None, store=None, silent_s=lambda: 0.0)
+    node = SimpleNamespace(
+        clock=clock, member=None, slow_ranks=None, silent_s=lambda: 0.0
+    )
     return Coordinator(node=node)
 
 
