Let streams leave a very slow rank first, also where nobody has room

Streams under way go before all that wait, as their callers have got a part already, and are not refused because of those behind them.

Retry budget and endpoints of a route bound the moves as before.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
@@ -84,7 +84,10 @@
         room = self._node.room_of(self.request.service)
         try:
             self._place = await room.take_place(
-                self.request, excluded=self.tried, leave_at=self._leave_at()
+                self.request,
+                excluded=self.tried,
+                leave_at=self._leave_at(),
+                is_under_way=self.last_event_at is not None,
             )
         except MagnoliagradeError as exc:
             if not self.has_run:
@@ -204,20 +207,22 @@
         Notes
         -----
         Load pattern: one rank turns several times slower, and its streams make every
-        pass of the group as long. A move takes from the retry budget and only happens
-        where another endpoint has room.
+        pass of the group as long, so that no other endpoint gets room either. Those
+        that leave go before others who wait; once they have left, places come free
+        several times faster. A move takes from the retry budget.
         """
         node, attempts = self._node, self._attempts
         now = node.clock.monotonic()
         if self._place.pace_at(now) < MOVE_PACE or not attempts.may_repeat():
             return False
         service = attempts.request.service
-        if node.room_of(service).waiters or node.places.is_known_out(service):
+        if node.places.is_known_out(service):
             return False
-        place = node.places.choose(service, now=now, excluded=attempts.tried)
-        if place is None or place.pace_at(now) >= MOVE_PACE:
-            return False
-        return node.retry_budget.take(service, now=now)
+        has_faster = any(
+            place.pace_at(now) < MOVE_PACE and place.endpoint.id not in attempts.tried
+            for place in node.places.places_of(service)
+        )
+        return has_faster and node.retry_budget.take(service, now=now)
 
     def note_answer(self):
         """Note that the service serves requests."""
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/waiting.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/waiting.py
@@ -35,6 +35,8 @@
         Endpoints that it must not go to.
     leave_at : float
         Time after which a place is of no use to it.
+    is_under_way : bool
+        Whether its caller has got a part of its answer already.
     future : asyncio.Future
         Gets the place.
     """
@@ -42,6 +44,7 @@
     request: object
     excluded: set
     leave_at: float
+    is_under_way: bool = False
     future: object = field(repr=False)
 
 
@@ -81,7 +84,7 @@
         self._work_s = 0.0
         self.waiters = []
 
-    async def take_place(self, request, *, excluded, leave_at):
+    async def take_place(self, request, *, excluded, leave_at, is_under_way=False):
         """Return a place, counted as in use, once there is room.
 
         Parameters
@@ -92,6 +95,8 @@
             Endpoints that it must not go to.
         leave_at : float
             Time after which a place is of no use to it.
+        is_under_way : bool
+            Whether its caller has got a part of its answer already; it goes first.
 
         Raises
         ------
@@ -106,11 +111,13 @@
             place = self._choose(excluded, now)
             if place is not None:
                 return place
-        self._refuse_hopeless(request, excluded, leave_at, now)
+        ahead = [w for w in self.waiters if w.is_under_way or not is_under_way]
+        self._refuse_hopeless(request, excluded, leave_at, now, ahead=len(ahead))
         waiter = Waiter(
             request=request,
             excluded=excluded,
             leave_at=leave_at,
+            is_under_way=is_under_way,
             future=asyncio.get_running_loop().create_future(),
         )
         self.waiters.append(waiter)
@@ -157,7 +164,11 @@
         if not self.waiters or self._places.is_known_out(self._service):
             return
         now = self._clock.monotonic()
-        for waiter in sorted(self.waiters, key=lambda w: order_of(w.request, now)):
+
+        def turn_of(waiter):
+            return not waiter.is_under_way, *order_of(waiter.request, now)
+
+        for waiter in sorted(self.waiters, key=turn_of):
             if waiter.future.done():
                 continue
             place = self._choose(waiter.excluded, now)
@@ -174,7 +185,7 @@
             self._in_flight += 1
         return place
 
-    def _refuse_hopeless(self, request, excluded, leave_at, now):
+    def _refuse_hopeless(self, request, excluded, leave_at, now, *, ahead):
         left = [
             place
             for place in self._places.places_of(self._service)
@@ -185,13 +196,13 @@
         returns_at = self._places.return_time(self._service, now=now)
         if returns_at is not None and returns_at > leave_at:
             raise self._refusal("every endpoint has failed", request)
-        if now + self._expected_wait_s(now) > leave_at:
+        if now + self._expected_wait_s(now, ahead) > leave_at:
             raise self._refusal("the queue is too long", request)
 
-    def _expected_wait_s(self, now):
+    def _expected_wait_s(self, now, ahead):
         recent = sum(now - at <= RATE_WINDOW_S for at in self._completions)
         rate = completion_rate(recent / RATE_WINDOW_S, self._in_flight, self._work_s)
-        return predicted_wait_s(len(self.waiters), rate)
+        return predicted_wait_s(ahead, rate)
 
     def _outage_refusal(self, request, now):
         left_s = request.ends_at - now
@@ -200,7 +211,7 @@
     def _refusal(self, detail, request, *, wait_s=None):
         now = self._clock.monotonic()
         if wait_s is None:
-            wait_s = self._expected_wait_s(now)
+            wait_s = self._expected_wait_s(now, len(self.waiters))
         return MagnoliagradeError(
             ErrorKind.OVERLOADED,
             f"{detail}: {len(self.waiters)} wait",
