Arm the rank that holds the pass after the others

All eleven other ranks were armed, so nobody could know whether the coordinator's was, and the group stood for 3.7 s.

Ruled out: a lost order, the rescue (it ran after 0.6 s and said why it could not).

Change: the rank that holds the pass is armed once the others have answered, then the coordinator's own. Orders that are carried out after its machine stopped leave that rank unarmed, and its agent releases the pass. A switch takes one more way between machines.

Test: sixty walks in which the coordinator stops with its first orders to arm, carried out all the same; without the change the first ones end with every rank armed.

A machine that stops between the last order to arm and the release still stops the group for as long; nobody can ask its server.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/switching.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/switching.py
@@ -7,7 +7,9 @@
   back. It is held at another rank than the coordinator's, so that others can release
   it if the coordinator's machine stops.
 - The coordinator's own rank is armed last. While another rank has never been armed,
-  neither has this one, even if nobody can ask it.
+  neither has this one, even if nobody can ask it. The rank that holds the pass is armed
+  only after all others have answered: a coordinator whose machine stops right after its
+  first orders, which may be carried out all the same, leaves that rank unarmed.
 - The pass is released once all ranks are armed alike, or once no rank is armed and a
   newer map is prepared on all: orders to arm an older one are then refused.
 - A rank is disarmed only after some rank that was not armed has prepared a newer map.
@@ -183,12 +185,12 @@
         if outcome != CONFIRMED:
             await self._release(holder, step)
             raise SwitchFailed(f"pass {step} could not be held")
-        others = [port for port in self.ports if port is not self._own]
+        first = [port for port in self.ports if port not in (self._own, holder)]
         try:
-            armed = await self._order_all(others, "arm", version=version, step=step)
-            armed = armed and await self._order_all(
-                [self._own], "arm", version=version, step=step
-            )
+            for ports in (first, [holder], [self._own]):
+                armed = await self._order_all(ports, "arm", version=version, step=step)
+                if not armed:
+                    break
         except RankUnreachable as exc:
             log_event(_log, "group.arm.failed", detail=exc.detail)
             armed = False
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/test_switching.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/test_switching.py
@@ -83,6 +83,16 @@
         assert went_on or late or not can_go_on, f"seed {seed}"
 
 
+def test_a_machine_that_stops_after_its_first_orders_to_arm_leaves_a_rank_unarmed():
+    # The orders are on their way and are carried out all the same.
+    stopped = 0
+    for seed in range(60):
+        group, clock = _group(random.Random(seed), late=0.0, lost=0.0)
+        stopped += asyncio.run(_stops_after_first_arms(group, clock))
+        assert group.mixed_passes == 0, f"seed {seed}"
+    assert stopped == 60
+
+
 def test_versions_of_two_coordinators_never_meet():
     drawn = {next_version([], rng=random.Random(seed)) for seed in range(50)}
     assert len(drawn) == 50
@@ -146,6 +156,22 @@
     return can_go_on, went_on
 
 
+async def _stops_after_first_arms(group, clock):
+    """Stop with the first orders to arm; return whether another releases the pass."""
+    switch = _switch(group, clock, 0, port_class=SentPort)
+    task = asyncio.ensure_future(switch.run([["new"]], [["former"]]))
+    while not any("arm" in port.sent for port in switch.ports):
+        await clock.advance(TICK_S / 10)
+    task.cancel()
+    # What was sent arrives; passes that are not held go on.
+    await _play(group, clock, asyncio.sleep(0), 0.5)
+    group.ranks[0].is_silent = True
+    is_free = any(rank.armed is None for rank in group.ranks[1:])
+    rescuer = _switch(group, clock, 1)
+    rescue = rescuer.settle([["former"]], coordinator=rescuer.ports[0])
+    return is_free and await _play(group, clock, rescue, 2.0)
+
+
 async def _coordinator_dies(group, clock, rng):
     work = _switch(group, clock, 0).run([["new"]], [["former"]])
     await _play(group, clock, work, rng.uniform(0.02, 0.5))
@@ -167,9 +193,21 @@
     return FakeGroup(size=4, rng=rng, clock=clock, late=late, lost=lost), clock
 
 
-def _switch(group, clock, own_rank):
+class SentPort(OwnPort):
+    """Port whose calls are carried out also if the caller is gone."""
+
+    def __init__(self, *, member):
+        super().__init__(member=member)
+        self.sent = []
+
+    async def call(self, call):
+        self.sent.append(call.operation)
+        return await asyncio.shield(super().call(call))
+
+
+def _switch(group, clock, own_rank, *, port_class=OwnPort):
     ports = [
-        OwnPort(member=RankMember(server=rank, clock=clock)) for rank in group.ranks
+        port_class(member=RankMember(server=rank, clock=clock)) for rank in group.ranks
     ]
     return GroupSwitch(
         ports=ports,
