Let the soak's store be deaf as the platform is

Soak seed 101 of 12 s found keys honoured up to 4 s after their removal. Cause: the stand-in was deaf for 4 s and answered that nothing had changed up to its newest revision. The seed is kept; it finds nothing now.

--- a/packages/magnoliagrade-standins/magnoliagrade_standins/operators/store.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/operators/store.py
@@ -20,7 +20,7 @@
     Notes
     -----
     `outage` makes it misbehave: `busy` answers 503, `silent` answers nothing, `deaf`
-    lets watches hear nothing.
+    lets watches hear nothing: their answers are empty and stay at the same revision.
     """
 
     def __init__(self, *, page_size=50):
@@ -121,7 +121,8 @@
             if self.outage == "deaf":
                 events = []
             if events or left <= 0:
-                return web.json_response({"events": events, "AsOf": self.revision})
+                as_of = self.revision if events else after
+                return web.json_response({"events": events, "AsOf": as_of})
             try:
                 await asyncio.wait_for(self._changed.wait(), left)
             except TimeoutError:
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/soak/regressions.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/soak/regressions.py
@@ -31,4 +31,11 @@
         plan=SoakPlan(seed=9, duration_s=14.0),
         cause="whole answer: the stand-in of an endpoint changed its id in an answer",
     ),
+    Regression(
+        plan=SoakPlan(seed=101, duration_s=12.0),
+        cause=(
+            "keys end: the stand-in of the store was deaf for longer than the platform "
+            "is, and its empty answers claimed to know the changes that they left out"
+        ),
+    ),
 ]
