Rename what a newcomer would trip over, and drop what trials left

The age of an outage was only used by trials that were left out; the recent length of a pass and the slots of an endpoint that are used have names that say so. Behaviour stays.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
@@ -88,10 +88,10 @@
         "_placement",
         "_placement_version",
         "_ports",
+        "_recent_pass_s",
         "_slow_ranks",
         "_progress",
         "_progress_at",
-        "_standing_pass_s",
         "_switch",
         "_window",
     )
@@ -108,7 +108,7 @@
         self._slow_ranks = node.slow_ranks
         self._progress = None
         self._progress_at = 0.0
-        self._standing_pass_s = 0.0
+        self._recent_pass_s = 0.0
         self._window = None
         self._reset()
 
@@ -155,14 +155,14 @@
         stands_s = now - self._progress_at
         if is_next_pass_held(status):
             return stands_s > RESCUE_HELD_AFTER_S
-        usual_s = RESCUE_STANDING_PASSES * self._standing_pass_s
+        usual_s = RESCUE_STANDING_PASSES * self._recent_pass_s
         return stands_s > max(RESCUE_STANDING_AFTER_S * status.rank, usual_s)
 
     def _note_progress(self, progress, now):
         if self._progress and self._progress[0] == progress[0]:
             passes = progress[1] - self._progress[1]
             if passes > 0:
-                self._standing_pass_s = (now - self._progress_at) / passes
+                self._recent_pass_s = (now - self._progress_at) / passes
         self._progress = progress
         self._progress_at = now
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/outages.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/outages.py
@@ -1,4 +1,4 @@
-"""Which services cannot serve now, since when, and how to notice that they are back.
+"""Which services cannot serve now, and when a request may find out that one is back.
 
 Load pattern: a rank of an expert-parallel group crashes or is cut off, and its service
 answers nothing for some seconds.
@@ -24,30 +24,26 @@
     >>> book = OutageBook()
     >>> book.note_broken("s", "i-1", endpoints=1, now=5.0)
     True
-    >>> book.age_s("s", now=7.5)
-    2.5
+    >>> book.is_out("s")
+    True
     >>> book.end("s")
     True
     """
 
     __slots__ = (
-        "_began_at_by_service",
         "_broken_ids_by_service",
         "_probe_at_by_service",
+        "_services_out",
     )
 
     def __init__(self):
-        self._began_at_by_service = {}
+        self._services_out = set()
         self._broken_ids_by_service = {}
         self._probe_at_by_service = {}
 
     def is_out(self, service):
         """Return whether a service counts as out."""
-        return service in self._began_at_by_service
-
-    def age_s(self, service, *, now):
-        """Return for how many seconds a service has been out; 0 if it is not."""
-        return now - self._began_at_by_service.get(service, now)
+        return service in self._services_out
 
     def take_probe(self, service, *, now):
         """Return whether a request may find out now whether a service is back."""
@@ -58,7 +54,7 @@
 
     def note_report(self, service, *, now):
         """Note that an endpoint has said that its group is still broken."""
-        if service in self._began_at_by_service:
+        if service in self._services_out:
             self._probe_at_by_service[service] = now + REPORT_SILENCE_S
 
     def note_broken(self, service, endpoint_id, *, endpoints, now):
@@ -91,8 +87,8 @@
 
     def begin(self, service, *, now):
         """Note that a service is out; returns whether that is new."""
-        has_begun = service not in self._began_at_by_service
-        self._began_at_by_service.setdefault(service, now)
+        has_begun = service not in self._services_out
+        self._services_out.add(service)
         self._probe_at_by_service[service] = now + REQUEST_PROBE_S
         return has_begun
 
@@ -100,4 +96,6 @@
         """Note that a service answers; returns whether it was out."""
         self._broken_ids_by_service.pop(service, None)
         self._probe_at_by_service.pop(service, None)
-        return self._began_at_by_service.pop(service, None) is not None
+        was_out = service in self._services_out
+        self._services_out.discard(service)
+        return was_out
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement.py
@@ -151,7 +151,7 @@
             for place in places
             if place.endpoint.id not in excluded
             and place.out_until <= now
-            and place.load < _room(place, place.pace_at(now) / best_pace)
+            and place.load < _usable_slots(place, place.pace_at(now) / best_pace)
             and (not place.failures or not place.own)
         ]
         if not free:
@@ -231,10 +231,6 @@
         """Return whether a service counts as out."""
         return self._outages.is_out(service)
 
-    def outage_age_s(self, service, *, now):
-        """Return for how many seconds a service has been out; 0 if it is not."""
-        return self._outages.age_s(service, now=now)
-
     def note_report(self, service, *, now):
         """Note that an endpoint has said that its group is still broken."""
         self._outages.note_report(service, now=now)
@@ -320,7 +316,7 @@
     return rng.choice(places)
 
 
-def _room(place, pace):
+def _usable_slots(place, pace):
     """Return how many requests an endpoint is given.
 
     A rank's own part of a pass grows with its requests and its pace; beyond this it is
