Log the store's era, ignored changes and attempts at cold endpoints

A change of a key that was ignored for its revision left no trace, nothing showed that the store had returned from a copy, and an attempt did not say that its endpoint was cold.

Change: store.era.changed and magnoliagrade_store_era; site.item.outdated and magnoliagrade_site_changes_total by result; is_cold of request.attempt, magnoliagrade_direct_cold_attempts_total and cold_s of an endpoint's registration; magnoliagrade_direct_peers, linked and registered. No decision uses any of it.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
@@ -28,6 +28,9 @@
 ATTEMPTS = Counter(
     "magnoliagrade_direct_attempts_total", "Attempts at endpoints", ["result"]
 )
+COLD_ATTEMPTS = Counter(
+    "magnoliagrade_direct_cold_attempts_total", "Attempts at cold endpoints"
+)
 _log = logging.getLogger(__name__)
 
 
@@ -177,6 +180,7 @@
 
     __slots__ = (
         "_attempts",
+        "_is_cold",
         "_is_complete",
         "_load",
         "_node",
@@ -193,6 +197,7 @@
         self._is_complete = False
         self._started_at = node.clock.monotonic()
         self.endpoint = load.endpoint
+        self._is_cold = node.site_state.is_cold(load.endpoint.id)
         attempts.tried.add(load.endpoint.id)
         node.on_load_changed(load.endpoint.id)
 
@@ -200,6 +205,8 @@
         """Send the request and return the response once its headers have arrived."""
         attempts = self._attempts
         attempts.sent += 1
+        if self._is_cold:
+            COLD_ATTEMPTS.inc()
         try:
             self._response = await open_response(
                 self._node.upstream_session,
@@ -307,6 +314,7 @@
             result=result,
             attempt=self._attempts.sent,
             load=self._load.in_flight,
+            is_cold=self._is_cold,
             version=self._node.site_state.version,
             age_s=round(self._node.site_state.age_s(), 2),
             waited_s=round(self._started_at - request.arrived_at, 3),
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge.py
@@ -14,6 +14,7 @@
     SlowRanksItem,
     decode_item,
 )
+from prometheus_client import Counter
 
 from magnoliagrade_entry.direct.route_table import RouteTable
 
@@ -24,6 +25,9 @@
 # duration of a call.
 STORE_SETTLE_S = 1.8
 
+CHANGES = Counter(
+    "magnoliagrade_site_changes_total", "Changes of keys of the store", ["result"]
+)
 _log = logging.getLogger(__name__)
 
 
@@ -46,6 +50,7 @@
 
     __slots__ = (
         "_clock",
+        "_cold_until_by_id",
         "_remove_at_by_id",
         "_revision_by_id",
         "_revision_by_key",
@@ -61,6 +66,7 @@
 
     def __init__(self, *, clock):
         self._clock = clock
+        self._cold_until_by_id = {}
         self._revision_by_key = {}
         self._remove_at_by_id = {}
         self._revision_by_id = {}
@@ -113,7 +119,17 @@
         has_changed : bool
             Whether anything changed.
         """
-        if revision <= self._revision_by_key.get(key, 0):
+        known_revision = self._revision_by_key.get(key, 0)
+        if revision <= known_revision:
+            CHANGES.labels("outdated").inc()
+            if revision < known_revision:
+                log_event(
+                    _log,
+                    "site.item.outdated",
+                    key=key,
+                    revision=revision,
+                    known_revision=known_revision,
+                )
             return False
         self._revision_by_key[key] = revision
         try:
@@ -127,9 +143,11 @@
                 revision=revision,
                 detail=exc.detail,
             )
+            CHANGES.labels("refused").inc()
             item = _unreadable_item(key)
         if item is None:
             return False
+        CHANGES.labels("applied").inc()
         self._apply_item(item, revision)
         return True
 
@@ -152,6 +170,10 @@
                 self.apply(key, None, revision + 1)
                 self._revision_by_key[key] = revision
 
+    def is_cold(self, endpoint_id):
+        """Return whether an endpoint is cold as far as its registration tells."""
+        return self._clock.monotonic() < self._cold_until_by_id.get(endpoint_id, 0.0)
+
     def drop_missing_endpoints(self):
         """Remove endpoints that did not register again in time.
 
@@ -240,6 +262,7 @@
         known = self.endpoint_by_id.get(item.id)
         self.endpoint_by_id[item.id] = item.endpoint
         self._revision_by_id[item.id] = revision
+        self._cold_until_by_id[item.id] = self._clock.monotonic() + item.endpoint.cold_s
         if known is None or known.is_draining != item.endpoint.is_draining:
             log_event(
                 _log,
@@ -249,6 +272,7 @@
                 endpoint=item.id,
                 service=item.endpoint.service,
                 revision=revision,
+                cold_s=item.endpoint.cold_s,
             )
 
     def _supersede_at_address(self, item, revision):
@@ -288,6 +312,7 @@
     def _remove(self, endpoint_id, reason):
         self._remove_at_by_id.pop(endpoint_id, None)
         self._revision_by_id.pop(endpoint_id, None)
+        self._cold_until_by_id.pop(endpoint_id, None)
         if self.endpoint_by_id.pop(endpoint_id, None) is not None:
             log_event(_log, "site.endpoint.gone", endpoint=endpoint_id, reason=reason)
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/peers.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/peers.py
@@ -16,6 +16,7 @@
     maintain_link,
     serve_links,
 )
+from prometheus_client import Gauge
 
 __all__ = ["PeerLinks", "keep_registered"]
 
@@ -38,6 +39,7 @@
 # Pause after a failed call. Calls are billed also while the store rejects them.
 REGISTER_RETRY_INTERVAL_S = 1.0
 
+PEERS = Gauge("magnoliagrade_direct_peers", "Other entries by state", ["result"])
 _log = logging.getLogger(__name__)
 
 
@@ -58,6 +60,10 @@
         self._dialling_by_name = {}
         self._server = None
         self.link_by_name = {}
+        PEERS.labels("linked").set_function(lambda: len(self.link_by_name))
+        PEERS.labels("registered").set_function(
+            lambda: len(node.site_state.link_address_by_name)
+        )
 
     async def listen(self):
         """Open the listener for links."""
@@ -156,7 +162,7 @@
     async def _exchange_reports(self, link):
         name = link.peer_instance
         self.link_by_name[name] = link
-        log_event(_log, "link.up", peer=name)
+        log_event(_log, "link.up", peer=name, peer_version=link.peer_revision)
         link.send(self._full_report())
         try:
             while True:
--- a/packages/magnoliagrade/magnoliagrade/platform/store.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/store.py
@@ -3,12 +3,15 @@
 import asyncio
 import base64
 import json
+import logging
 from dataclasses import dataclass
 
 import aiohttp
+from prometheus_client import Gauge
 
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
 from magnoliagrade.http.client import reject_second_send
+from magnoliagrade.observability import log_event
 from magnoliagrade.store.client import (
     STORE_CALLS,
     StoreConflict,
@@ -22,6 +25,12 @@
 CALL_TIMEOUT_S = 1.0
 # Added to the wait of a watch; without a response by then, the watch times out.
 WATCH_TIMEOUT_MARGIN_S = 0.7
+# Header of every response: number of times that the store has returned from a copy that
+# lacks its last changes.
+ERA_HEADER = "Store-Era"
+
+ERA = Gauge("magnoliagrade_store_era", "Era of the store in its newest response")
+_log = logging.getLogger(__name__)
 
 
 class HistoryLost(MagnoliagradeError):
@@ -49,13 +58,19 @@
         `host:port` of the store.
     session : aiohttp.ClientSession
         Session whose connections are used.
+
+    Attributes
+    ----------
+    era : int or None
+        Highest era in a response; None before the first response.
     """
 
-    __slots__ = ("_session", "_url")
+    __slots__ = ("_session", "_url", "era")
 
     def __init__(self, *, address, session):
         self._url = f"http://{address}"
         self._session = session
+        self.era = None
 
     async def get(self, key, *, purpose):
         """Return the `StoreValue` of a key, or None if it does not exist."""
@@ -179,9 +194,24 @@
                 maybe_applied=method != "GET" and not was_never_sent,
             ) from exc
         STORE_CALLS.labels(purpose, verb, str(response.status)).inc()
+        self._record_era(response.era)
         response.raise_for_status(f"{method} {path}")
         return response
 
+    def _record_era(self, era):
+        if self.era is not None and era <= self.era:
+            return
+        if self.era is not None:
+            log_event(
+                _log,
+                "store.era.changed",
+                level=logging.WARNING,
+                era=era,
+                previous_era=self.era,
+            )
+        self.era = era
+        ERA.set(era)
+
     async def _exchange(self, method, path, params, document, timeout_s):
         async with (
             asyncio.timeout(timeout_s),
@@ -196,13 +226,15 @@
             data = await response.read()
             is_json = response.status in (200, 412) and data
             body = json.loads(data) if is_json else {}
-            return _StoreResponse(status=response.status, body=body)
+            era = int(response.headers.get(ERA_HEADER, self.era or 0))
+            return _StoreResponse(status=response.status, body=body, era=era)
 
 
 @dataclass(slots=True, kw_only=True)
 class _StoreResponse:
     status: int
     body: dict
+    era: int
 
     def raise_for_status(self, call):
         if self.status == 412:
