Let the stand-in store return from a copy that lacks its last changes

Cause: the operators' newest rule says that their store may come back from a copy some seconds old. It then lacks changes that it has acknowledged, issues their revisions and lease ids again, answers 410 to a watch from a revision that it does not have, and counts such returns in the header Store-Era. No stand-in could play this, so no test could fail.

Change: OperatorsStore.make_copy and return_from; the header in every response. The end of a lease deletes only keys that are still under it. Entries of OperatorsSite get link addresses that their peers can use. Endpoints record when requests arrived, and may report that they are cold. The soak can lose the store's last changes at even intervals (store_losses) beside the random faults, whose draws stay as they are; operators and endpoints write again late.

--- a/packages/magnoliagrade-standins/magnoliagrade_standins/operators/__init__.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/operators/__init__.py
@@ -10,13 +10,14 @@
 )
 from magnoliagrade_standins.operators.endpoint import EndpointBehaviour, StandInEndpoint
 from magnoliagrade_standins.operators.site import OperatorsSite
-from magnoliagrade_standins.operators.store import OperatorsStore
+from magnoliagrade_standins.operators.store import OperatorsStore, StoreCopy
 
 __all__ = [
     "EndpointBehaviour",
     "OperatorsSite",
     "OperatorsStore",
     "StandInEndpoint",
+    "StoreCopy",
     "configuration_document",
     "endpoint_document",
     "route_document",
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/operators/documents.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/operators/documents.py
@@ -34,7 +34,7 @@
     return document | fields
 
 
-def configuration_document(version, routes, *, keys=("key-1",)):
+def configuration_document(version, routes, *, keys=("key-1",), cold_per_s=0.0):
     """Return a complete configuration with one organisation, `org-1`.
 
     Parameters
@@ -45,13 +45,22 @@
         Routes, as `route_document` returns them.
     keys : sequence of str
         API keys of the organisation.
+    cold_per_s : float
+        Requests per second that a cold endpoint of any service sustains; 0 for no
+        limit.
     """
     services = sorted({route["Service"] for route in routes})
     return {
         "Version": version,
         "Routes": routes,
         "Services": [
-            {"Name": name, "MaxConns": 100, "ColdPerS": 0.0} for name in services
+            {
+                "Name": name,
+                "MaxConns": 100,
+                "ColdPerS": cold_per_s,
+                "ColdStartS": 3.0 if cold_per_s else 0.0,
+            }
+            for name in services
         ],
         "Limits": {
             "MaxHeaderBytes": 16384,
@@ -63,7 +72,9 @@
     }
 
 
-def endpoint_document(service, address, *, zone="dc-1", state="ready", slots=6):
+def endpoint_document(
+    service, address, *, zone="dc-1", state="ready", slots=6, cold_ms=0
+):
     """Return the document with which an endpoint registers itself in the store."""
     return {
         "Service": service,
@@ -72,6 +83,6 @@
         "Version": "v1",
         "Slots": slots,
         "State": state,
-        "ColdRemainingMs": 0,
+        "ColdRemainingMs": cold_ms,
         "Sequence": 1,
     }
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/operators/endpoint.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/operators/endpoint.py
@@ -61,6 +61,9 @@
         Monotonic time of the latest execution's start, by request id.
     headers_seen : list of CIMultiDict
         Headers of each request received, except requests for reports.
+    arrived_at : list of float
+        Monotonic time of each request that named this incarnation, in seconds, also of
+        those that it rejected.
     reports : int
         Number of group state reports that were requested from it.
     """
@@ -71,6 +74,7 @@
     cancelled: list = field(default_factory=list)
     began_at: dict = field(default_factory=dict)
     headers_seen: list = field(default_factory=list)
+    arrived_at: list = field(default_factory=list)
     reports: int = 0
 
     async def handle(self, request):
@@ -82,6 +86,7 @@
         expected_id = request.headers.get("X-Magnoliagrade-Expect-Instance")
         if expected_id != self.id:
             return web.Response(status=421)
+        self.arrived_at.append(time.monotonic())
         fault = self.behaviour.fault
         if fault in ("busy", "broken-group"):
             causing_server = "other" if fault == "broken-group" else self.id
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/operators/site.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/operators/site.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import aiohttp
 from aiohttp import web
@@ -46,7 +47,7 @@
         for runner in self._runners:
             await runner.cleanup()
 
-    async def add_endpoint(self, endpoint_id, service, **fields):
+    async def add_endpoint(self, endpoint_id, service, *, cold_ms=0, **fields):
         """Start an endpoint and register it in the store.
 
         Parameters
@@ -55,6 +56,8 @@
             Id of the endpoint's incarnation.
         service : str
             Service that it belongs to.
+        cold_ms : int
+            Time for which it is cold, as it reports in its registration.
         **fields
             Fields of its `EndpointBehaviour`.
 
@@ -75,7 +78,7 @@
         self._runners.append(runner)
         port = runner.addresses[0][1]
         self.endpoint_by_id[endpoint_id] = endpoint
-        self.register(endpoint_id, service, f"{HOST}:{port}")
+        self.register(endpoint_id, service, f"{HOST}:{port}", cold_ms=cold_ms)
         return endpoint
 
     def register(self, endpoint_id, service, address, **fields):
@@ -119,7 +122,7 @@
             data_centre="dc-1",
             caller_address=f"{HOST}:0",
             ready_address=f"{HOST}:0",
-            link_address=f"{HOST}:0",
+            link_address=f"{HOST}:{_free_port()}",
             metrics_address=f"{HOST}:0",
             store_address=self._store_address,
             **fields,
@@ -162,3 +165,10 @@
         await web.TCPSite(runner, HOST, 0).start()
         self._runners.append(runner)
         return f"{HOST}:{runner.addresses[0][1]}"
+
+
+def _free_port():
+    # Peers need the port of a link address before the entry listens on it.
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/operators/store.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/operators/store.py
@@ -2,11 +2,35 @@
 
 import asyncio
 import base64
+import copy
 import json
+from dataclasses import dataclass
 
 from aiohttp import web
 
-__all__ = ["OperatorsStore"]
+__all__ = ["OperatorsStore", "StoreCopy"]
+
+
+@dataclass(slots=True, kw_only=True)
+class StoreCopy:
+    """State of a store at one moment, from which it may return later.
+
+    Parameters
+    ----------
+    item_by_key : dict of str to dict
+        Items.
+    keys_by_lease : dict of int to set of str
+        Keys that were written under each lease.
+    next_lease : int
+        Id of the lease that is granted next.
+    revision : int
+        Revision of the last change.
+    """
+
+    item_by_key: dict
+    keys_by_lease: dict
+    next_lease: int
+    revision: int
 
 
 class OperatorsStore:
@@ -22,7 +46,9 @@
     `calls` lists the path of each request. `outage` sets a fault: with `busy` each call
     gets status 503, with `silent` no response, and with `deaf` watches receive no
     events: their responses are empty and stay at the revision that the call named. An
-    empty `outage` ends the fault.
+    empty `outage` ends the fault. `era` counts the returns from a copy; each response
+    names it, also while an outage lasts. `on_call`, if set, is called with the path of
+    each request before it is served.
     """
 
     def __init__(self, *, page_size=50):
@@ -30,9 +56,12 @@
         self._changed = asyncio.Event()
         self._events = []
         self._compacted_revision = 0
+        self._next_lease = 1
         self.calls = []
+        self.era = 1
         self.item_by_key = {}
         self.keys_by_lease = {}
+        self.on_call = None
         self.outage = ""
         self.revision = 1
 
@@ -72,6 +101,10 @@
         self.item_by_key[key] = item
         self._record_event(item)
 
+    def put_item(self, item):
+        """Write the value of an item again, as an endpoint does after a loss."""
+        self.put(item["Key"], base64.b64decode(item["Value"]))
+
     def delete(self, key):
         """Delete a key and notify watches; a missing key is ignored."""
         if self.item_by_key.pop(key, None) is None:
@@ -84,19 +117,56 @@
         self._events.clear()
         self._compacted_revision = self.revision
 
+    def make_copy(self):
+        """Return a `StoreCopy` of the current state."""
+        return StoreCopy(
+            item_by_key=dict(self.item_by_key),
+            keys_by_lease=copy.deepcopy(self.keys_by_lease),
+            next_lease=self._next_lease,
+            revision=self.revision,
+        )
+
+    def return_from(self, state):
+        """Replace the state by a copy, and begin a new era.
+
+        All later changes are lost, leases too; their revisions and lease ids are issued
+        again. Watches from a revision above that of the copy get status 410.
+
+        Parameters
+        ----------
+        state : StoreCopy
+            The copy.
+        """
+        self.era += 1
+        self.item_by_key = dict(state.item_by_key)
+        self.keys_by_lease = copy.deepcopy(state.keys_by_lease)
+        self._next_lease = state.next_lease
+        self.revision = state.revision
+        self._events = [e for e in self._events if e["Revision"] <= state.revision]
+        self._compacted_revision = min(self._compacted_revision, state.revision)
+        self._wake_watches()
+
     def _record_event(self, event):
         self._events.append(event)
+        self._wake_watches()
+
+    def _wake_watches(self):
         self._changed.set()
         self._changed = asyncio.Event()
 
     def _with_outage(self, handle):
         async def handle_with_outage(request):
             self.calls.append(request.path)
-            if self.outage == "busy":
-                return web.Response(status=503)
+            if self.on_call is not None:
+                self.on_call(request.path)
             if self.outage == "silent":
                 await asyncio.sleep(3600)
-            return await handle(request)
+            if self.outage == "busy":
+                response = web.Response(status=503)
+            else:
+                response = await handle(request)
+            response.headers["Store-Era"] = str(self.era)
+            return response
 
         return handle_with_outage
 
@@ -122,7 +192,7 @@
         prefix, after = request.query["Prefix"], int(request.query["After"])
         ends_at = asyncio.get_running_loop().time() + int(request.query["WaitMs"]) / 1e3
         while True:
-            if after < self._compacted_revision:
+            if not self._compacted_revision <= after <= self.revision:
                 return web.Response(status=410)
             events = [
                 event
@@ -163,7 +233,8 @@
 
     async def _grant_lease(self, request):
         body = await request.json()
-        lease = len(self.keys_by_lease) + 1
+        lease = self._next_lease
+        self._next_lease += 1
         self.keys_by_lease[lease] = set()
         return web.json_response({"Lease": lease, "TtlMs": body["TtlMs"]})
 
@@ -173,8 +244,11 @@
         return web.json_response({"TtlMs": 10000})
 
     async def _end_lease(self, request):
-        for key in self.keys_by_lease.pop(int(request.match_info["lease"]), ()):
-            self.delete(key)
+        lease = int(request.match_info["lease"])
+        for key in self.keys_by_lease.pop(lease, ()):
+            # The key may have been written again under another lease.
+            if self.item_by_key.get(key, {}).get("Lease") == lease:
+                self.delete(key)
         return web.json_response({})
 
 
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/soak/faults.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/soak/faults.py
@@ -168,7 +168,7 @@
     site.register(endpoint)
     await sleep(fault.duration_s)
     if previous_id != endpoint.id:
-        site.store.delete(f"servers/{previous_id}")
+        site.deregister(previous_id)
 
 
 @fault_kinds.register("endpoint-draining")
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/soak/run.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/soak/run.py
@@ -6,8 +6,13 @@
 from magnoliagrade_standins.soak.callers import SoakCaller
 from magnoliagrade_standins.soak.checks import Finding, SoakReport, find_broken_promises
 from magnoliagrade_standins.soak.faults import inject_fault
-from magnoliagrade_standins.soak.plan import draw_faults, fault_kinds
+from magnoliagrade_standins.soak.plan import (
+    FAULT_FREE_END_S,
+    draw_faults,
+    fault_kinds,
+)
 from magnoliagrade_standins.soak.site import SoakSite
+from magnoliagrade_standins.soak.store_loss import lose_store_changes
 
 __all__ = ["run_soak"]
 
@@ -42,6 +47,7 @@
         injections = [
             asyncio.create_task(_inject_at(site, f, began_at)) for f in faults
         ]
+        injections.append(asyncio.create_task(_lose_store_changes(site)))
         await asyncio.gather(*(caller.run(ends_at) for caller in callers))
         await asyncio.gather(*injections)
         await site.clock.sleep(SETTLE_S)
@@ -79,6 +85,16 @@
     await inject_fault(site, fault, site.clock.sleep)
 
 
+async def _lose_store_changes(site):
+    """Let the store lose changes as often as planned, the last time before the end."""
+    plan = site.plan
+    for _ in range(plan.store_losses):
+        await site.clock.sleep(
+            (plan.duration_s - FAULT_FREE_END_S) / (plan.store_losses + 1)
+        )
+        await lose_store_changes(site, site.clock.sleep)
+
+
 def _check_entries_at_end(site, calls, ends_at):
     findings = []
     for number, entry in enumerate(site.entries):
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/soak/site.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/soak/site.py
@@ -49,6 +49,8 @@
         self.version = 3
         self.keys = ["key-0"]
         self.removed_at_by_key = {}
+        self._document_by_key = {}
+        self._registrations = 0
         self._runners = []
         self._folder = tempfile.TemporaryDirectory()
 
@@ -86,7 +88,7 @@
         """Write a new version of the configuration with the current keys."""
         self.version += 2
         document = configuration_document(self.version, ROUTES, keys=self.keys)
-        self.store.put("op/config", document)
+        self._write("op/config", document)
 
     def rotate_key(self):
         """Add a key and remove the oldest one."""
@@ -99,7 +101,26 @@
         """Write an endpoint's registration to the store."""
         service = endpoint.id.partition("-")[0]
         document = endpoint_document(service, endpoint.address, **fields)
-        self.store.put(f"servers/{endpoint.id}", document)
+        self._registrations += 1
+        document["Sequence"] = self._registrations
+        self._write(f"servers/{endpoint.id}", document)
+
+    def deregister(self, endpoint_id):
+        """Delete an endpoint's registration from the store."""
+        self._document_by_key.pop(f"servers/{endpoint_id}", None)
+        self.store.delete(f"servers/{endpoint_id}")
+
+    def write_again(self):
+        """Write all that operators and endpoints wrote, after the store has lost it."""
+        for key in list(self.store.item_by_key):
+            if key.startswith("servers/") and key not in self._document_by_key:
+                self.store.delete(key)
+        for key, document in self._document_by_key.items():
+            self.store.put(key, document)
+
+    def _write(self, key, document):
+        self._document_by_key[key] = document
+        self.store.put(key, document)
 
     def apply_rules(self):
         """Apply the proxy rules of all current faults."""
