Fix changes ignored after the store has returned from a copy

Cause: a revision was taken for a position in one growing history. A store that returns from a copy issues revisions and lease ids again, so what an entry had applied at a revision hid the next change with that revision or a lower one; a watch continued in another history; a lease id was renewed that belonged to another process. The class of fault: identifiers that a server issues are compared across its restarts without their epoch.

Change: - PlatformStore reads the era of every response. Positions are pairs of era and revision and leases carry their era. A watch that is answered in another era raises HistoryLost, a listing whose pages are of two eras is read again, a late response of an earlier era is refused, a lease of an earlier era is neither renewed nor revoked. - SiteState orders changes by position. The first listing of an era may be older than what is known: registrations are compared by their server's own order (start, sequence), versions as before, missing servers are kept for the settling time and other missing keys for 10 s. - An entry registers again as soon as it knows of the new era. - An entry whose peer has a newer version asks the peer for it after 0.8 s, and does not count its state as confirmed until then. This covers processes that start from the copy.

Ran: tests.test_store_returns_from_copy, the direct path, the direct entry, the soak with entry processes and two losses: passed.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge.py
@@ -12,10 +12,13 @@
     FormatError,
     InstanceItem,
     SlowRanksItem,
+    StorePosition,
+    decode_configuration,
     decode_item,
 )
 from prometheus_client import Counter
 
+from magnoliagrade_entry.direct.registration_orders import RegistrationOrders
 from magnoliagrade_entry.direct.route_table import RouteTable
 
 __all__ = ["STORE_SETTLE_S", "SiteState"]
@@ -24,6 +27,10 @@
 # kept: they register again about two seconds after its end; this is that time less the
 # duration of a call.
 STORE_SETTLE_S = 1.8
+# Time for which other keys are kept that a store that has returned from a copy lacks:
+# their writers write them again late. An evacuation that is held for too long costs
+# capacity; one that is given up too early sends requests to an evacuated data centre.
+LOST_KEY_HOLD_S = 10.0
 
 CHANGES = Counter(
     "magnoliagrade_site_changes_total", "Changes of keys of the store", ["result"]
@@ -46,17 +53,28 @@
     ----------
     clock : Clock
         Source of time.
+
+    Attributes
+    ----------
+    configuration_data : bytes
+        The encoded configuration in force; empty without one.
+    era : int or None
+        Era of the store in the last listing that was applied; None before the first.
     """
 
     __slots__ = (
         "_clock",
         "_cold_until_by_id",
+        "_delete_at_by_key",
+        "_orders",
+        "_position_by_id",
+        "_position_by_key",
         "_remove_at_by_id",
-        "_revision_by_id",
-        "_revision_by_key",
         "configuration",
+        "configuration_data",
         "confirmed_at",
         "endpoint_by_id",
+        "era",
         "evacuated",
         "link_address_by_name",
         "route_table",
@@ -67,12 +85,16 @@
     def __init__(self, *, clock):
         self._clock = clock
         self._cold_until_by_id = {}
-        self._revision_by_key = {}
+        self._delete_at_by_key = {}
+        self._orders = RegistrationOrders()
+        self._position_by_id = {}
+        self._position_by_key = {}
         self._remove_at_by_id = {}
-        self._revision_by_id = {}
         self.configuration = None
+        self.configuration_data = b""
         self.confirmed_at = float("-inf")
         self.endpoint_by_id = {}
+        self.era = None
         self.evacuated = set()
         self.link_address_by_name = {}
         self.route_table = RouteTable(routes=[])
@@ -102,8 +124,8 @@
         """Record that the store responds again after an outage."""
         self.store_returned_at = self._clock.monotonic()
 
-    def apply(self, key, value, revision):
-        """Apply a key's value unless a newer revision of the key has been applied.
+    def apply(self, key, value, position):
+        """Apply a key's value unless a later change of the key has been applied.
 
         Parameters
         ----------
@@ -111,64 +133,105 @@
             Key.
         value : bytes or None
             Value; None if it was deleted.
-        revision : int
-            Revision of the change.
+        position : StorePosition
+            Position of the change.
 
         Returns
         -------
         has_changed : bool
             Whether anything changed.
         """
-        known_revision = self._revision_by_key.get(key, 0)
-        if revision <= known_revision:
-            CHANGES.labels("outdated").inc()
-            if revision < known_revision:
-                log_event(
-                    _log,
-                    "site.item.outdated",
-                    key=key,
-                    revision=revision,
-                    known_revision=known_revision,
-                )
+        if not self._advance_position(key, position):
             return False
-        self._revision_by_key[key] = revision
-        try:
-            item = decode_item(key, value)
-        except FormatError as exc:
-            log_event(
-                _log,
-                "site.item.refused",
-                level=logging.WARNING,
-                key=key,
-                revision=revision,
-                detail=exc.detail,
-            )
-            CHANGES.labels("refused").inc()
-            item = _unreadable_item(key)
+        item = self._decode(key, value, position)
         if item is None:
             return False
         CHANGES.labels("applied").inc()
-        self._apply_item(item, revision)
+        self._apply_item(item, position)
+        if isinstance(item, ConfigurationItem) and item.configuration is not None:
+            self._keep_configuration_data(item.configuration, value)
         return True
 
-    def replace(self, values, revision):
+    def replace(self, values, position):
         """Apply a complete listing; keys that it lacks are deleted.
 
         Parameters
         ----------
         values : list of StoreValue
             All keys.
-        revision : int
-            Revision of the store up to which the listing contains all changes; it may
-            contain later ones.
+        position : StorePosition
+            Position up to which the listing contains all changes; it may contain later
+            ones.
+
+        Returns
+        -------
+        has_returned : bool
+            Whether the store has returned from a copy since the last listing.
+
+        Notes
+        -----
+        The first listing after a return may be older than what is known. Registrations
+        and configurations that it lists are compared by the order that their writers
+        gave them, and keys that it lacks are kept for a while, because they may have
+        been lost and are then written again.
         """
+        has_returned = self.era is not None and position.era != self.era
+        self.era = position.era
+        if has_returned:
+            self.record_store_return()
         listed = {value.key for value in values}
         for value in values:
-            self.apply(value.key, value.value, value.revision)
-        for key in [k for k in self._revision_by_key if k not in listed]:
-            if self._revision_by_key[key] <= revision:
-                self.apply(key, None, revision + 1)
-                self._revision_by_key[key] = revision
+            value_position = StorePosition(position.era, value.revision)
+            if has_returned and self._is_outdated_in_copy(value):
+                self._advance_position(value.key, value_position)
+                CHANGES.labels("outdated").inc()
+                log_event(
+                    _log,
+                    "site.item.outdated_in_copy",
+                    key=value.key,
+                    revision=value.revision,
+                    era=position.era,
+                )
+                continue
+            self.apply(value.key, value.value, value_position)
+        for key in [k for k in self._position_by_key if k not in listed]:
+            if self._position_by_key[key] <= position:
+                self._delete_unlisted(key, position, is_lost=has_returned)
+        return has_returned
+
+    def apply_peer_configuration(self, data):
+        """Apply a newer configuration that a peer has in force.
+
+        Parameters
+        ----------
+        data : bytes
+            The encoded configuration.
+
+        Raises
+        ------
+        FormatError
+            If it is malformed.
+        """
+        configuration = decode_configuration(data)
+        self._apply_configuration(configuration, source="peer")
+        self._keep_configuration_data(configuration, data)
+
+    def apply_due_deletions(self):
+        """Delete the lost keys that were not written again in time.
+
+        Returns
+        -------
+        has_changed : bool
+            Whether a key was deleted.
+        """
+        now = self._clock.monotonic()
+        due = [key for key, at in self._delete_at_by_key.items() if at <= now]
+        for key in due:
+            del self._delete_at_by_key[key]
+            item = decode_item(key, None)
+            if item is not None:
+                self._apply_item(item, self._position_by_key[key])
+        return bool(due)
 
     def is_cold(self, endpoint_id):
         """Return whether an endpoint is cold as far as its registration tells."""
@@ -199,11 +262,68 @@
             and endpoint.data_centre not in self.evacuated
         ]
 
-    def _apply_item(self, item, revision):
+    def _advance_position(self, key, position):
+        """Record the position of a key's change; return whether it is the newest."""
+        known = self._position_by_key.get(key)
+        if known is not None and position <= known:
+            CHANGES.labels("outdated").inc()
+            if position < known:
+                log_event(
+                    _log,
+                    "site.item.outdated",
+                    key=key,
+                    revision=position.revision,
+                    known_revision=known.revision,
+                    era=position.era,
+                )
+            return False
+        self._position_by_key[key] = position
+        self._delete_at_by_key.pop(key, None)
+        return True
+
+    def _decode(self, key, value, position):
+        try:
+            return decode_item(key, value)
+        except FormatError as exc:
+            log_event(
+                _log,
+                "site.item.refused",
+                level=logging.WARNING,
+                key=key,
+                revision=position.revision,
+                detail=exc.detail,
+            )
+            CHANGES.labels("refused").inc()
+            return _unreadable_item(key)
+
+    def _is_outdated_in_copy(self, value):
+        """Return whether a listed value is older than what is known of its subject."""
+        try:
+            item = decode_item(value.key, value.value)
+        except FormatError:
+            return False
+        if isinstance(item, EndpointItem):
+            order = item.endpoint.registration_order
+            return self._orders.is_outdated(item.id, order)
+        # Notices of slow ranks are renewed every few seconds while they hold.
+        return isinstance(item, SlowRanksItem)
+
+    def _delete_unlisted(self, key, position, *, is_lost):
+        item = decode_item(key, None)
+        self._position_by_key[key] = position
+        if item is None or key in self._delete_at_by_key:
+            return
+        if is_lost and not isinstance(item, EndpointItem):
+            self._delete_at_by_key[key] = self._clock.monotonic() + LOST_KEY_HOLD_S
+            return
+        self._apply_item(item, position)
+
+    def _apply_item(self, item, position):
+        revision = position.revision
         if isinstance(item, ConfigurationItem):
-            self._apply_configuration(item.configuration, revision)
+            self._apply_configuration(item.configuration, revision=revision)
         elif isinstance(item, EndpointItem):
-            self._apply_endpoint(item, revision)
+            self._apply_endpoint(item, position)
         elif isinstance(item, EvacuationItem):
             change = self.evacuated.add if item.is_evacuated else self.evacuated.discard
             change(item.data_centre)
@@ -238,7 +358,7 @@
                 revision=revision,
             )
 
-    def _apply_configuration(self, configuration, revision):
+    def _apply_configuration(self, configuration, **fields):
         if configuration is None or configuration.version <= self.version:
             # The version never decreases during the life of a process.
             return
@@ -249,19 +369,24 @@
             "site.configuration.applied",
             version=configuration.version,
             routes=len(configuration.routes),
-            revision=revision,
+            **fields,
         )
 
-    def _apply_endpoint(self, item, revision):
+    def _keep_configuration_data(self, configuration, data):
+        if configuration is self.configuration:
+            self.configuration_data = data
+
+    def _apply_endpoint(self, item, position):
         if item.endpoint is None:
             self._handle_deregistration(item.id)
             return
-        if not self._supersede_at_address(item, revision):
+        self._orders.record(item.id, item.endpoint.registration_order)
+        if not self._supersede_at_address(item, position):
             return
         self._remove_at_by_id.pop(item.id, None)
         known = self.endpoint_by_id.get(item.id)
         self.endpoint_by_id[item.id] = item.endpoint
-        self._revision_by_id[item.id] = revision
+        self._position_by_id[item.id] = position
         self._cold_until_by_id[item.id] = self._clock.monotonic() + item.endpoint.cold_s
         if known is None or known.is_draining != item.endpoint.is_draining:
             log_event(
@@ -271,11 +396,11 @@
                 else "site.endpoint.ready",
                 endpoint=item.id,
                 service=item.endpoint.service,
-                revision=revision,
+                revision=position.revision,
                 cold_s=item.endpoint.cold_s,
             )
 
-    def _supersede_at_address(self, item, revision):
+    def _supersede_at_address(self, item, position):
         """Remove older endpoints at an item's address; return whether it is the newest.
 
         The registration of a crashed server remains for a few heartbeats, while the
@@ -291,7 +416,7 @@
             for endpoint in self.endpoint_by_id.values()
             if endpoint.address == item.endpoint.address and endpoint.id != item.id
         ]
-        if any(self._revision_by_id[other.id] > revision for other in others):
+        if any(self._position_by_id[other.id] > position for other in others):
             log_event(_log, "site.endpoint.outdated", endpoint=item.id)
             self._remove(item.id, "a newer endpoint registered at its address")
             return False
@@ -311,7 +436,8 @@
 
     def _remove(self, endpoint_id, reason):
         self._remove_at_by_id.pop(endpoint_id, None)
-        self._revision_by_id.pop(endpoint_id, None)
+        self._position_by_id.pop(endpoint_id, None)
+        self._orders.end(endpoint_id)
         self._cold_until_by_id.pop(endpoint_id, None)
         if self.endpoint_by_id.pop(endpoint_id, None) is not None:
             log_event(_log, "site.endpoint.gone", endpoint=endpoint_id, reason=reason)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/peers.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/peers.py
@@ -5,13 +5,15 @@
 
 from magnoliagrade.errors import MagnoliagradeError
 from magnoliagrade.observability import log_event
-from magnoliagrade.platform import encode_instance, instance_key
+from magnoliagrade.platform import FormatError, encode_instance, instance_key
 from magnoliagrade.store import StoreConflict
 from magnoliagrade.wire import (
     EndpointWork,
     Hello,
     Link,
     ServiceOutage,
+    SiteConfigurationCopy,
+    SiteConfigurationPull,
     WorkInFlight,
     maintain_link,
     serve_links,
@@ -32,6 +34,9 @@
 # A link without a message for this long is closed; two and a half intervals between
 # full reports.
 PEER_TIMEOUT_S = 5.0
+# Time for which a peer may have a newer configuration before it is asked for it. The
+# store's watch delivers a change to all entries within a few hundred ms.
+PULL_DELAY_S = 0.8
 # Life of the entry's lease in the store, longer than most outages (4 to 9 s).
 LEASE_S = 10.0
 # Interval of lease renewals; three may fail before the lease expires.
@@ -52,10 +57,18 @@
         The entry.
     """
 
-    __slots__ = ("_changed", "_dialling_by_name", "_node", "_server", "link_by_name")
+    __slots__ = (
+        "_behind_since",
+        "_changed",
+        "_dialling_by_name",
+        "_node",
+        "_server",
+        "link_by_name",
+    )
 
     def __init__(self, *, node):
         self._node = node
+        self._behind_since = None
         self._changed = set()
         self._dialling_by_name = {}
         self._server = None
@@ -108,6 +121,7 @@
         while True:
             by_peers_s = SEND_INTERVAL_PER_PEER_S * len(self.link_by_name)
             await clock.sleep(max(SEND_INTERVAL_S, by_peers_s))
+            self._pull_newer_configuration()
             if clock.monotonic() >= full_report_at:
                 full_report_at = clock.monotonic() + FULL_REPORT_INTERVAL_S
                 self._changed.clear()
@@ -121,6 +135,12 @@
         """Announce to all peers that an outage of a service begins or ends."""
         self._broadcast(ServiceOutage(service=service, is_out=is_out))
 
+    def newest_version(self):
+        """Return the newest configuration version of any linked entry; 0 without."""
+        return max(
+            (link.peer_revision for link in self.link_by_name.values()), default=0
+        )
+
     def close(self):
         """Stop listening and close all links."""
         if self._server is not None:
@@ -172,6 +192,10 @@
                     self._apply_peer_work(name, message)
                 elif isinstance(message, ServiceOutage):
                     self._apply_peer_outage(message)
+                elif isinstance(message, SiteConfigurationPull):
+                    self._send_configuration(link, message)
+                elif isinstance(message, SiteConfigurationCopy):
+                    self._apply_peer_configuration(name, message)
         finally:
             if self.link_by_name.get(name) is link:
                 del self.link_by_name[name]
@@ -195,6 +219,49 @@
         elif endpoint_table.record_response(message.service):
             self._node.wake_wait_queues()
 
+    def _pull_newer_configuration(self):
+        """Ask a peer for its configuration if the store does not deliver it in time."""
+        now = self._node.clock.monotonic()
+        version = self._node.site_state.version
+        ahead = [
+            link for link in self.link_by_name.values() if link.peer_revision > version
+        ]
+        if not ahead:
+            self._behind_since = None
+        elif self._behind_since is None:
+            self._behind_since = now
+        elif now - self._behind_since >= PULL_DELAY_S:
+            self._behind_since = now
+            link = self._node.rng.choice(ahead)
+            log_event(
+                _log,
+                "site.configuration.behind",
+                level=logging.WARNING,
+                version=version,
+                peer=link.peer_instance,
+                peer_version=link.peer_revision,
+            )
+            link.send(SiteConfigurationPull(version=version))
+
+    def _send_configuration(self, link, message):
+        site_state = self._node.site_state
+        if site_state.version > message.version:
+            link.send(SiteConfigurationCopy(data=site_state.configuration_data))
+
+    def _apply_peer_configuration(self, name, message):
+        try:
+            self._node.site_state.apply_peer_configuration(message.data)
+        except FormatError as exc:
+            log_event(
+                _log,
+                "site.configuration.refused",
+                level=logging.WARNING,
+                peer=name,
+                detail=exc.detail,
+            )
+            return
+        self._node.on_site_changed()
+
     def _broadcast(self, message):
         for link in list(self.link_by_name.values()):
             link.send(message)
@@ -234,7 +301,18 @@
         except MagnoliagradeError as exc:
             log_event(_log, "instance.not_registered", detail=exc.detail)
             pause_s = REGISTER_RETRY_INTERVAL_S
-        await node.clock.sleep(pause_s)
+        await _sleep_until_new_era(node, pause_s)
+
+
+async def _sleep_until_new_era(node, pause_s):
+    """Wait; return early if the store has returned from a copy."""
+    sleeping = asyncio.ensure_future(node.clock.sleep(pause_s))
+    new_era = asyncio.ensure_future(node.store.wait_for_new_era())
+    try:
+        await asyncio.wait({sleeping, new_era}, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        sleeping.cancel()
+        new_era.cancel()
 
 
 async def _register(node):
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/site_watch.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/site_watch.py
@@ -5,7 +5,7 @@
 
 from magnoliagrade.errors import MagnoliagradeError
 from magnoliagrade.observability import log_event
-from magnoliagrade.platform import HistoryLost
+from magnoliagrade.platform import HistoryLost, StorePosition
 from prometheus_client import Gauge
 
 __all__ = ["follow_site"]
@@ -48,7 +48,7 @@
         try:
             await follower.step()
         except HistoryLost as exc:
-            follower.revision = None
+            follower.position = None
             log_event(_log, "store.history.lost", detail=exc.detail)
         except (MagnoliagradeError, KeyError, TypeError, ValueError) as exc:
             await follower.back_off(exc)
@@ -57,13 +57,13 @@
 class _Follower:
     """Reads and watches the store, with backoff after failed calls."""
 
-    __slots__ = ("_is_store_lost", "_node", "_pause_s", "revision")
+    __slots__ = ("_is_store_lost", "_node", "_pause_s", "position")
 
     def __init__(self, *, node):
         self._node = node
         self._is_store_lost = False
         self._pause_s = BACKOFF_MIN_S
-        self.revision = None
+        self.position = None
 
     async def step(self):
         """Make one call and apply the changes that it returns."""
@@ -71,14 +71,15 @@
         site_state = node.site_state
         began = node.clock.boot_time()
         events = []
-        if self.revision is None:
-            values, revision = await node.store.list(ALL_KEYS, purpose="site")
+        if self.position is None:
+            values, position = await node.store.list(ALL_KEYS, purpose="site")
             self._record_response()
-            site_state.replace(values, revision)
+            if site_state.replace(values, position):
+                node.schedule_endpoint_expiry()
         else:
-            events, revision = await node.store.watch(
+            events, position = await node.store.watch(
                 ALL_KEYS,
-                after_revision=self.revision,
+                after=self.position,
                 wait_s=min(
                     WATCH_WAIT_S, WATCH_WAIT_FRACTION * node.settings.revoke_ms / 1000
                 ),
@@ -86,9 +87,13 @@
             )
             self._record_response()
             for event in events:
-                site_state.apply(event.key, event.value, event.revision)
-        self.revision = revision
-        site_state.confirm(began)
+                event_position = StorePosition(position.era, event.revision)
+                site_state.apply(event.key, event.value, event_position)
+        self.position = position
+        site_state.apply_due_deletions()
+        if node.peers.newest_version() <= site_state.version:
+            # Otherwise the store lacks a version that a peer has in force.
+            site_state.confirm(began)
         node.on_site_changed()
         if events:
             await node.clock.sleep(BATCH_DELAY_S)
--- a/packages/magnoliagrade/magnoliagrade/platform/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/__init__.py
@@ -34,7 +34,13 @@
     slow_ranks_key,
 )
 from magnoliagrade.platform.ranks import OrderOutcome, RankServer
-from magnoliagrade.platform.store import HistoryLost, PlatformStore, StoreEvent
+from magnoliagrade.platform.store import (
+    HistoryLost,
+    PlatformStore,
+    StoreEvent,
+    StoreLease,
+    StorePosition,
+)
 
 __all__ = [
     "SLOW_RANKS_LIFE_S",
@@ -49,6 +55,8 @@
     "RankServer",
     "SlowRanksItem",
     "StoreEvent",
+    "StoreLease",
+    "StorePosition",
     "deadline_of",
     "decode_configuration",
     "decode_endpoint",
--- a/packages/magnoliagrade/magnoliagrade/platform/endpoints.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/endpoints.py
@@ -44,4 +44,6 @@
         slots=max(1, int(number_field(document, "Slots"))),
         is_draining=_IS_DRAINING_BY_STATE[state],
         cold_s=number_field(document, "ColdRemainingMs", 0) / 1000,
+        born_ms=int(number_field(document, "born", 0)),
+        sequence=int(number_field(document, "Sequence", 0)),
     )
--- a/packages/magnoliagrade/magnoliagrade/platform/store.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/store.py
@@ -19,7 +19,13 @@
     StoreValue,
 )
 
-__all__ = ["HistoryLost", "PlatformStore", "StoreEvent"]
+__all__ = [
+    "HistoryLost",
+    "PlatformStore",
+    "StoreEvent",
+    "StoreLease",
+    "StorePosition",
+]
 
 # The store responds in 4 ms, and in up to a few hundred ms when it is slow.
 CALL_TIMEOUT_S = 1.0
@@ -28,13 +34,15 @@
 # Header of every response: number of times that the store has returned from a copy that
 # lacks its last changes.
 ERA_HEADER = "Store-Era"
+# Number of times that a listing is read if the era changes between its pages.
+MAX_LISTING_TRIES = 3
 
 ERA = Gauge("magnoliagrade_store_era", "Era of the store in its newest response")
 _log = logging.getLogger(__name__)
 
 
 class HistoryLost(MagnoliagradeError):
-    """The store has discarded changes that a watch asked for."""
+    """The store has discarded the changes after a revision, or is in another era."""
 
     def __init__(self, detail):
         super().__init__(ErrorKind.STORE_UNAVAILABLE, detail)
@@ -49,6 +57,31 @@
     revision: int
 
 
+@dataclass(frozen=True, order=True, slots=True)
+class StorePosition:
+    """Position in the store's history; later eras are ordered after earlier ones.
+
+    Parameters
+    ----------
+    era : int
+        Number of times that the store has returned from a copy.
+    revision : int
+        Revision within the era. The revisions of changes that a return has lost are
+        issued again in the next era.
+    """
+
+    era: int
+    revision: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoreLease:
+    """A lease; its id may belong to another process in a later era."""
+
+    id: int
+    era: int
+
+
 class PlatformStore:
     """Client of the platform's key-value store, with linearizable reads.
 
@@ -65,11 +98,12 @@
         Highest era in a response; None before the first response.
     """
 
-    __slots__ = ("_session", "_url", "era")
+    __slots__ = ("_era_changed", "_session", "_url", "era")
 
     def __init__(self, *, address, session):
         self._url = f"http://{address}"
         self._session = session
+        self._era_changed = asyncio.Event()
         self.era = None
 
     async def get(self, key, *, purpose):
@@ -80,38 +114,50 @@
         return None if response.status == 404 else _value(response.body)
 
     async def list(self, prefix, *, purpose):
-        """Return the values under a prefix and the revision to start a watch from.
+        """Return the values under a prefix and the position to start a watch from.
+
+        Raises
+        ------
+        HistoryLost
+            If the era changed again each time the listing was read.
 
         Notes
         -----
-        The pages of a listing are not one snapshot. The revision is that of the first
+        The pages of a listing are not one snapshot. The position is that of the first
         page, so a watch from it repeats the changes made while later pages were read.
         """
-        values = []
-        revision = None
-        params = {"Prefix": prefix}
-        while True:
-            response = await self._call(
-                "GET", "/kv-range", params=params, purpose=purpose
-            )
-            page = response.body
-            values += [_value(item) for item in page["Items"]]
-            revision = page["AsOf"] if revision is None else revision
-            if not page.get("MorePages") or not page["Items"]:
-                return values, revision
-            params = {"Prefix": prefix, "After": page["Items"][-1]["Key"]}
+        for _ in range(MAX_LISTING_TRIES):
+            values, positions = await self._list_pages(prefix, purpose)
+            if len({position.era for position in positions}) == 1:
+                return values, positions[0]
+        raise HistoryLost(
+            f"listing of {prefix!r}: the store's era changed between its pages in "
+            f"{MAX_LISTING_TRIES} tries"
+        )
+
+    async def watch(self, prefix, *, after, wait_s, purpose):
+        """Return the changes under a prefix and the position to continue from.
 
-    async def watch(self, prefix, *, after_revision, wait_s, purpose):
-        """Return the changes under a prefix and the revision to continue from.
+        Parameters
+        ----------
+        prefix : str
+            Prefix of the keys.
+        after : StorePosition
+            Position that the changes follow.
+        wait_s : float
+            Longest wait for a change, in seconds.
+        purpose : str
+            Label under which the call is counted.
 
         Raises
         ------
         HistoryLost
-            If the store has discarded changes that followed `after_revision`.
+            If the store has discarded changes that followed `after`, or is in another
+            era: the same revision then stands for another state.
         """
         params = {
             "Prefix": prefix,
-            "After": str(after_revision),
+            "After": str(after.revision),
             "WaitMs": str(int(wait_s * 1000)),
         }
         response = await self._call(
@@ -121,10 +167,15 @@
             timeout_s=wait_s + WATCH_TIMEOUT_MARGIN_S,
             purpose=purpose,
         )
+        if response.era != after.era:
+            raise HistoryLost(
+                f"watch from revision {after.revision} of era {after.era}: the store "
+                f"is in era {response.era}"
+            )
         events = [_event(item) for item in response.body["events"]]
-        return events, response.body["AsOf"]
+        return events, StorePosition(response.era, response.body["AsOf"])
 
-    async def put(self, key, value, *, expected_revision, lease=0, purpose):
+    async def put(self, key, value, *, expected_revision, lease=None, purpose):
         """Write a value and return its revision.
 
         `expected_revision` 0 requires that the key does not exist; None disables the
@@ -132,8 +183,9 @@
         `StoreUnavailable`.
         """
         write = {"Key": key, "Value": base64.b64encode(value).decode()}
-        if lease:
-            write["Lease"] = lease
+        if lease is not None:
+            self._check_lease_era(lease, self.era)
+            write["Lease"] = lease.id
         conditions = []
         if expected_revision is not None:
             conditions.append({"Key": key, "Revision": expected_revision})
@@ -143,8 +195,12 @@
             document={"Precondition": conditions, "Writes": [write], "Deletes": []},
             purpose=purpose,
         )
+        if lease is not None:
+            self._check_lease_era(lease, response.era)
         if response.status == 404:
-            raise StoreConflict(f"{key} was not written: its lease {lease} has ended")
+            raise StoreConflict(
+                f"{key} was not written: its lease {lease.id} has ended"
+            )
         return response.body["Revision"]
 
     async def delete(self, key, *, purpose):
@@ -157,21 +213,53 @@
         )
 
     async def grant_lease(self, ttl_s, *, purpose):
-        """Create a lease that ends after `ttl_s` seconds, and return its id."""
+        """Create a `StoreLease` that ends after `ttl_s` seconds, and return it."""
         response = await self._call(
             "POST", "/kv-lease", document={"TtlMs": int(ttl_s * 1000)}, purpose=purpose
         )
-        return response.body["Lease"]
+        return StoreLease(id=response.body["Lease"], era=response.era)
 
     async def renew_lease(self, lease, *, purpose):
-        """Renew a lease; raises `StoreConflict` if it has ended."""
-        response = await self._call("POST", f"/kv-keep/{lease}", purpose=purpose)
+        """Renew a lease; raises `StoreConflict` if it has ended or was lost."""
+        self._check_lease_era(lease, self.era)
+        response = await self._call("POST", f"/kv-keep/{lease.id}", purpose=purpose)
+        self._check_lease_era(lease, response.era)
         if response.status == 404:
-            raise StoreConflict(f"lease {lease} was not renewed: it has ended")
+            raise StoreConflict(f"lease {lease.id} was not renewed: it has ended")
 
     async def revoke_lease(self, lease, *, purpose):
-        """End a lease; the store deletes the keys written under it."""
-        await self._call("DELETE", f"/kv-lease-end/{lease}", purpose=purpose)
+        """End a lease; the store deletes the keys written under it.
+
+        Raises `StoreConflict`, without a call, if the lease is of an earlier era.
+        """
+        self._check_lease_era(lease, self.era)
+        await self._call("DELETE", f"/kv-lease-end/{lease.id}", purpose=purpose)
+
+    async def wait_for_new_era(self):
+        """Wait until a response shows that the store has returned from a copy."""
+        await self._era_changed.wait()
+
+    @staticmethod
+    def _check_lease_era(lease, era):
+        if lease.era != era:
+            raise StoreConflict(
+                f"lease {lease.id} of era {lease.era} may have been lost or issued to "
+                f"another process: the store is in era {era}"
+            )
+
+    async def _list_pages(self, prefix, purpose):
+        values, positions = [], []
+        params = {"Prefix": prefix}
+        while True:
+            response = await self._call(
+                "GET", "/kv-range", params=params, purpose=purpose
+            )
+            page = response.body
+            values += [_value(item) for item in page["Items"]]
+            positions.append(StorePosition(response.era, page["AsOf"]))
+            if not page.get("MorePages") or not page["Items"]:
+                return values, positions
+            params = {"Prefix": prefix, "After": page["Items"][-1]["Key"]}
 
     async def _call(
         self,
@@ -194,12 +282,18 @@
                 maybe_applied=method != "GET" and not was_never_sent,
             ) from exc
         STORE_CALLS.labels(purpose, verb, str(response.status)).inc()
+        if self.era is not None and response.era < self.era:
+            raise StoreUnavailable(
+                f"{method} {path}: response of era {response.era} arrived after one of "
+                f"era {self.era}",
+                maybe_applied=method != "GET",
+            )
         self._record_era(response.era)
         response.raise_for_status(f"{method} {path}")
         return response
 
     def _record_era(self, era):
-        if self.era is not None and era <= self.era:
+        if era == self.era:
             return
         if self.era is not None:
             log_event(
@@ -209,6 +303,8 @@
                 era=era,
                 previous_era=self.era,
             )
+            self._era_changed.set()
+            self._era_changed = asyncio.Event()
         self.era = era
         ERA.set(era)
 
--- a/packages/magnoliagrade/magnoliagrade/wire/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/__init__.py
@@ -55,6 +55,8 @@
     RankCall,
     RankReply,
     ServiceOutage,
+    SiteConfigurationCopy,
+    SiteConfigurationPull,
     WorkInFlight,
 )
 
@@ -98,6 +100,8 @@
     "Revoke",
     "RevokeAnswer",
     "ServiceOutage",
+    "SiteConfigurationCopy",
+    "SiteConfigurationPull",
     "StageAck",
     "StageMap",
     "StatusPull",
--- a/packages/magnoliagrade/magnoliagrade/wire/work.capnp
+++ b/packages/magnoliagrade/magnoliagrade/wire/work.capnp
@@ -34,11 +34,21 @@
   isOut @1 :Bool;            # false: the service has responded again
 }
 
+struct SiteConfigurationPull {
+  version @0 :UInt64;        # version in force at the sender
+}
+
+struct SiteConfigurationCopy {
+  data @0 :Data;             # configuration in force at the sender, as in the store
+}
+
 struct WorkMessage {
   union {
     inFlight @0 :WorkInFlight;
     rankCall @1 :RankCall;
     rankReply @2 :RankReply;
     serviceOutage @3 :ServiceOutage;
+    siteConfigurationPull @4 :SiteConfigurationPull;
+    siteConfigurationCopy @5 :SiteConfigurationCopy;
   }
 }
--- a/packages/magnoliagrade/magnoliagrade/wire/work.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/work.py
@@ -4,7 +4,15 @@
 
 from magnoliagrade.wire.message_table import message
 
-__all__ = ["EndpointWork", "RankCall", "RankReply", "ServiceOutage", "WorkInFlight"]
+__all__ = [
+    "EndpointWork",
+    "RankCall",
+    "RankReply",
+    "ServiceOutage",
+    "SiteConfigurationCopy",
+    "SiteConfigurationPull",
+    "WorkInFlight",
+]
 
 
 @dataclass(slots=True, kw_only=True)
@@ -55,3 +63,17 @@
 
     service: str = ""
     is_out: bool = False
+
+
+@message("work", "siteConfigurationPull")
+class SiteConfigurationPull:
+    """An entry asks a peer for the site configuration if the peer's is newer."""
+
+    version: int = 0
+
+
+@message("work", "siteConfigurationCopy")
+class SiteConfigurationCopy:
+    """The site configuration that an entry has in force, encoded as in the store."""
+
+    data: bytes = b""
--- a/packages/magnoliagrade/magnoliagrade/world/site.py
+++ b/packages/magnoliagrade/magnoliagrade/world/site.py
@@ -221,6 +221,10 @@
         Whether it is about to leave and takes no new requests.
     cold_s : float
         Time in seconds that it is cold after its registration was written.
+    born_ms : int
+        Unix time of the start of the server, in milliseconds; 0 if unknown.
+    sequence : int
+        Number of the registration since the start of the server.
     """
 
     id: str
@@ -230,6 +234,13 @@
     slots: int
     is_draining: bool = False
     cold_s: float = 0.0
+    born_ms: int = 0
+    sequence: int = 0
+
+    @property
+    def registration_order(self):
+        """Key that orders the registrations of one id as its server wrote them."""
+        return self.born_ms, self.sequence
 
 
 @dataclass(slots=True, kw_only=True)
