Fix what agents conclude from a store that has returned from a copy

Cause: an agent drops its link to a rank as soon as one listing lacks the rank's server, and takes no server for its own if its own is missing, so that a coordinator loses its ranks until they register again. A notice of slow ranks that it has deleted may be in the copy, and stays there, since the agent believes it deleted.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/rank_directory.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/rank_directory.py
@@ -43,14 +43,18 @@
         "_client_by_address",
         "_dial_task_by_address",
         "_listed_at",
+        "_listed_addresses",
         "_local_client",
         "_node",
+        "_service",
     )
 
     def __init__(self, *, node, local_client):
         self._node = node
         self._local_client = local_client
         self._listed_at = float("-inf")
+        self._listed_addresses = set()
+        self._service = None
         self._client_by_address = {}
         self._dial_task_by_address = {}
 
@@ -109,13 +113,19 @@
         endpoints = await list_endpoints(self._node.store, purpose="group")
         settings = self._node.settings
         own_address = settings.server_address
-        service = next((e.service for e in endpoints if e.address == own_address), None)
+        self._service = next(
+            (e.service for e in endpoints if e.address == own_address), self._service
+        )
         wanted = {
             e.address
             for e in endpoints
-            if e.service == service and e.address != own_address
+            if e.service == self._service and e.address != own_address
         }
-        for address in [a for a in self._client_by_address if a not in wanted]:
+        # A store that has lost changes lacks servers until they register again, which
+        # takes less time than passes between two listings.
+        kept = wanted | self._listed_addresses
+        self._listed_addresses = wanted
+        for address in [a for a in self._client_by_address if a not in kept]:
             del self._client_by_address[address]
             self._dial_task_by_address.pop(address).cancel()
         for address in wanted - self._client_by_address.keys():
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/slow_ranks.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/slow_ranks.py
@@ -38,7 +38,14 @@
         Source of time.
     """
 
-    __slots__ = ("_clock", "_group", "_published", "_slow_pace_by_address", "_store")
+    __slots__ = (
+        "_clock",
+        "_group",
+        "_published",
+        "_published_era",
+        "_slow_pace_by_address",
+        "_store",
+    )
 
     def __init__(self, *, store, clock):
         self._store = store
@@ -46,6 +53,7 @@
         self._group = ""
         self._slow_pace_by_address = {}
         self._published = {}
+        self._published_era = None
 
     def update_paces(self, group, pace_by_address):
         """Set the paces of a group's ranks; `run` publishes the slow ones.
@@ -75,7 +83,10 @@
         next_at = 0.0
         while True:
             now = self._clock.monotonic()
-            has_changed = self._slow_pace_by_address.keys() != self._published.keys()
+            has_changed = (
+                self._slow_pace_by_address.keys() != self._published.keys()
+                or self._is_from_earlier_era()
+            )
             if has_changed or (self._slow_pace_by_address and now >= next_at):
                 is_published = await self._publish_now(has_changed)
                 next_at = now + RENEW_INTERVAL_S
@@ -83,6 +94,10 @@
                     await self._clock.sleep(RETRY_DELAY_S)
             await self._clock.sleep(POLL_INTERVAL_S)
 
+    def _is_from_earlier_era(self):
+        """Return whether the store may have lost what was published last."""
+        return self._published_era not in (None, self._store.era)
+
     async def _publish_now(self, has_changed):
         slow = self._slow_pace_by_address
         try:
@@ -93,6 +108,7 @@
         if has_changed:
             log_event(_log, "group.slow_ranks", group=self._group, pace_by_address=slow)
         self._published = slow
+        self._published_era = self._store.era
         return True
 
     async def _write(self, key, slow):
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/test_slow_ranks.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/test_slow_ranks.py
@@ -13,6 +13,7 @@
 class FakeStore:
     def __init__(self):
         self.calls = []
+        self.era = 1
         self.is_down = False
         self.may_respond = asyncio.Event()
         self.may_respond.set()
@@ -48,6 +49,20 @@
     _run(scenario)
 
 
+def test_a_notice_that_the_store_restored_from_a_copy_is_removed_again():
+    async def scenario(store, clock, publisher):
+        publisher.update_paces("g", {"b:1": 5.0})
+        await _advance(clock, 0.2)
+        publisher.update_paces("g", {"b:1": 1.0})
+        await _advance(clock, 0.2)
+        assert [call[0] for call in store.calls] == ["put", "delete"]
+        store.era = 2
+        await _advance(clock, 0.2)
+        assert [call[0] for call in store.calls] == ["put", "delete", "delete"]
+
+    _run(scenario)
+
+
 def test_a_failed_store_call_is_retried_after_the_delay():
     async def scenario(store, clock, publisher):
         store.is_down = True
