Fix cold endpoints flooded by all entries at once

What callers saw: an endpoint that had just started crashed again, because it received several times the rate that it bears while cold (FAILBACK).

Cause: nothing limited the rate. A cold endpoint has no requests in flight, so each entry selects it for as many waiting requests as it has slots, before the others' reports of work in flight arrive; rejected ones are followed by others. The class of fault: a bound over all processes that each of them checks, if at all, by itself.

Change: each entry ranks all entries by rendezvous hashing for each endpoint; the first ones, at most as many as the requests of one second, send at most their share, in total no more than the endpoint's rate. An endpoint counts as cold while its registration says so, for the time of a start after it refused a connection and after its data centre was put back, and, since it may have turned cold unnoticed, while the store does not respond or has just returned. In its first seconds an entry assumes 40 entries, as those that start together know none of each other. A request that no endpoint can take in time is still rejected at once: the time until a cold endpoint may be used counts as that of an ejection.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
@@ -8,6 +8,7 @@
 from prometheus_client import Counter
 
 from magnoliagrade_entry.direct.overload import retry_after_s, slot_deadline
+from magnoliagrade_entry.direct.placement import EJECT_MAX_S
 from magnoliagrade_entry.direct.upstream import AttemptFailed, open_response
 
 __all__ = ["Attempt", "Attempts"]
@@ -197,7 +198,7 @@
         self._is_complete = False
         self._started_at = node.clock.monotonic()
         self.endpoint = load.endpoint
-        self._is_cold = node.site_state.is_cold(load.endpoint.id)
+        self._is_cold = self._started_at < load.cold_until
         attempts.tried.add(load.endpoint.id)
         node.on_load_changed(load.endpoint.id)
 
@@ -275,6 +276,10 @@
         elif failed.is_full:
             self._node.endpoint_table.eject_full(self._load, now=now)
         elif self._counts_as_failure(failed, now):
+            if not failed.was_sent:
+                self._node.site_state.record_unreachable(
+                    self.endpoint.id, for_s=EJECT_MAX_S
+                )
             is_plain = not self._attempts.request.route.is_stream
             is_ejected = self._node.endpoint_table.record_failure(
                 self._load,
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
@@ -15,6 +15,7 @@
 from magnoliagrade.observability import log_event, serve_metrics_text
 from magnoliagrade.platform import PlatformStore
 
+from magnoliagrade_entry.direct.cold_rates import ColdIntervals
 from magnoliagrade_entry.direct.door import make_caller_handler, ready_routes
 from magnoliagrade_entry.direct.knowledge import STORE_SETTLE_S, SiteState
 from magnoliagrade_entry.direct.peers import PeerLinks, keep_registered
@@ -38,6 +39,10 @@
 # bound on revoked keys, so that the platform stops sending requests to it before they
 # have to be rejected.
 READY_MAX_AGE_FRACTION = 0.7
+# Time after the start until an entry knows the names of those that have started at the
+# same time, and number of entries that it assumes before.
+NAMES_KNOWN_AFTER_S = 4.0
+ASSUMED_ENTRIES = 40
 # Interval of checks for free slots: no event marks the end of an ejection.
 WAKE_INTERVAL_S = 0.05
 
@@ -58,6 +63,7 @@
     """
 
     __slots__ = (
+        "_cold_intervals",
         "_listener",
         "_recovery_by_service",
         "_runners",
@@ -96,7 +102,9 @@
         self.tasks = Tasks()
         self.site_state = SiteState(clock=self.clock)
         self.endpoint_table = EndpointTable(
-            data_centre=settings.data_centre, rng=self.rng
+            data_centre=settings.data_centre,
+            rng=self.rng,
+            is_coldness_unknown=self.site_state.is_coldness_unknown,
         )
         self.peers = PeerLinks(node=self)
         self.retry_budget = RetryBudget(
@@ -105,6 +113,7 @@
             window_s=settings.retry_window_s,
             count_entries=lambda: len(self.site_state.link_address_by_name),
         )
+        self._cold_intervals = ColdIntervals(name=settings.name)
         self.lease = None
         self.is_leaving = False
         self.rejects_requests = False
@@ -177,6 +186,7 @@
         ]
         self.endpoint_table.update(endpoints)
         self.endpoint_table.update_slow_ranks(site_state.slow_ranks_by_group.values())
+        self._update_coldness(configuration)
         self._apply_limits(configuration.limits)
         self.peers.update()
         self.wake_wait_queues()
@@ -261,6 +271,26 @@
             address=self.settings.store_address, session=self.store_session
         )
 
+    def _update_coldness(self, configuration):
+        self._cold_intervals.set_names(self._entry_names())
+
+        def interval_s(endpoint):
+            service = configuration.service_by_name[endpoint.service]
+            return self._cold_intervals.interval_s(endpoint.id, service.cold_per_s)
+
+        self.endpoint_table.update_coldness(self.site_state.cold_until, interval_s)
+
+    def _entry_names(self):
+        """Return the names of all entries, with placeholders for those not yet known.
+
+        The entries that start together after a long outage know none of the others.
+        """
+        names = {*self.site_state.link_address_by_name, *self.peers.link_by_name}
+        if self.clock.monotonic() < self.started_at + NAMES_KNOWN_AFTER_S:
+            missing = ASSUMED_ENTRIES - len(names)
+            names.update(f"unknown {number}" for number in range(missing))
+        return names
+
     def _apply_limits(self, limits):
         change_limits(
             self.caller_listener,
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge.py
@@ -27,6 +27,9 @@
 # kept: they register again about two seconds after its end; this is that time less the
 # duration of a call.
 STORE_SETTLE_S = 1.8
+# State that was confirmed longer ago than this may lack that an endpoint turned cold: a
+# server registers every 1.2 s, and watches last up to 1.5 s.
+COLD_KNOWN_MAX_AGE_S = 3.0
 # Time for which other keys are kept that a store that has returned from a copy lacks:
 # their writers write them again late. An evacuation that is held for too long costs
 # capacity; one that is given up too early sends requests to an evacuated data centre.
@@ -233,9 +236,44 @@
                 self._apply_item(item, self._position_by_key[key])
         return bool(due)
 
-    def is_cold(self, endpoint_id):
-        """Return whether an endpoint is cold as far as its registration tells."""
-        return self._clock.monotonic() < self._cold_until_by_id.get(endpoint_id, 0.0)
+    def cold_until(self, endpoint_id):
+        """Return the monotonic time until which an endpoint counts as cold."""
+        return self._cold_until_by_id.get(endpoint_id, float("-inf"))
+
+    def is_coldness_unknown(self):
+        """Return whether any endpoint may have turned cold without being reported so.
+
+        This is so while the store does not respond, and after its return until the
+        endpoints have registered again.
+        """
+        settles_at = self.store_returned_at + STORE_SETTLE_S
+        is_outdated = self.age_s() > COLD_KNOWN_MAX_AGE_S
+        return is_outdated or self._clock.monotonic() < settles_at
+
+    def record_unreachable(self, endpoint_id, *, for_s):
+        """Record that an endpoint refuses connections; it may be restarting.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            Id of the endpoint.
+        for_s : float
+            Longest time until the next request, in seconds. It counts as cold for that
+            time and the time that a start takes.
+        """
+        endpoint = self.endpoint_by_id.get(endpoint_id)
+        if endpoint is not None:
+            self._extend_coldness(endpoint, for_s + self._cold_start_s(endpoint))
+
+    def _cold_start_s(self, endpoint):
+        if self.configuration is None:
+            return 0.0
+        service = self.configuration.service_by_name.get(endpoint.service)
+        return 0.0 if service is None else service.cold_start_s
+
+    def _extend_coldness(self, endpoint, cold_s):
+        until = self._clock.monotonic() + cold_s
+        self._cold_until_by_id[endpoint.id] = max(until, self.cold_until(endpoint.id))
 
     def drop_missing_endpoints(self):
         """Remove endpoints that did not register again in time.
@@ -327,6 +365,8 @@
         elif isinstance(item, EvacuationItem):
             change = self.evacuated.add if item.is_evacuated else self.evacuated.discard
             change(item.data_centre)
+            if not item.is_evacuated:
+                self._extend_coldness_in(item.data_centre)
             log_event(
                 _log,
                 "site.data_centre.out"
@@ -342,6 +382,12 @@
         elif isinstance(item, InstanceItem):
             self.link_address_by_name.pop(item.name, None)
 
+    def _extend_coldness_in(self, data_centre):
+        # Endpoints without requests turn cold, and may register so only later.
+        for endpoint in self.endpoint_by_id.values():
+            if endpoint.data_centre == data_centre:
+                self._extend_coldness(endpoint, self._cold_start_s(endpoint))
+
     def _apply_slow_ranks(self, item, revision):
         known = self.slow_ranks_by_group.pop(item.group, None)
         if item.pace_by_address:
@@ -387,7 +433,7 @@
         known = self.endpoint_by_id.get(item.id)
         self.endpoint_by_id[item.id] = item.endpoint
         self._position_by_id[item.id] = position
-        self._cold_until_by_id[item.id] = self._clock.monotonic() + item.endpoint.cold_s
+        self._extend_coldness(item.endpoint, item.endpoint.cold_s)
         if known is None or known.is_draining != item.endpoint.is_draining:
             log_event(
                 _log,
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement.py
@@ -9,7 +9,7 @@
 
 from magnoliagrade_entry.direct.outages import OutageTracker
 
-__all__ = ["EndpointLoad", "EndpointTable", "placement_policies"]
+__all__ = ["EJECT_MAX_S", "EndpointLoad", "EndpointTable", "placement_policies"]
 
 # Failures in a row after which an endpoint is ejected; more than one, because one
 # request in seven fails at random.
@@ -37,6 +37,10 @@
 # one, so that an even load has precedence over staying in the local data centre.
 REMOTE_PENALTY_REQUESTS = 0.9
 
+# Time after which an entry that must not use a cold endpoint looks at it again at the
+# earliest, if it is not known how long the endpoint stays cold.
+COLD_RECHECK_S = 0.2
+
 placement_policies = Registry(family="placement policy")
 
 
@@ -60,6 +64,13 @@
         Time per pass relative to normal; 2.0 is twice as slow.
     slow_until : float
         Time until which `pace` is valid.
+    cold_until : float
+        Time until which the endpoint counts as cold.
+    cold_interval_s : float or None
+        Shortest interval of this entry's requests while the endpoint is cold, in
+        seconds; 0 for no limit, None if this entry must not send any.
+    sent_at : float
+        Time of this entry's last request.
     """
 
     endpoint: object
@@ -69,11 +80,31 @@
     ejected_until: float = float("-inf")
     pace: float = 1.0
     slow_until: float = float("-inf")
+    cold_until: float = float("-inf")
+    cold_interval_s: float | None = 0.0
+    sent_at: float = float("-inf")
 
     def pace_at(self, now):
         """Return the pace that is valid at a time; 1.0 is normal."""
         return self.pace if now < self.slow_until else 1.0
 
+    def available_at(self, now, *, is_coldness_unknown=False):
+        """Return from when on ejection and coldness allow a request of this entry.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        is_coldness_unknown : bool
+            Whether the endpoint counts as cold whatever `cold_until` says.
+        """
+        is_cold = is_coldness_unknown or now < self.cold_until
+        if not is_cold or self.cold_interval_s == 0:
+            return self.ejected_until
+        if self.cold_interval_s is None:
+            return max(self.ejected_until, self.cold_until, now + COLD_RECHECK_S)
+        return max(self.ejected_until, self.sent_at + self.cold_interval_s)
+
     @property
     def in_flight(self):
         """Requests of all entries in flight at the endpoint."""
@@ -91,10 +122,13 @@
         Random number generator.
     policy : str
         Name of the placement policy.
+    is_coldness_unknown : callable
+        Returns whether every endpoint has to count as cold.
     """
 
     __slots__ = (
         "_data_centre",
+        "_is_coldness_unknown",
         "_outages",
         "_policy",
         "_rng",
@@ -102,8 +136,16 @@
         "ids_by_service",
     )
 
-    def __init__(self, *, data_centre, rng, policy="least-loaded"):
+    def __init__(
+        self,
+        *,
+        data_centre,
+        rng,
+        policy="least-loaded",
+        is_coldness_unknown=lambda: False,
+    ):
         self._data_centre = data_centre
+        self._is_coldness_unknown = is_coldness_unknown
         self._rng = rng
         self._policy = placement_policies.get(policy)
         self._outages = OutageTracker()
@@ -151,11 +193,12 @@
         """
         loads = self.loads_of(service)
         best_pace = min((load.pace_at(now) for load in loads), default=1.0)
+        is_unknown = self._is_coldness_unknown()
         free = [
             load
             for load in loads
             if load.endpoint.id not in excluded
-            and load.ejected_until <= now
+            and load.available_at(now, is_coldness_unknown=is_unknown) <= now
             and load.in_flight < _usable_slots(load, load.pace_at(now) / best_pace)
             and (not load.failures or not load.local_in_flight)
         ]
@@ -163,6 +206,22 @@
             return None
         return self._policy(free, self._data_centre, self._rng, now)
 
+    def update_coldness(self, cold_until, cold_interval_s):
+        """Update until when each endpoint is cold, and this entry's rate meanwhile.
+
+        Parameters
+        ----------
+        cold_until : callable
+            Returns the time until which the endpoint of an id counts as cold.
+        cold_interval_s : callable
+            Returns `EndpointLoad.cold_interval_s` for an endpoint.
+        """
+        for load in (
+            self.by_id[i] for ids in self.ids_by_service.values() for i in ids
+        ):
+            load.cold_until = cold_until(load.endpoint.id)
+            load.cold_interval_s = cold_interval_s(load.endpoint)
+
     def update_slow_ranks(self, notices):
         """Apply the paces of slow ranks; all other endpoints get the normal pace.
 
@@ -182,11 +241,16 @@
             load.pace, load.slow_until = pace_and_end.get(address, normal)
 
     def next_return_time(self, service, *, now):
-        """Return when the first ejected endpoint of a service returns, or None.
+        """Return when the first endpoint of a service is available again, or None.
 
-        None means that at least one endpoint of the service is not ejected.
+        None means that at least one endpoint of the service is neither ejected nor cold
+        and used up to its rate.
         """
-        times = [load.ejected_until for load in self.loads_of(service)]
+        is_unknown = self._is_coldness_unknown()
+        times = [
+            load.available_at(now, is_coldness_unknown=is_unknown)
+            for load in self.loads_of(service)
+        ]
         if any(time <= now for time in times):
             return None
         return min(times, default=now + EJECT_MAX_S)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/waiting.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/waiting.py
@@ -192,6 +192,7 @@
         )
         if load is not None:
             load.local_in_flight += 1
+            load.sent_at = now
             self._in_flight += 1
         return load
 
@@ -208,7 +209,7 @@
         returns_at = self._endpoint_table.next_return_time(self._service, now=now)
         if returns_at is not None and returns_at > slot_deadline:
             raise self._overloaded_error(
-                "all endpoints are ejected for too long", request
+                "all endpoints are ejected or cold for too long", request
             )
         if now + self._expected_wait_s(now, ahead) > slot_deadline:
             raise self._overloaded_error(
--- a/packages/magnoliagrade/magnoliagrade/platform/configuration.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/configuration.py
@@ -101,6 +101,7 @@
         name=string_field(document, "Name"),
         max_connections=int(number_field(document, "MaxConns", 0)),
         cold_per_s=number_field(document, "ColdPerS", 0),
+        cold_start_s=number_field(document, "ColdStartS", 0),
         engine=None if engine is None else _engine(engine),
     )
 
--- a/packages/magnoliagrade/magnoliagrade/world/site.py
+++ b/packages/magnoliagrade/magnoliagrade/world/site.py
@@ -140,6 +140,8 @@
         Maximum number of connections that one endpoint accepts from all its clients.
     cold_per_s : float
         Requests per second that a cold endpoint sustains; 0 means no limit.
+    cold_start_s : float
+        Time in seconds that an endpoint is cold after its start.
     engine : EngineProfile or None
         Cost model if the service is a model engine, else None.
     """
@@ -147,6 +149,7 @@
     name: str
     max_connections: int = 0
     cold_per_s: float = 0.0
+    cold_start_s: float = 0.0
     engine: EngineProfile | None = None
 
 
