Fix shares of bounds that grow when entries' registrations lapse

What callers saw: nothing is reported; found while looking for the cause of the flooded endpoint elsewhere.

Cause: each entry divides the retry budget by the number of entries that are registered, drops its links to those that are not, and forgets their work in flight. Leases expire while the store is away or are lost with its last changes, for all entries at the same moment; each of them then takes the whole budget and all slots for itself until the others have registered again.

Change: an entry counts, and is linked, for 10 s after its registration lapsed.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge.py
@@ -30,9 +30,12 @@
 # State that was confirmed longer ago than this may lack that an endpoint turned cold: a
 # server registers every 1.2 s, and watches last up to 1.5 s.
 COLD_KNOWN_MAX_AGE_S = 3.0
-# Time for which other keys are kept that a store that has returned from a copy lacks:
-# their writers write them again late. An evacuation that is held for too long costs
-# capacity; one that is given up too early sends requests to an evacuated data centre.
+# Time for which keys are kept whose writers may write them again late: those of
+# entries, whose leases expire while the store is away, and all but registrations of
+# endpoints that a store that has returned from a copy lacks. An evacuation that is held
+# for too long costs capacity; one that is given up too early sends requests to an
+# evacuated data centre. Entries that are not counted let each other exceed what all of
+# them share.
 LOST_KEY_HOLD_S = 10.0
 
 CHANGES = Counter(
@@ -150,6 +153,9 @@
         if item is None:
             return False
         CHANGES.labels("applied").inc()
+        if value is None and isinstance(item, InstanceItem):
+            self._hold(key)
+            return True
         self._apply_item(item, position)
         if isinstance(item, ConfigurationItem) and item.configuration is not None:
             self._keep_configuration_data(item.configuration, value)
@@ -220,7 +226,7 @@
         self._keep_configuration_data(configuration, data)
 
     def apply_due_deletions(self):
-        """Delete the lost keys that were not written again in time.
+        """Delete the held keys that were not written again in time.
 
         Returns
         -------
@@ -351,10 +357,15 @@
         self._position_by_key[key] = position
         if item is None or key in self._delete_at_by_key:
             return
-        if is_lost and not isinstance(item, EndpointItem):
-            self._delete_at_by_key[key] = self._clock.monotonic() + LOST_KEY_HOLD_S
-            return
-        self._apply_item(item, position)
+        is_held = is_lost and not isinstance(item, EndpointItem)
+        if is_held or isinstance(item, InstanceItem):
+            self._hold(key)
+        else:
+            self._apply_item(item, position)
+
+    def _hold(self, key):
+        """Delete a key's item only later, unless the key is written again before."""
+        self._delete_at_by_key[key] = self._clock.monotonic() + LOST_KEY_HOLD_S
 
     def _apply_item(self, item, position):
         revision = position.revision
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_knowledge.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_knowledge.py
@@ -1,10 +1,20 @@
 import json
 
 from magnoliagrade.clock import ManualClock
-from magnoliagrade.platform import StorePosition, encode_slow_ranks, slow_ranks_key
+from magnoliagrade.platform import (
+    StorePosition,
+    encode_instance,
+    encode_slow_ranks,
+    instance_key,
+    slow_ranks_key,
+)
 from magnoliagrade.store import StoreValue
 
-from magnoliagrade_entry.direct.knowledge import STORE_SETTLE_S, SiteState
+from magnoliagrade_entry.direct.knowledge import (
+    LOST_KEY_HOLD_S,
+    STORE_SETTLE_S,
+    SiteState,
+)
 
 CONFIGURATION = {
     "Version": 5,
@@ -151,6 +161,23 @@
     assert site_state.endpoints_of("s")
 
 
+def test_entry_whose_registration_lapsed_still_counts_until_the_hold_time():
+    # Each entry divides the shared budgets by the number of entries that it knows.
+    site_state, clock = _site_state()
+    key = instance_key("entry-2")
+    site_state.apply(key, encode_instance("10.0.0.9:1"), _at(20))
+    site_state.apply(key, None, _at(21))
+    assert site_state.link_address_by_name == {"entry-2": "10.0.0.9:1"}
+    site_state.apply(key, encode_instance("10.0.0.9:2"), _at(22))
+    clock._time += LOST_KEY_HOLD_S + 1.0
+    assert not site_state.apply_due_deletions()
+    assert site_state.link_address_by_name == {"entry-2": "10.0.0.9:2"}
+    site_state.apply(key, None, _at(23))
+    clock._time += LOST_KEY_HOLD_S
+    assert site_state.apply_due_deletions()
+    assert not site_state.link_address_by_name
+
+
 def test_age_is_measured_from_the_start_of_the_read():
     site_state, clock = _site_state()
     began = clock.boot_time()
