Log the shared parts of a prompt and how far a failed response had come

Change: request.attempt of a failed attempt has prompt_parts (all but the last), has_begun and has_events. No decision uses them.

Ran: tests of the direct entry, the direct path and the docs, passed.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/arrival.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/arrival.py
@@ -5,7 +5,13 @@
 from dataclasses import dataclass
 
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
-from magnoliagrade.platform import api_key_of, deadline_of, event_id_of, request_id_of
+from magnoliagrade.platform import (
+    api_key_of,
+    deadline_of,
+    event_id_of,
+    prompt_parts_of,
+    request_id_of,
+)
 from magnoliagrade.world.site import ServiceRoute, SiteOrganisation
 
 __all__ = ["DirectRequest", "read_request"]
@@ -54,6 +60,8 @@
         Time of arrival and deadline of the response, in seconds of the monotonic clock.
     last_event_id : str
         Id of the event after which its stream resumes; empty to start a new one.
+    prompt_parts : tuple of str
+        Ids of the parts of its prompt that other requests may share.
     """
 
     id: str
@@ -67,6 +75,7 @@
     arrived_at: float
     ends_at: float
     last_event_id: str = ""
+    prompt_parts: tuple = ()
 
     @property
     def priority(self):
@@ -136,6 +145,7 @@
         arrived_at=arrived_at,
         ends_at=ends_at,
         last_event_id=event_id_of(headers) if route.is_stream else "",
+        prompt_parts=prompt_parts_of(headers),
     )
 
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
@@ -292,6 +292,9 @@
             failed.kind.value,
             detail=failed.detail,
             has_run=failed.has_run,
+            has_begun=self._response is not None,
+            has_events=self._attempts.last_event_at is not None,
+            prompt_parts=self._attempts.request.prompt_parts,
             is_left_out=is_ejected,
         )
 
--- a/packages/magnoliagrade/magnoliagrade/platform/headers.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/headers.py
@@ -12,6 +12,7 @@
     "is_group_broken",
     "is_replaced",
     "api_key_of",
+    "prompt_parts_of",
     "request_id_of",
     "response_headers",
     "response_identity",
@@ -25,6 +26,7 @@
 REQUEST_PRIORITY = "X-Magnoliagrade-Request-Priority"
 STAMP = "X-Magnoliagrade-Response-Stamp"
 NOT_EXECUTED = "X-Magnoliagrade-Not-Executed"
+PROMPT_PREFIX = "X-Magnoliagrade-Prompt-Prefix"
 AT_SERVER = "At-Server"
 LAST_EVENT_ID = "Last-Event-Id"
 _BEARER = "bearer "
@@ -75,6 +77,16 @@
     return headers.get(LAST_EVENT_ID, "")
 
 
+def prompt_parts_of(headers):
+    """Return the ids of the prompt's parts that other requests may share, in order.
+
+    The header lists the parts as ID:TOKENS; the last one belongs to the request itself
+    or to its session.
+    """
+    entries = headers.get(PROMPT_PREFIX, "").split(",")[:-1]
+    return tuple(part for entry in entries if (part := entry.partition(":")[0].strip()))
+
+
 def endpoint_headers(headers, *, endpoint_id, organisation, deadline_s, last_event_id):
     """Return the headers of a caller's request as it is forwarded to an endpoint.
 
