--- a/packages/magnoliagrade-standins/magnoliagrade_standins/operators/endpoint.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/operators/endpoint.py
@@ -34,12 +34,16 @@
         Number of events of a stream.
     cut_after : int
         Number of complete events that `cut-stream` sends on a connection.
+    crashing_part : str
+        Part of a prompt under which the endpoint ends as it begins to write the
+        response; empty for none.
     """
 
     fault: str = ""
     delay_s: float = 0.0
     events: int = 5
     cut_after: int = 2
+    crashing_part: str = ""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -66,6 +70,10 @@
         those that it rejected.
     reports : int
         Number of group state reports that were requested from it.
+    crashed_by : list of str
+        Ids of the requests under which it ended.
+    crash : coroutine function or None
+        Ends the endpoint and starts it again later; called without arguments.
     """
 
     id: str
@@ -76,6 +84,8 @@
     headers_seen: list = field(default_factory=list)
     arrived_at: list = field(default_factory=list)
     reports: int = 0
+    crashed_by: list = field(default_factory=list)
+    crash: object = None
 
     async def handle(self, request):
         """Respond to a request, or inject the current fault."""
@@ -134,6 +144,13 @@
         headers["Content-Type"] = "text/event-stream"
         response = web.StreamResponse(headers=headers)
         await response.prepare(request)
+        part = self.behaviour.crashing_part
+        if part and part in _shared_parts(request):
+            await response.write(b"id: 1\nda")
+            await asyncio.sleep(0.02)
+            self.crashed_by.append(request.headers.get(REQUEST_ID_HEADER, ""))
+            await self.crash()
+            return response
         first_id = int(request.headers.get("Last-Event-Id") or 0) + 1
         for event_id in range(first_id, self.behaviour.events + 1):
             await asyncio.sleep(self.behaviour.delay_s)
@@ -159,3 +176,8 @@
         await asyncio.sleep(0.02)
         reset_connection(transport)
         return web.Response()
+
+
+def _shared_parts(request):
+    prefix = request.headers.get("X-Magnoliagrade-Prompt-Prefix", "")
+    return [entry.partition(":")[0] for entry in prefix.split(",")[:-1]]
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/operators/site.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/operators/site.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import socket
 
 import aiohttp
@@ -12,10 +13,13 @@
 from magnoliagrade_standins.operators.documents import endpoint_document
 from magnoliagrade_standins.operators.endpoint import EndpointBehaviour, StandInEndpoint
 from magnoliagrade_standins.operators.store import OperatorsStore
+from magnoliagrade_standins.resets import reset_connection
 
 __all__ = ["OperatorsSite"]
 
 READY_TIMEOUT_S = 10.0
+# Time from the crash of an endpoint to its next start.
+CRASH_S = 0.6
 HOST = "127.0.0.1"
 
 
@@ -26,6 +30,7 @@
         self.store = OperatorsStore()
         self.endpoint_by_id = {}
         self.entries = []
+        self._restarts = []
         self._runners = []
         self._store_address = ""
         self._session = None
@@ -41,6 +46,8 @@
     async def __aexit__(self, *_exc):
         """Stop the entries, the endpoints and the store."""
         await self._session.close()
+        for restart in self._restarts:
+            restart.cancel()
         for entry in self.entries:
             with contextlib.suppress(Exception):
                 await entry.close_now()
@@ -77,6 +84,7 @@
         await web.TCPSite(runner, HOST, 0).start()
         self._runners.append(runner)
         port = runner.addresses[0][1]
+        endpoint.crash = functools.partial(self._crash, runner, port)
         self.endpoint_by_id[endpoint_id] = endpoint
         self.register(endpoint_id, service, f"{HOST}:{port}", cold_ms=cold_ms)
         return endpoint
@@ -159,6 +167,18 @@
         ) as response:
             return response.status, response.headers, await response.text()
 
+    async def _crash(self, runner, port):
+        """Reset an endpoint's connections and refuse new ones for `CRASH_S`."""
+        for site in list(runner.sites):
+            await site.stop()
+        for connection in list(runner.server.connections):
+            reset_connection(connection.transport)
+        self._restarts.append(asyncio.create_task(self._restart(runner, port)))
+
+    async def _restart(self, runner, port):
+        await asyncio.sleep(CRASH_S)
+        await web.TCPSite(runner, HOST, port, reuse_address=True).start()
+
     async def _serve(self, app):
         runner = web.AppRunner(app, shutdown_timeout=0.1)
         await runner.setup()
