Fix requests that crash one server after the other

Cause: nothing related the end of a server to the request that it had begun to respond to. The request was retried at a second server, and those with the same part followed. The class of fault: a failure is blamed on the endpoint alone, although the request may be its cause.

Change: if a response breaks off before its first event and its server then refuses connections, the shared parts of the prompt are suspected. Entries tell each other. The store keeps the record for entries that start later. A request with a suspected part is not retried after it has run. A complete response clears its parts, so that sound ones with the same key or first part go on. A stream that ends before any event is broken.

Ran: tests.test_prompts_that_crash_servers, the tests of the direct entry, the direct path, the wire and the docs, passed.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
@@ -9,6 +9,7 @@
 
 from magnoliagrade_entry.direct.overload import retry_after_s, slot_deadline
 from magnoliagrade_entry.direct.placement import EJECT_MAX_S
+from magnoliagrade_entry.direct.server_crashes import check_for_crash, withdraw_block
 from magnoliagrade_entry.direct.upstream import AttemptFailed, open_response
 
 __all__ = ["Attempt", "Attempts"]
@@ -94,6 +95,7 @@
         """
         if self._load is not None:
             return
+        self._check_prompt()
         queue = self._node.wait_queue_of(self.request.service)
         try:
             self._load = await queue.acquire_slot(
@@ -106,6 +108,12 @@
             if not self.has_run:
                 raise
             raise _upstream_failed(exc) from exc
+        try:
+            self._check_prompt()
+        except MagnoliagradeError:
+            load, self._load = self._load, None
+            queue.release(load)
+            raise
 
     @contextlib.asynccontextmanager
     async def next_attempt(self):
@@ -148,6 +156,19 @@
             retry_after=retry_after_s(wait_s, self.remaining_s(), rng=self._node.rng),
         )
 
+    def _check_prompt(self):
+        """Raise `PROMPT_BLOCKED` if servers end under a part of the prompt."""
+        blocked_for_s = self._node.prompt_guard.blocked_for_s(self.request.prompt_parts)
+        if not blocked_for_s:
+            return
+        error = MagnoliagradeError(
+            ErrorKind.PROMPT_BLOCKED,
+            "servers ended under a part of this prompt: requests with the part are "
+            f"rejected for {blocked_for_s:.0f} s",
+            retry_after=blocked_for_s,
+        )
+        raise _upstream_failed(error) if self.has_run else error
+
     def _slot_deadline(self):
         return slot_deadline(self.request, last_event_at=self.last_event_at)
 
@@ -157,6 +178,8 @@
             return False
         if self.sent >= self.request.route.max_endpoints:
             return False
+        if failed.has_run and node.prompt_guard.is_suspected(self.request.prompt_parts):
+            return False
         if failed.is_group_broken and node.endpoint_table.is_unavailable(
             self.request.service
         ):
@@ -256,12 +279,37 @@
         self._is_complete = True
         self._node.endpoint_table.record_success(self._load)
         self.record_response()
+        self._clear_suspicion()
         ATTEMPTS.labels("whole").inc()
         self._log("whole", status=self._response.status)
 
+    def _clear_suspicion(self):
+        node = self._node
+        published = node.site_state.blocked_prompt_parts
+        cleared = node.prompt_guard.record_served(self._attempts.request.prompt_parts)
+        if cleared:
+            node.peers.announce_served(cleared)
+        for part in published.intersection(cleared):
+            node.tasks.start(withdraw_block(node, part), name="block of a prompt")
+
+    def _check_for_crash(self, failed):
+        """Check whether the endpoint crashed as it began to write the response."""
+        parts = self._attempts.request.prompt_parts
+        has_broken_off = failed.kind in (
+            ErrorKind.OUTCOME_UNKNOWN,
+            ErrorKind.ANSWER_BROKEN,
+        )
+        has_events = self._attempts.last_event_at is not None
+        if parts and has_broken_off and self._response is not None and not has_events:
+            self._node.tasks.start(
+                check_for_crash(self._node, self.endpoint, parts),
+                name=f"check of {self.endpoint.id}",
+            )
+
     def record_failure(self, failed):
         """Record how the attempt failed, and eject the endpoint if needed."""
         now = self._node.clock.monotonic()
+        self._check_for_crash(failed)
         is_ejected = False
         if failed.is_moved:
             pass
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
@@ -20,6 +20,7 @@
 from magnoliagrade_entry.direct.knowledge import STORE_SETTLE_S, SiteState
 from magnoliagrade_entry.direct.peers import PeerLinks, keep_registered
 from magnoliagrade_entry.direct.placement import EndpointTable
+from magnoliagrade_entry.direct.prompt_guard import PromptGuard
 from magnoliagrade_entry.direct.recovery import watch_recovery
 from magnoliagrade_entry.direct.retry_budget import RetryBudget
 from magnoliagrade_entry.direct.site_watch import follow_site
@@ -77,6 +78,7 @@
         "is_leaving",
         "lease",
         "peers",
+        "prompt_guard",
         "rejects_requests",
         "requests_in_flight",
         "retry_budget",
@@ -107,6 +109,7 @@
             is_coldness_unknown=self.site_state.is_coldness_unknown,
         )
         self.peers = PeerLinks(node=self)
+        self.prompt_guard = PromptGuard(clock=self.clock)
         self.retry_budget = RetryBudget(
             ratio=settings.retry_ratio,
             extra=settings.retry_extra,
@@ -187,6 +190,7 @@
         self.endpoint_table.update(endpoints)
         self.endpoint_table.update_slow_ranks(site_state.slow_ranks_by_group.values())
         self._update_coldness(configuration)
+        self.prompt_guard.published = set(site_state.blocked_prompt_parts)
         self._apply_limits(configuration.limits)
         self.peers.update()
         self.wake_wait_queues()
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge.py
@@ -6,6 +6,7 @@
 from magnoliagrade.observability import log_event
 from magnoliagrade.platform import (
     SLOW_RANKS_LIFE_S,
+    BlockedPromptItem,
     ConfigurationItem,
     EndpointItem,
     EvacuationItem,
@@ -62,6 +63,8 @@
 
     Attributes
     ----------
+    blocked_prompt_parts : set of str
+        Parts of prompts that are blocked because servers end under them.
     configuration_data : bytes
         The encoded configuration in force; empty without one.
     era : int or None
@@ -76,6 +79,7 @@
         "_position_by_id",
         "_position_by_key",
         "_remove_at_by_id",
+        "blocked_prompt_parts",
         "configuration",
         "configuration_data",
         "confirmed_at",
@@ -96,6 +100,7 @@
         self._position_by_id = {}
         self._position_by_key = {}
         self._remove_at_by_id = {}
+        self.blocked_prompt_parts = set()
         self.configuration = None
         self.configuration_data = b""
         self.confirmed_at = float("-inf")
@@ -386,6 +391,9 @@
                 data_centre_changed=item.data_centre,
                 revision=revision,
             )
+        elif isinstance(item, BlockedPromptItem):
+            parts = self.blocked_prompt_parts
+            (parts.add if item.is_blocked else parts.discard)(item.part)
         elif isinstance(item, SlowRanksItem):
             self._apply_slow_ranks(item, revision)
         elif isinstance(item, InstanceItem) and item.address:
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/peers.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/peers.py
@@ -11,6 +11,8 @@
     EndpointWork,
     Hello,
     Link,
+    PromptCrash,
+    PromptServed,
     ServiceOutage,
     SiteConfigurationCopy,
     SiteConfigurationPull,
@@ -135,6 +137,16 @@
         """Announce to all peers that an outage of a service begins or ends."""
         self._broadcast(ServiceOutage(service=service, is_out=is_out))
 
+    def announce_crash(self, endpoint_id, parts, *, age_s):
+        """Announce to all peers that a server ended under the parts of a prompt."""
+        self._broadcast(
+            PromptCrash(endpoint=endpoint_id, parts=list(parts), age_seconds=age_s)
+        )
+
+    def announce_served(self, parts):
+        """Announce to all peers that servers do not end under parts of a prompt."""
+        self._broadcast(PromptServed(parts=list(parts)))
+
     def newest_version(self):
         """Return the newest configuration version of any linked entry; 0 without."""
         return max(
@@ -184,6 +196,10 @@
         self.link_by_name[name] = link
         log_event(_log, "link.up", peer=name, peer_version=link.peer_revision)
         link.send(self._full_report())
+        for endpoint_id, age_s, part in self._node.prompt_guard.evidence():
+            link.send(
+                PromptCrash(endpoint=endpoint_id, parts=[part], age_seconds=age_s)
+            )
         try:
             while True:
                 async with asyncio.timeout(PEER_TIMEOUT_S):
@@ -192,6 +208,12 @@
                     self._apply_peer_work(name, message)
                 elif isinstance(message, ServiceOutage):
                     self._apply_peer_outage(message)
+                elif isinstance(message, PromptCrash):
+                    self._node.prompt_guard.record_crash(
+                        message.endpoint, message.parts, age_s=message.age_seconds
+                    )
+                elif isinstance(message, PromptServed):
+                    self._node.prompt_guard.record_served(message.parts)
                 elif isinstance(message, SiteConfigurationPull):
                     self._send_configuration(link, message)
                 elif isinstance(message, SiteConfigurationCopy):
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/streams.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/streams.py
@@ -221,6 +221,13 @@
                 f"the stream of {attempt.endpoint.id} ended within an event",
                 has_run=True,
             )
+        request = self._attempts.request
+        if self._attempts.last_event_at is None and not request.last_event_id:
+            raise AttemptFailed(
+                ErrorKind.ANSWER_BROKEN,
+                f"the stream of {attempt.endpoint.id} ended before its first event",
+                has_run=True,
+            )
         if self._response is None:
             await self._start(upstream)
         await self._response.write_eof()
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_knowledge.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_knowledge.py
@@ -3,6 +3,7 @@
 from magnoliagrade.clock import ManualClock
 from magnoliagrade.platform import (
     StorePosition,
+    blocked_prompt_key,
     encode_instance,
     encode_slow_ranks,
     instance_key,
@@ -178,6 +179,14 @@
     assert not site_state.link_address_by_name
 
 
+def test_blocked_part_of_prompts_is_known_until_its_record_expires():
+    site_state, _ = _site_state()
+    site_state.apply(blocked_prompt_key("5c1e"), b"{}", _at(20))
+    assert site_state.blocked_prompt_parts == {"5c1e"}
+    site_state.apply(blocked_prompt_key("5c1e"), None, _at(21))
+    assert not site_state.blocked_prompt_parts
+
+
 def test_age_is_measured_from_the_start_of_the_read():
     site_state, clock = _site_state()
     began = clock.boot_time()
--- a/packages/magnoliagrade/magnoliagrade/platform/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/__init__.py
@@ -20,12 +20,15 @@
     response_identity,
 )
 from magnoliagrade.platform.items import (
+    BLOCKED_PROMPT_LIFE_S,
     SLOW_RANKS_LIFE_S,
+    BlockedPromptItem,
     ConfigurationItem,
     EndpointItem,
     EvacuationItem,
     InstanceItem,
     SlowRanksItem,
+    blocked_prompt_key,
     decode_item,
     encode_instance,
     encode_slow_ranks,
@@ -44,7 +47,9 @@
 )
 
 __all__ = [
+    "BLOCKED_PROMPT_LIFE_S",
     "SLOW_RANKS_LIFE_S",
+    "BlockedPromptItem",
     "ConfigurationItem",
     "EndpointItem",
     "EvacuationItem",
@@ -58,6 +63,7 @@
     "StoreEvent",
     "StoreLease",
     "StorePosition",
+    "blocked_prompt_key",
     "deadline_of",
     "decode_configuration",
     "decode_endpoint",
--- a/packages/magnoliagrade/magnoliagrade/platform/headers.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/headers.py
@@ -1,5 +1,7 @@
 """Headers of the platform: reading callers' and endpoints', making forwarded ones."""
 
+import re
+
 from multidict import CIMultiDict
 
 from magnoliagrade.http.headers import HOP_BY_HOP
@@ -30,6 +32,7 @@
 AT_SERVER = "At-Server"
 LAST_EVENT_ID = "Last-Event-Id"
 _BEARER = "bearer "
+_PART_ID = re.compile(r"[0-9a-fA-F]{1,64}")
 # Headers of a caller that are not forwarded: they belong to one connection, identify
 # the caller, or are set again for the endpoint.
 _NOT_FORWARDED = frozenset(
@@ -81,10 +84,11 @@
     """Return the ids of the prompt's parts that other requests may share, in order.
 
     The header lists the parts as ID:TOKENS; the last one belongs to the request itself
-    or to its session.
+    or to its session. Ids that are not hexadecimal numbers are left out.
     """
     entries = headers.get(PROMPT_PREFIX, "").split(",")[:-1]
-    return tuple(part for entry in entries if (part := entry.partition(":")[0].strip()))
+    parts = (entry.partition(":")[0].strip() for entry in entries)
+    return tuple(part for part in parts if _PART_ID.fullmatch(part))
 
 
 def endpoint_headers(headers, *, endpoint_id, organisation, deadline_s, last_event_id):
--- a/packages/magnoliagrade/magnoliagrade/wire/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/__init__.py
@@ -52,6 +52,8 @@
 )
 from magnoliagrade.wire.work import (
     EndpointWork,
+    PromptCrash,
+    PromptServed,
     RankCall,
     RankReply,
     ServiceOutage,
@@ -99,6 +101,8 @@
     "RankReply",
     "Revoke",
     "RevokeAnswer",
+    "PromptCrash",
+    "PromptServed",
     "ServiceOutage",
     "SiteConfigurationCopy",
     "SiteConfigurationPull",
--- a/packages/magnoliagrade/magnoliagrade/wire/work.capnp
+++ b/packages/magnoliagrade/magnoliagrade/wire/work.capnp
@@ -42,6 +42,16 @@
   data @0 :Data;             # configuration in force at the sender, as in the store
 }
 
+struct PromptCrash {
+  endpoint @0 :Text;         # server that ended as it began to write a response
+  parts @1 :List(Text);      # shared parts of the prompt
+  ageSeconds @2 :Float64;    # time since the response broke off
+}
+
+struct PromptServed {
+  parts @0 :List(Text);      # parts of a prompt with a complete response
+}
+
 struct WorkMessage {
   union {
     inFlight @0 :WorkInFlight;
@@ -50,5 +60,7 @@
     serviceOutage @3 :ServiceOutage;
     siteConfigurationPull @4 :SiteConfigurationPull;
     siteConfigurationCopy @5 :SiteConfigurationCopy;
+    promptCrash @6 :PromptCrash;
+    promptServed @7 :PromptServed;
   }
 }
--- a/packages/magnoliagrade/magnoliagrade/wire/work.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/work.py
@@ -6,6 +6,8 @@
 
 __all__ = [
     "EndpointWork",
+    "PromptCrash",
+    "PromptServed",
     "RankCall",
     "RankReply",
     "ServiceOutage",
@@ -77,3 +79,19 @@
     """The site configuration that an entry has in force, encoded as in the store."""
 
     data: bytes = b""
+
+
+@message("work", "promptCrash")
+class PromptCrash:
+    """A server ended as it began to write a response to a prompt with these parts."""
+
+    endpoint: str = ""
+    parts: list = field(default_factory=list)
+    age_seconds: float = 0.0
+
+
+@message("work", "promptServed")
+class PromptServed:
+    """A prompt with these parts, under which a server had ended, was served."""
+
+    parts: list = field(default_factory=list)
--- a/tests/test_prompts_that_crash_servers.py
+++ b/tests/test_prompts_that_crash_servers.py
@@ -29,7 +29,7 @@
         await asyncio.sleep(1.0)
         before = len(_crashes(site))
         for entry in site.entries:
-            status, headers, _ = await _call(site, entry, "first,bad0,own")
+            status, headers, _ = await _call(site, entry, "f1,bad0,0a")
             assert status == 503
             assert float(headers["Retry-After"]) > 1
         assert len(_crashes(site)) == before
@@ -43,7 +43,7 @@
         await asyncio.sleep(1.0)
         for number in range(10):
             entry = site.entries[number % len(site.entries)]
-            for prefix in (f"first,sound,own{number}", f"first,own{number}", "bad0"):
+            for prefix in (f"f1,50,0a{number}", f"f1,0b{number}", "bad0"):
                 status, _, _ = await _call(site, entry, prefix)
                 assert status == 200, prefix
 
@@ -72,14 +72,14 @@
         for number in range(12):
             entry = site.entries[number % len(site.entries)]
             with contextlib.suppress(aiohttp.ClientError):
-                await _call(site, entry, f"first,part,own{number}")
+                await _call(site, entry, f"f1,50,0a{number}")
         for endpoint in site.endpoint_by_id.values():
             endpoint.behaviour.fault = ""
         await asyncio.sleep(1.0)
         for entry in site.entries:
             for load in entry.endpoint_table.by_id.values():
                 load.ejected_until = 0.0
-            assert (await _call(site, entry, "first,part,own"))[0] == 200
+            assert (await _call(site, entry, "f1,50,0a"))[0] == 200
 
     _run(scenario)
 
@@ -88,7 +88,7 @@
     """Send requests with the crashing part, and sound ones with the other parts."""
     for number in range(count):
         entry = entries[number % len(entries)]
-        for prefix in (f"first,sound,s{number}", f"first,{CRASHING_PART},own{number}"):
+        for prefix in (f"f1,50,0c{number}", f"f1,{CRASHING_PART},0a{number}"):
             with contextlib.suppress(aiohttp.ClientError):
                 await _call(site, entry, prefix)
         await asyncio.sleep(INTERVAL_S)
