Fix requests to servers that have said that they leave

Cause: the header was not read; an entry waited for the registration, which some servers never change.

Change: an endpoint that states it in a response, also in an error or in a rejection, gets no more requests of the entry until it has started again. A 421 is of another server and does not count.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
@@ -242,7 +242,11 @@
         except AttemptFailed as exc:
             # A replaced endpoint is gone and never received the request.
             attempts.sent -= not exc.was_sent or exc.is_replaced
+            if exc.is_leaving:
+                self._node.record_leaving(self.endpoint)
             raise
+        if self._response.is_leaving:
+            self._node.record_leaving(self.endpoint)
         return self._response
 
     def try_move(self):
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
@@ -208,6 +208,11 @@
             self.start_recovery_watch(service)
         self.wake_wait_queues()
 
+    def record_leaving(self, endpoint):
+        """Send no more requests to an endpoint that states that it is leaving."""
+        if self.site_state.record_leaving(endpoint):
+            self.on_site_changed()
+
     def start_recovery_watch(self, service):
         """Start polling the status of an unavailable service, unless a task does so."""
         running = self._recovery_by_service.get(service)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge.py
@@ -75,6 +75,7 @@
         "_clock",
         "_cold_until_by_id",
         "_delete_at_by_key",
+        "_leaving_born_by_id",
         "_orders",
         "_position_by_id",
         "_position_by_key",
@@ -96,6 +97,7 @@
         self._clock = clock
         self._cold_until_by_id = {}
         self._delete_at_by_key = {}
+        self._leaving_born_by_id = {}
         self._orders = RegistrationOrders()
         self._position_by_id = {}
         self._position_by_key = {}
@@ -276,6 +278,20 @@
         if endpoint is not None:
             self._extend_coldness(endpoint, for_s + self._cold_start_s(endpoint))
 
+    def record_leaving(self, endpoint):
+        """Record an endpoint's statement that it is leaving; return whether it is new.
+
+        It holds until the endpoint starts again, whatever its registration says.
+        """
+        if endpoint.id not in self.endpoint_by_id or self._is_leaving(endpoint):
+            return False
+        self._leaving_born_by_id[endpoint.id] = endpoint.born_ms
+        log_event(_log, "site.endpoint.leaving", endpoint=endpoint.id)
+        return True
+
+    def _is_leaving(self, endpoint):
+        return self._leaving_born_by_id.get(endpoint.id) == endpoint.born_ms
+
     def _cold_start_s(self, endpoint):
         if self.configuration is None:
             return 0.0
@@ -308,6 +324,7 @@
             for endpoint in self.endpoint_by_id.values()
             if endpoint.service == service
             and not endpoint.is_draining
+            and not self._is_leaving(endpoint)
             and endpoint.data_centre not in self.evacuated
         ]
 
@@ -504,6 +521,7 @@
         self._position_by_id.pop(endpoint_id, None)
         self._orders.end(endpoint_id)
         self._cold_until_by_id.pop(endpoint_id, None)
+        self._leaving_born_by_id.pop(endpoint_id, None)
         if self.endpoint_by_id.pop(endpoint_id, None) is not None:
             log_event(_log, "site.endpoint.gone", endpoint=endpoint_id, reason=reason)
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/upstream.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/upstream.py
@@ -11,6 +11,7 @@
     endpoint_headers,
     has_not_run,
     is_group_broken,
+    is_leaving,
     is_replaced,
     response_identity,
 )
@@ -39,6 +40,8 @@
         Whether the endpoint rejected the request because it was full.
     is_group_broken : bool
         Whether the endpoint rejected the request because its group has lost a rank.
+    is_leaving : bool
+        Whether the endpoint states that it is about to leave.
     is_moved : bool
         Whether this entry ended the attempt to resume at a faster endpoint.
     is_replaced : bool
@@ -58,6 +61,7 @@
         has_run,
         is_full=False,
         is_group_broken=False,
+        is_leaving=False,
         is_moved=False,
         is_replaced=False,
         was_sent=True,
@@ -67,6 +71,7 @@
         self.has_run = has_run
         self.is_full = is_full
         self.is_group_broken = is_group_broken
+        self.is_leaving = is_leaving
         self.is_moved = is_moved
         self.is_replaced = is_replaced
         self.was_sent = was_sent
@@ -126,6 +131,11 @@
         """Headers of the response."""
         return self.response.headers
 
+    @property
+    def is_leaving(self):
+        """Whether the endpoint states that it is about to leave."""
+        return is_leaving(self.status, self.headers)
+
     async def read(self):
         """Return the complete body; raise `AttemptFailed` if it is cut off."""
         try:
@@ -207,6 +217,7 @@
             has_run=False,
             is_full=status in (429, 503),
             is_group_broken=is_group_broken(endpoint.id, response.headers),
+            is_leaving=is_leaving(status, response.headers),
             is_replaced=is_replaced(status, endpoint.id, response.headers),
         )
     request_id, signature = response_identity(response.headers)
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/operators/endpoint.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/operators/endpoint.py
@@ -37,6 +37,10 @@
     crashing_part : str
         Part of a prompt under which the endpoint ends as it begins to write the
         response; empty for none.
+    is_leaving : bool
+        Whether each response says that the endpoint is about to leave.
+    retry_after_s : float
+        `Retry-After` of the responses of `busy`, in seconds; 0 for none.
     """
 
     fault: str = ""
@@ -44,6 +48,8 @@
     events: int = 5
     cut_after: int = 2
     crashing_part: str = ""
+    is_leaving: bool = False
+    retry_after_s: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -101,6 +107,9 @@
         if fault in ("busy", "broken-group"):
             causing_server = "other" if fault == "broken-group" else self.id
             headers = {"X-Magnoliagrade-Not-Executed": "1", "At-Server": causing_server}
+            headers |= self._notices()
+            if self.behaviour.retry_after_s:
+                headers["Retry-After"] = f"{self.behaviour.retry_after_s:g}"
             return web.Response(status=503, headers=headers)
         self.runs.append(request_id)
         self.began_at[request_id] = time.monotonic()
@@ -110,6 +119,9 @@
             self.cancelled.append(request_id)
             raise
 
+    def _notices(self):
+        return {"Server-Leaving": "1"} if self.behaviour.is_leaving else {}
+
     def _report_group(self):
         self.reports += 1
         is_broken = self.behaviour.fault == "broken-group"
@@ -127,6 +139,7 @@
         headers = {
             REQUEST_ID_HEADER: request_id,
             STAMP_HEADER: f"stamp of {endpoint_id}",
+            **self._notices(),
         }
         if fault == "other-answer":
             headers[REQUEST_ID_HEADER] = "another"
--- a/packages/magnoliagrade/magnoliagrade/platform/headers.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/headers.py
@@ -12,6 +12,7 @@
     "event_id_of",
     "has_not_run",
     "is_group_broken",
+    "is_leaving",
     "is_replaced",
     "api_key_of",
     "prompt_parts_of",
@@ -30,6 +31,7 @@
 NOT_EXECUTED = "X-Magnoliagrade-Not-Executed"
 PROMPT_PREFIX = "X-Magnoliagrade-Prompt-Prefix"
 AT_SERVER = "At-Server"
+SERVER_LEAVING = "Server-Leaving"
 LAST_EVENT_ID = "Last-Event-Id"
 _BEARER = "bearer "
 _PART_ID = re.compile(r"[0-9a-fA-F]{1,64}")
@@ -152,6 +154,11 @@
     return headers.get(AT_SERVER, endpoint_id) != endpoint_id
 
 
+def is_leaving(status, headers):
+    """Return whether the expected endpoint states that it is about to leave."""
+    return status != 421 and headers.get(SERVER_LEAVING) == "1"
+
+
 def _connection_options(headers):
     return {
         name.strip().lower()
