Register the port that an entry listens on for links

Cause: entries of OperatorsSite chose a free port, closed it and opened it again; between the two another socket may take it.

Change: an entry with link port 0 registers the port that was opened, and the stand-in uses port 0.

Ran: the direct path, the test of entries that stay linked and those of prompts that crash servers, passed.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/peers.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/peers.py
@@ -57,6 +57,11 @@
     ----------
     node : DirectEntry
         The entry.
+
+    Attributes
+    ----------
+    address : str
+        `host:port` that peers dial, with the port that `listen` has opened.
     """
 
     __slots__ = (
@@ -65,6 +70,7 @@
         "_dialling_by_name",
         "_node",
         "_server",
+        "address",
         "link_by_name",
     )
 
@@ -74,6 +80,7 @@
         self._changed = set()
         self._dialling_by_name = {}
         self._server = None
+        self.address = node.settings.link_address
         self.link_by_name = {}
         PEERS.labels("linked").set_function(lambda: len(self.link_by_name))
         PEERS.labels("registered").set_function(
@@ -90,6 +97,7 @@
             hello=self._hello,
             handle=self._exchange_reports,
         )
+        self.address = f"{host}:{self._server.sockets[0].getsockname()[1]}"
 
     def update(self):
         """Start links to added entries and stop those to removed ones.
@@ -188,7 +196,7 @@
             role="entry",
             data_centre=settings.data_centre,
             data_address=settings.caller_address,
-            control_address=settings.link_address,
+            control_address=self.address,
         )
 
     async def _exchange_reports(self, link):
@@ -341,7 +349,7 @@
     lease = await node.store.grant_lease(LEASE_S, purpose="instances")
     await node.store.put(
         instance_key(node.settings.name),
-        encode_instance(node.settings.link_address),
+        encode_instance(node.peers.address),
         expected_revision=None,
         lease=lease,
         purpose="instances",
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/operators/site.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/operators/site.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import functools
-import socket
 
 import aiohttp
 from aiohttp import web
@@ -130,7 +129,7 @@
             data_centre="dc-1",
             caller_address=f"{HOST}:0",
             ready_address=f"{HOST}:0",
-            link_address=f"{HOST}:{_free_port()}",
+            link_address=f"{HOST}:0",
             metrics_address=f"{HOST}:0",
             store_address=self._store_address,
             **fields,
@@ -185,10 +184,3 @@
         await web.TCPSite(runner, HOST, 0).start()
         self._runners.append(runner)
         return f"{HOST}:{runner.addresses[0][1]}"
-
-
-def _free_port():
-    # Peers need the port of a link address before the entry listens on it.
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
