Fix requests to servers that have asked for none for a while

Cause: the header was not read; a full endpoint got the next request after 0.15 s.

Change: an endpoint gets no request of the entry for the time that it asked for. Unlike an ejection, the pause is not ended by a response of another endpoint or by the probe of an outage. If no endpoint of a service may get a request in time, the request is rejected at once, with a Retry-After from the time when the first one may.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
@@ -314,6 +314,7 @@
         """Record how the attempt failed, and eject the endpoint if needed."""
         now = self._node.clock.monotonic()
         self._check_for_crash(failed)
+        self._load.paused_until = max(self._load.paused_until, now + failed.pause_s)
         is_ejected = False
         if failed.is_moved:
             pass
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement.py
@@ -71,6 +71,8 @@
         seconds; 0 for no limit, None if this entry must not send any.
     sent_at : float
         Time of this entry's last request.
+    paused_until : float
+        Time until which the endpoint has asked this entry for no further requests.
     """
 
     endpoint: object
@@ -83,13 +85,16 @@
     cold_until: float = float("-inf")
     cold_interval_s: float | None = 0.0
     sent_at: float = float("-inf")
+    paused_until: float = float("-inf")
 
     def pace_at(self, now):
         """Return the pace that is valid at a time; 1.0 is normal."""
         return self.pace if now < self.slow_until else 1.0
 
     def available_at(self, now, *, is_coldness_unknown=False):
-        """Return from when on ejection and coldness allow a request of this entry.
+        """Return from when on the endpoint may get a request of this entry.
+
+        Its free slots are not considered.
 
         Parameters
         ----------
@@ -98,12 +103,13 @@
         is_coldness_unknown : bool
             Whether the endpoint counts as cold whatever `cold_until` says.
         """
+        available_at = max(self.ejected_until, self.paused_until)
         is_cold = is_coldness_unknown or now < self.cold_until
         if not is_cold or self.cold_interval_s == 0:
-            return self.ejected_until
+            return available_at
         if self.cold_interval_s is None:
-            return max(self.ejected_until, self.cold_until, now + COLD_RECHECK_S)
-        return max(self.ejected_until, self.sent_at + self.cold_interval_s)
+            return max(available_at, self.cold_until, now + COLD_RECHECK_S)
+        return max(available_at, self.sent_at + self.cold_interval_s)
 
     @property
     def in_flight(self):
@@ -243,8 +249,8 @@
     def next_return_time(self, service, *, now):
         """Return when the first endpoint of a service is available again, or None.
 
-        None means that at least one endpoint of the service is neither ejected nor cold
-        and used up to its rate.
+        None means that at least one of its endpoints may get a request once it has a
+        free slot.
         """
         is_unknown = self._is_coldness_unknown()
         times = [
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/upstream.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/upstream.py
@@ -13,6 +13,7 @@
     is_group_broken,
     is_leaving,
     is_replaced,
+    requested_pause_s,
     response_identity,
 )
 from yarl import URL
@@ -47,6 +48,8 @@
     is_replaced : bool
         Whether the request was rejected by another incarnation than the registered
         one.
+    pause_s : float
+        Time for which the endpoint asks for no further requests, in seconds.
     was_sent : bool
         Whether the request was sent; False if no connection was made.
     response : aiohttp.web.Response or None
@@ -64,6 +67,7 @@
         is_leaving=False,
         is_moved=False,
         is_replaced=False,
+        pause_s=0.0,
         was_sent=True,
         response=None,
     ):
@@ -74,6 +78,7 @@
         self.is_leaving = is_leaving
         self.is_moved = is_moved
         self.is_replaced = is_replaced
+        self.pause_s = pause_s
         self.was_sent = was_sent
         self.response = response
 
@@ -219,6 +224,7 @@
             is_group_broken=is_group_broken(endpoint.id, response.headers),
             is_leaving=is_leaving(status, response.headers),
             is_replaced=is_replaced(status, endpoint.id, response.headers),
+            pause_s=requested_pause_s(status, response.headers),
         )
     request_id, signature = response_identity(response.headers)
     belongs_to_request = request_id in ("", request.id)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/waiting.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/waiting.py
@@ -209,7 +209,9 @@
         returns_at = self._endpoint_table.next_return_time(self._service, now=now)
         if returns_at is not None and returns_at > slot_deadline:
             raise self._overloaded_error(
-                "all endpoints are ejected or cold for too long", request
+                "no endpoint may get a request in time",
+                request,
+                wait_s=returns_at - now,
             )
         if now + self._expected_wait_s(now, ahead) > slot_deadline:
             raise self._overloaded_error(
--- a/packages/magnoliagrade/magnoliagrade/platform/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/__init__.py
@@ -17,6 +17,7 @@
     is_replaced,
     prompt_parts_of,
     request_id_of,
+    requested_pause_s,
     response_headers,
     response_identity,
 )
@@ -83,6 +84,7 @@
     "list_endpoints",
     "prompt_parts_of",
     "request_id_of",
+    "requested_pause_s",
     "response_headers",
     "response_identity",
     "slow_ranks_key",
--- a/packages/magnoliagrade/magnoliagrade/platform/headers.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/headers.py
@@ -17,6 +17,7 @@
     "api_key_of",
     "prompt_parts_of",
     "request_id_of",
+    "requested_pause_s",
     "response_headers",
     "response_identity",
 ]
@@ -159,6 +160,17 @@
     return status != 421 and headers.get(SERVER_LEAVING) == "1"
 
 
+def requested_pause_s(status, headers):
+    """Return for how many seconds a rejection asks for no further requests, or 0."""
+    if status != 503:
+        return 0.0
+    try:
+        pause_s = float(headers.get("Retry-After", ""))
+    except ValueError:
+        return 0.0
+    return pause_s if 0 < pause_s < float("inf") else 0.0
+
+
 def _connection_options(headers):
     return {
         name.strip().lower()
