Move the registrations of endpoints out of SiteState

Change: EndpointRegistry has the endpoints, which of them are leaving, and until when they are cold. No behaviour changes.

Ran: the tests of the direct entry, the direct path, servers that leave, the store that returns from a copy and the docs, passed.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
@@ -330,7 +330,7 @@
             self._node.endpoint_table.eject_full(self._load, now=now)
         elif self._counts_as_failure(failed, now):
             if not failed.was_sent:
-                self._node.site_state.record_unreachable(
+                self._node.site_state.registry.record_unreachable(
                     self.endpoint.id, for_s=EJECT_MAX_S
                 )
             is_plain = not self._attempts.request.route.is_stream
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
@@ -210,7 +210,7 @@
 
     def record_leaving(self, endpoint):
         """Send no more requests to an endpoint that states that it is leaving."""
-        if self.site_state.record_leaving(endpoint):
+        if self.site_state.registry.record_leaving(endpoint):
             self.on_site_changed()
 
     def start_recovery_watch(self, service):
@@ -287,7 +287,9 @@
             service = configuration.service_by_name[endpoint.service]
             return self._cold_intervals.interval_s(endpoint.id, service.cold_per_s)
 
-        self.endpoint_table.update_coldness(self.site_state.cold_until, interval_s)
+        self.endpoint_table.update_coldness(
+            self.site_state.registry.cold_until, interval_s
+        )
 
     def _entry_names(self):
         """Return the names of all entries, with placeholders for those not yet known.
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge.py
@@ -19,7 +19,7 @@
 )
 from prometheus_client import Counter
 
-from magnoliagrade_entry.direct.registration_orders import RegistrationOrders
+from magnoliagrade_entry.direct.endpoint_registry import EndpointRegistry
 from magnoliagrade_entry.direct.route_table import RouteTable
 
 __all__ = ["STORE_SETTLE_S", "SiteState"]
@@ -69,25 +69,22 @@
         The encoded configuration in force; empty without one.
     era : int or None
         Era of the store in the last listing that was applied; None before the first.
+    registry : EndpointRegistry
+        Endpoints, also those that get no requests.
     """
 
     __slots__ = (
         "_clock",
-        "_cold_until_by_id",
         "_delete_at_by_key",
-        "_leaving_born_by_id",
-        "_orders",
-        "_position_by_id",
         "_position_by_key",
-        "_remove_at_by_id",
         "blocked_prompt_parts",
         "configuration",
         "configuration_data",
         "confirmed_at",
-        "endpoint_by_id",
         "era",
         "evacuated",
         "link_address_by_name",
+        "registry",
         "route_table",
         "slow_ranks_by_group",
         "store_returned_at",
@@ -95,21 +92,16 @@
 
     def __init__(self, *, clock):
         self._clock = clock
-        self._cold_until_by_id = {}
         self._delete_at_by_key = {}
-        self._leaving_born_by_id = {}
-        self._orders = RegistrationOrders()
-        self._position_by_id = {}
         self._position_by_key = {}
-        self._remove_at_by_id = {}
         self.blocked_prompt_parts = set()
         self.configuration = None
         self.configuration_data = b""
         self.confirmed_at = float("-inf")
-        self.endpoint_by_id = {}
         self.era = None
         self.evacuated = set()
         self.link_address_by_name = {}
+        self.registry = EndpointRegistry(clock=clock, service_of=self._service_of)
         self.route_table = RouteTable(routes=[])
         self.slow_ranks_by_group = {}
         self.store_returned_at = float("-inf")
@@ -249,58 +241,14 @@
                 self._apply_item(item, self._position_by_key[key])
         return bool(due)
 
-    def cold_until(self, endpoint_id):
-        """Return the monotonic time until which an endpoint counts as cold."""
-        return self._cold_until_by_id.get(endpoint_id, float("-inf"))
-
     def is_coldness_unknown(self):
         """Return whether any endpoint may have turned cold without being reported so.
 
         This is so while the store does not respond, and after its return until the
         endpoints have registered again.
         """
-        settles_at = self.store_returned_at + STORE_SETTLE_S
         is_outdated = self.age_s() > COLD_KNOWN_MAX_AGE_S
-        return is_outdated or self._clock.monotonic() < settles_at
-
-    def record_unreachable(self, endpoint_id, *, for_s):
-        """Record that an endpoint refuses connections; it may be restarting.
-
-        Parameters
-        ----------
-        endpoint_id : str
-            Id of the endpoint.
-        for_s : float
-            Longest time until the next request, in seconds. It counts as cold for that
-            time and the time that a start takes.
-        """
-        endpoint = self.endpoint_by_id.get(endpoint_id)
-        if endpoint is not None:
-            self._extend_coldness(endpoint, for_s + self._cold_start_s(endpoint))
-
-    def record_leaving(self, endpoint):
-        """Record an endpoint's statement that it is leaving; return whether it is new.
-
-        It holds until the endpoint starts again, whatever its registration says.
-        """
-        if endpoint.id not in self.endpoint_by_id or self._is_leaving(endpoint):
-            return False
-        self._leaving_born_by_id[endpoint.id] = endpoint.born_ms
-        log_event(_log, "site.endpoint.leaving", endpoint=endpoint.id)
-        return True
-
-    def _is_leaving(self, endpoint):
-        return self._leaving_born_by_id.get(endpoint.id) == endpoint.born_ms
-
-    def _cold_start_s(self, endpoint):
-        if self.configuration is None:
-            return 0.0
-        service = self.configuration.service_by_name.get(endpoint.service)
-        return 0.0 if service is None else service.cold_start_s
-
-    def _extend_coldness(self, endpoint, cold_s):
-        until = self._clock.monotonic() + cold_s
-        self._cold_until_by_id[endpoint.id] = max(until, self.cold_until(endpoint.id))
+        return is_outdated or self._clock.monotonic() < self._settles_at()
 
     def drop_missing_endpoints(self):
         """Remove endpoints that did not register again in time.
@@ -310,24 +258,26 @@
         has_changed : bool
             Whether an endpoint was removed.
         """
-        now = self._clock.monotonic()
-        due = [i for i, at in self._remove_at_by_id.items() if at <= now]
-        for endpoint_id in due:
-            del self._remove_at_by_id[endpoint_id]
-            self._remove(endpoint_id, "it did not register again after a store outage")
-        return bool(due)
+        return self.registry.drop_missing()
 
     def endpoints_of(self, service):
         """Return the endpoints of a service that may be given new requests."""
         return [
             endpoint
-            for endpoint in self.endpoint_by_id.values()
+            for endpoint in self.registry.accepting()
             if endpoint.service == service
-            and not endpoint.is_draining
-            and not self._is_leaving(endpoint)
             and endpoint.data_centre not in self.evacuated
         ]
 
+    def _service_of(self, endpoint):
+        if self.configuration is None:
+            return None
+        return self.configuration.service_by_name.get(endpoint.service)
+
+    def _settles_at(self):
+        """Return until when endpoints may register again after a store outage."""
+        return self.store_returned_at + STORE_SETTLE_S
+
     def _advance_position(self, key, position):
         """Record the position of a key's change; return whether it is the newest."""
         known = self._position_by_key.get(key)
@@ -369,8 +319,7 @@
         except FormatError:
             return False
         if isinstance(item, EndpointItem):
-            order = item.endpoint.registration_order
-            return self._orders.is_outdated(item.id, order)
+            return self.registry.is_outdated(item.endpoint)
         # Notices of slow ranks are renewed every few seconds while they hold.
         return isinstance(item, SlowRanksItem)
 
@@ -393,13 +342,15 @@
         revision = position.revision
         if isinstance(item, ConfigurationItem):
             self._apply_configuration(item.configuration, revision=revision)
+        elif isinstance(item, EndpointItem) and item.endpoint is not None:
+            self.registry.register(item.endpoint, position)
         elif isinstance(item, EndpointItem):
-            self._apply_endpoint(item, position)
+            self.registry.deregister(item.id, settles_at=self._settles_at())
         elif isinstance(item, EvacuationItem):
             change = self.evacuated.add if item.is_evacuated else self.evacuated.discard
             change(item.data_centre)
             if not item.is_evacuated:
-                self._extend_coldness_in(item.data_centre)
+                self.registry.record_idle(item.data_centre)
             log_event(
                 _log,
                 "site.data_centre.out"
@@ -418,12 +369,6 @@
         elif isinstance(item, InstanceItem):
             self.link_address_by_name.pop(item.name, None)
 
-    def _extend_coldness_in(self, data_centre):
-        # Endpoints without requests turn cold, and may register so only later.
-        for endpoint in self.endpoint_by_id.values():
-            if endpoint.data_centre == data_centre:
-                self._extend_coldness(endpoint, self._cold_start_s(endpoint))
-
     def _apply_slow_ranks(self, item, revision):
         known = self.slow_ranks_by_group.pop(item.group, None)
         if item.pace_by_address:
@@ -458,73 +403,6 @@
         if configuration is self.configuration:
             self.configuration_data = data
 
-    def _apply_endpoint(self, item, position):
-        if item.endpoint is None:
-            self._handle_deregistration(item.id)
-            return
-        self._orders.record(item.id, item.endpoint.registration_order)
-        if not self._supersede_at_address(item, position):
-            return
-        self._remove_at_by_id.pop(item.id, None)
-        known = self.endpoint_by_id.get(item.id)
-        self.endpoint_by_id[item.id] = item.endpoint
-        self._position_by_id[item.id] = position
-        self._extend_coldness(item.endpoint, item.endpoint.cold_s)
-        if known is None or known.is_draining != item.endpoint.is_draining:
-            log_event(
-                _log,
-                "site.endpoint.draining"
-                if item.endpoint.is_draining
-                else "site.endpoint.ready",
-                endpoint=item.id,
-                service=item.endpoint.service,
-                revision=position.revision,
-                cold_s=item.endpoint.cold_s,
-            )
-
-    def _supersede_at_address(self, item, position):
-        """Remove older endpoints at an item's address; return whether it is the newest.
-
-        The registration of a crashed server remains for a few heartbeats, while the
-        next server at its address has already registered.
-        """
-        if (
-            self.configuration is None
-            or item.endpoint.service not in self.configuration.service_by_name
-        ):
-            return True
-        others = [
-            endpoint
-            for endpoint in self.endpoint_by_id.values()
-            if endpoint.address == item.endpoint.address and endpoint.id != item.id
-        ]
-        if any(self._position_by_id[other.id] > position for other in others):
-            log_event(_log, "site.endpoint.outdated", endpoint=item.id)
-            self._remove(item.id, "a newer endpoint registered at its address")
-            return False
-        for other in others:
-            self._remove(other.id, f"{item.id} registered at its address")
-        return True
-
-    def _handle_deregistration(self, endpoint_id):
-        if endpoint_id not in self.endpoint_by_id:
-            return
-        settles_at = self.store_returned_at + STORE_SETTLE_S
-        if self._clock.monotonic() < settles_at:
-            self._remove_at_by_id.setdefault(endpoint_id, settles_at)
-            log_event(_log, "site.endpoint.lapsed", endpoint=endpoint_id)
-            return
-        self._remove(endpoint_id, "its registration was deleted")
-
-    def _remove(self, endpoint_id, reason):
-        self._remove_at_by_id.pop(endpoint_id, None)
-        self._position_by_id.pop(endpoint_id, None)
-        self._orders.end(endpoint_id)
-        self._cold_until_by_id.pop(endpoint_id, None)
-        self._leaving_born_by_id.pop(endpoint_id, None)
-        if self.endpoint_by_id.pop(endpoint_id, None) is not None:
-            log_event(_log, "site.endpoint.gone", endpoint=endpoint_id, reason=reason)
-
 
 def _unreadable_item(key):
     # An unreadable value removes an endpoint or slow ranks; a configuration is kept.
--- a/tests/test_servers_that_leave.py
+++ b/tests/test_servers_that_leave.py
@@ -32,7 +32,7 @@
                 assert status == 200
             assert len(leaving.headers_seen) == seen, fault
             # Its registration changes without a restart.
-            address = entry.site_state.endpoint_by_id["plain-1"].address
+            address = entry.site_state.registry.endpoint_by_id["plain-1"].address
             site.register("plain-1", "plain", address)
             await asyncio.sleep(0.5)
             for _ in range(6):
@@ -49,7 +49,7 @@
         await _call_until(site, entry, lambda: leaving.headers_seen)
         leaving.behaviour.is_leaving = False
         seen = len(leaving.headers_seen)
-        address = entry.site_state.endpoint_by_id["plain-1"].address
+        address = entry.site_state.registry.endpoint_by_id["plain-1"].address
         site.store.delete("servers/plain-1")
         await asyncio.sleep(0.3)
         site.register("plain-1", "plain", address)
