Fix plain responses without end read into memory

What callers saw: nothing is reported; the operators say that bytes without end may come in a head or a body until the caller closes.

Cause: the body of a plain response was read without a limit until the deadline.

Change: a body above 8 MiB ends the attempt (ANSWER_BROKEN). Heads and events had limits already.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/upstream.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/upstream.py
@@ -24,6 +24,9 @@
 # that this takes, a few ms. TCP repeats the first packet to an unreachable machine only
 # after a second.
 CONNECT_TIMEOUT_S = 0.35
+# Limit on the body of a plain response: a faulty endpoint may send one that does not
+# end, and several of them must fit into the memory of an entry (200 MB).
+BODY_LIMIT_BYTES = 8 * 1024 * 1024
 
 
 class AttemptFailed(MagnoliagradeError):
@@ -142,11 +145,24 @@
         return is_leaving(self.status, self.headers)
 
     async def read(self):
-        """Return the complete body; raise `AttemptFailed` if it is cut off."""
-        try:
-            return await self.response.read()
-        except (aiohttp.ClientError, OSError) as exc:
-            raise _broken_response(exc) from exc
+        """Return the complete body.
+
+        Raises
+        ------
+        AttemptFailed
+            If it is cut off, or exceeds `BODY_LIMIT_BYTES`.
+        """
+        body = bytearray()
+        async for data in self.chunks():
+            body += data
+            if len(body) > BODY_LIMIT_BYTES:
+                raise AttemptFailed(
+                    ErrorKind.ANSWER_BROKEN,
+                    f"a body of {len(body)} bytes or more exceeds the limit of "
+                    f"{BODY_LIMIT_BYTES} bytes",
+                    has_run=True,
+                )
+        return bytes(body)
 
     async def chunks(self):
         """Yield parts of the body; raise `AttemptFailed` if it is cut off."""
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/operators/endpoint.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/operators/endpoint.py
@@ -78,6 +78,8 @@
         Number of group state reports that were requested from it.
     crashed_by : list of str
         Ids of the requests under which it ended.
+    bytes_without_end : int
+        Number of bytes that it has sent of heads and bodies that do not end.
     crash : coroutine function or None
         Ends the endpoint and starts it again later; called without arguments.
     """
@@ -91,6 +93,7 @@
     arrived_at: list = field(default_factory=list)
     reports: int = 0
     crashed_by: list = field(default_factory=list)
+    bytes_without_end: int = 0
     crash: object = None
 
     async def handle(self, request):
@@ -143,6 +146,8 @@
         }
         if fault == "other-answer":
             headers[REQUEST_ID_HEADER] = "another"
+        if fault in ("endless-head", "endless-body"):
+            return await self._send_without_end(request, headers, fault)
         if "stream" in request.path:
             return await self._stream(request, headers, fault)
         await asyncio.sleep(self.behaviour.delay_s)
@@ -179,6 +184,22 @@
         await response.write_eof()
         return response
 
+    async def _send_without_end(self, request, headers, fault):
+        transport = request.transport
+        lines = [f"{name}: {value}" for name, value in headers.items()]
+        head = "\r\n".join(["HTTP/1.1 200 OK", *lines, "Connection: close", ""])
+        transport.write(head.encode())
+        block = b"x" * 65536
+        if fault == "endless-head":
+            block = b"X-Line: x\r\n" * 6000
+        else:
+            transport.write(b"\r\n")
+        while not transport.is_closing():
+            transport.write(block)
+            self.bytes_without_end += len(block)
+            await asyncio.sleep(0.001)
+        return web.Response()
+
     async def _cut_body(self, request, headers):
         transport = request.transport
         header_lines = [f"{name}: {value}" for name, value in headers.items()]
