Count an endpoint that refuses a connection as cold at once

Cause: the selection of endpoints learnt of it only with the next change of the site's state, up to 1.5 s later.

Change: the load of the endpoint is updated with the failure.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
@@ -330,9 +330,9 @@
             self._node.endpoint_table.eject_full(self._load, now=now)
         elif self._counts_as_failure(failed, now):
             if not failed.was_sent:
-                self._node.site_state.registry.record_unreachable(
-                    self.endpoint.id, for_s=EJECT_MAX_S
-                )
+                registry = self._node.site_state.registry
+                registry.record_unreachable(self.endpoint.id, for_s=EJECT_MAX_S)
+                self._load.cold_until = registry.cold_until(self.endpoint.id)
             is_plain = not self._attempts.request.route.is_stream
             is_ejected = self._node.endpoint_table.record_failure(
                 self._load,
