Add failing tests of the own store that returns from a copy

Its store promises to lose nothing, and its protocol has no era, but a store that is restored from a backup is what the configuration's watch already allows for.

Change: MemoryStore.make_copy and return_from. Not fixed: the protocol needs an era first.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/group/tests/test_map_record.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/group/tests/test_map_record.py
@@ -32,6 +32,37 @@
     asyncio.run(main())
 
 
+def test_fencing_token_increases_after_the_store_has_returned_from_a_copy():
+    async def main():
+        clock = ManualClock()
+        store = MemoryStore(clock=clock)
+        state = store.make_copy()
+        first = _lease(store, clock, "a")
+        assert await first.acquire_or_renew()
+        seen_fence = first.fence
+        store.return_from(state)
+        second = _lease(store, clock, "b")
+        assert await second.acquire_or_renew()
+        assert second.fence > seen_fence
+
+    asyncio.run(main())
+
+
+def test_coordinator_does_not_hold_a_lease_that_was_issued_to_another():
+    async def main():
+        clock = ManualClock()
+        store = MemoryStore(clock=clock)
+        state = store.make_copy()
+        first = _lease(store, clock, "a")
+        assert await first.acquire_or_renew()
+        store.return_from(state)
+        second = _lease(store, clock, "b")
+        assert await second.acquire_or_renew()
+        assert not await first.acquire_or_renew()
+
+    asyncio.run(main())
+
+
 def test_lease_is_not_held_if_the_response_of_the_store_was_lost():
     async def main():
         clock = ManualClock()
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/claims/tests/test_stores.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/claims/tests/test_stores.py
@@ -135,3 +135,20 @@
             assert copy.body == b"x" * 99 or copy.content_type == "-"
 
     asyncio.run(fill())
+
+
+def test_claim_holds_after_the_store_has_returned_from_a_copy():
+    for name in claim_stores.names():
+
+        async def main(name=name):
+            store = MemoryStore(clock=SystemClock())
+            state = store.make_copy()
+            nodes = [_node(store, number) for number in range(2)]
+            first, second = (claim_stores.get(name)(node=node) for node in nodes)
+            claim = _claim(nodes[0])
+            assert (await first.claim(claim)).operation == claim.operation
+            store.return_from(state)
+            held = await _claim_or_none(second, _claim(nodes[1]))
+            assert held is None or held.operation == claim.operation, name
+
+        asyncio.run(main())
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/platform/store.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/platform/store.py
@@ -1,6 +1,7 @@
 """In-memory stand-in for the platform's key-value store."""
 
 import asyncio
+import copy
 import itertools
 from dataclasses import dataclass
 
@@ -186,6 +187,30 @@
         await self._start_call(purpose)
         self._end_lease(lease)
 
+    def make_copy(self):
+        """Return a copy of the state, for `return_from`."""
+        return (
+            dict(self._value_by_key),
+            dict(self._expiry_and_ttl_by_lease),
+            copy.deepcopy(self._keys_by_lease),
+            copy.copy(self._lease_numbers),
+            self._revision,
+        )
+
+    def return_from(self, state):
+        """Replace the state by a copy.
+
+        Later changes and leases are lost; their revisions and ids are issued again.
+        """
+        (
+            self._value_by_key,
+            self._expiry_and_ttl_by_lease,
+            self._keys_by_lease,
+            self._lease_numbers,
+            self._revision,
+        ) = copy.deepcopy(state)
+        self._wake_watches()
+
     def set_faults(self, faults):
         """Replace the faults and wake waiting watches, so that they apply at once."""
         self.faults = faults
