Run agents as processes in the soak that loses the store's changes

Cause: only entries ran as real programs before the store that returns from a copy.

Change: a soak may run an agent beside each model endpoint (agents); they have to go on like the entries. The test of the soak with two losses has them.

--- a/packages/magnoliagrade-standins/magnoliagrade_standins/soak/plan.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/soak/plan.py
@@ -36,6 +36,8 @@
         Mean number of faults that begin in a second; faults may overlap.
     revoke_ms : float
         Time after which a removed key must be rejected, in milliseconds.
+    agents : bool
+        Whether an agent runs beside each model endpoint.
     store_losses : int
         Number of times that the store loses its last changes, at even intervals and
         beside the random faults.
@@ -49,6 +51,7 @@
     callers: int = 12
     faults_per_s: float = 1.2
     revoke_ms: float = 3000.0
+    agents: bool = False
     store_losses: int = 0
 
 
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/soak/processes.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/soak/processes.py
@@ -1,4 +1,4 @@
-"""Entry processes of a soak, each with its own loopback address."""
+"""Entry and agent processes of a soak, each with its own loopback address."""
 
 import asyncio
 import os
@@ -6,8 +6,22 @@
 import socket
 import sys
 
-__all__ = ["EntryProcess"]
+__all__ = ["AgentProcess", "EntryProcess"]
 
+AGENT_SETTINGS_TEMPLATE = """
+[instance]
+name = {name}
+data_centre = dc-1
+
+[listen]
+link_address = {link}
+metrics_address = {metrics}
+source_address = {host}
+
+[platform]
+store_address = {store}
+server_address = {server}
+"""
 SETTINGS_TEMPLATE = """
 [instance]
 name = {name}
@@ -30,42 +44,41 @@
 """
 
 
-class EntryProcess:
-    """One direct entry as a process that can be signalled and restarted.
+class _Process:
+    """Process of the system that can be signalled and restarted.
 
     Parameters
     ----------
-    number : int
-        Number of the entry, from 0; its loopback address is 127.77.0.(number + 1).
+    module : str
+        Module that is run with the path of a settings file.
+    name : str
+        Name of the process.
+    host : str
+        Its loopback address.
     folder : str
         Folder for its settings file and log file.
-    store_address : str
-        `host:port` of the store, as this entry reaches it.
-    revoke_ms : float
-        Time after which a removed key must be rejected, in milliseconds.
+    template : str
+        Template of its settings file.
+    listeners : sequence of str
+        Names of its listeners; each gets a free port.
+    **fields
+        Further fields of the template.
     """
 
-    __slots__ = ("_log_path", "_path", "caller_address", "host", "process")
+    __slots__ = ("_log_path", "_module", "_path", "addresses", "host", "process")
 
-    def __init__(self, *, number, folder, store_address, revoke_ms):
-        self.host = f"127.77.0.{number + 1}"
+    def __init__(self, *, module, name, host, folder, template, listeners, **fields):
+        self.host = host
         self.process = None
-        self._path = os.path.join(folder, f"entry-{number}.ini")
-        self._log_path = os.path.join(folder, f"entry-{number}.log")
-        addresses = {
-            name: f"{self.host}:{_free_port(self.host)}"
-            for name in ("caller", "ready", "link", "metrics")
+        self._module = module
+        self._path = os.path.join(folder, f"{name}.ini")
+        self._log_path = os.path.join(folder, f"{name}.log")
+        self.addresses = {
+            listener: f"{host}:{_free_port(host)}" for listener in listeners
         }
-        self.caller_address = addresses["caller"]
         with open(self._path, "w", encoding="utf-8") as file:
             file.write(
-                SETTINGS_TEMPLATE.format(
-                    name=f"entry-{number}",
-                    host=self.host,
-                    store=store_address,
-                    revoke_ms=revoke_ms,
-                    **addresses,
-                )
+                template.format(name=name, host=host, **self.addresses, **fields)
             )
 
     @property
@@ -81,7 +94,7 @@
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "magnoliagrade_entry.direct",
+                self._module,
                 self._path,
                 stdout=log,
                 stderr=log,
@@ -100,6 +113,69 @@
             await self.process.wait()
 
 
+class EntryProcess(_Process):
+    """One direct entry.
+
+    Parameters
+    ----------
+    number : int
+        Number of the entry, from 0; its loopback address is 127.77.0.(number + 1).
+    folder : str
+        Folder for its settings file and log file.
+    store_address : str
+        `host:port` of the store, as this entry reaches it.
+    revoke_ms : float
+        Time after which a removed key must be rejected, in milliseconds.
+    """
+
+    __slots__ = ()
+
+    def __init__(self, *, number, folder, store_address, revoke_ms):
+        super().__init__(
+            module="magnoliagrade_entry.direct",
+            name=f"entry-{number}",
+            host=f"127.77.0.{number + 1}",
+            folder=folder,
+            template=SETTINGS_TEMPLATE,
+            listeners=("caller", "ready", "link", "metrics"),
+            store=store_address,
+            revoke_ms=revoke_ms,
+        )
+
+    @property
+    def caller_address(self):
+        """`host:port` that callers connect to."""
+        return self.addresses["caller"]
+
+
+class AgentProcess(_Process):
+    """One direct agent.
+
+    Parameters
+    ----------
+    number : int
+        Number of the agent, from 0; its loopback address is 127.77.1.(number + 1).
+    folder : str
+        Folder for its settings file and log file.
+    store_address, server_address : str
+        `host:port` of the store and of the model server beside the agent.
+    """
+
+    __slots__ = ()
+
+    def __init__(self, *, number, folder, store_address, server_address):
+        super().__init__(
+            module="magnoliagrade_agent.direct",
+            name=f"agent-{number}",
+            host=f"127.77.1.{number + 1}",
+            folder=folder,
+            template=AGENT_SETTINGS_TEMPLATE,
+            listeners=("link", "metrics"),
+            store=store_address,
+            server=server_address,
+        )
+
+
 def _free_port(host):
     with socket.create_server((host, 0)) as server:
         return server.getsockname()[1]
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/soak/run.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/soak/run.py
@@ -54,7 +54,7 @@
         calls = [call for caller in callers for call in caller.calls]
         calls += first_calls
         findings = find_broken_promises(site, calls)
-        findings += _check_entries_at_end(site, calls, ends_at)
+        findings += _check_processes_at_end(site, calls, ends_at)
         return SoakReport(
             seed=plan.seed,
             calls=len(calls),
@@ -95,14 +95,18 @@
         await lose_store_changes(site, site.clock.sleep)
 
 
-def _check_entries_at_end(site, calls, ends_at):
+def _check_processes_at_end(site, calls, ends_at):
     findings = []
-    for number, entry in enumerate(site.entries):
-        if entry.has_ended:
-            detail = f"process ended with exit code {entry.process.returncode}"
-            findings.append(
-                Finding(promise="goes on", request=f"entry-{number}", detail=detail)
-            )
+    processes_by_role = {"entry": site.entries, "agent": site.agents}
+    for role, processes in processes_by_role.items():
+        for number, process in enumerate(processes):
+            if process.has_ended:
+                detail = f"process ended with exit code {process.process.returncode}"
+                findings.append(
+                    Finding(
+                        promise="goes on", request=f"{role}-{number}", detail=detail
+                    )
+                )
     last_calls = [
         c
         for c in calls
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/soak/site.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/soak/site.py
@@ -14,7 +14,7 @@
     route_document,
 )
 from magnoliagrade_standins.proxy import FaultProxy
-from magnoliagrade_standins.soak.processes import EntryProcess
+from magnoliagrade_standins.soak.processes import AgentProcess, EntryProcess
 
 __all__ = ["STREAM_EVENTS", "SoakSite"]
 
@@ -46,6 +46,7 @@
         self.rules_by_fault_id = {}
         self.endpoints = []
         self.entries = []
+        self.agents = []
         self.version = 3
         self.keys = ["key-0"]
         self.removed_at_by_key = {}
@@ -73,12 +74,14 @@
             )
             self.entries.append(entry)
             await entry.start()
+        if self.plan.agents:
+            await self._start_agents(store_address)
         return self
 
     async def __aexit__(self, *_exc):
         """Stop the processes and servers that this site started."""
-        for entry in self.entries:
-            await entry.end()
+        for process in [*self.entries, *self.agents]:
+            await process.end()
         self.proxy.close()
         for runner in self._runners:
             await runner.cleanup()
@@ -128,6 +131,18 @@
             [rule for rules in self.rules_by_fault_id.values() for rule in rules]
         )
 
+    async def _start_agents(self, store_address):
+        models = [e for e in self.endpoints if e.id.startswith("model-")]
+        for number, endpoint in enumerate(models):
+            agent = AgentProcess(
+                number=number,
+                folder=self._folder.name,
+                store_address=store_address,
+                server_address=endpoint.address,
+            )
+            self.agents.append(agent)
+            await agent.start()
+
     async def _add_endpoint(self, name, service):
         endpoint = SoakEndpoint(id=name, behaviour=EndpointBehaviour())
         endpoint.target = name
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/soak/tests/test_soak.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/soak/tests/test_soak.py
@@ -28,9 +28,11 @@
     assert [f for f in report.findings if f.promise in SAFETY_PROMISES] == []
 
 
-def test_entry_processes_go_on_after_the_store_lost_its_last_changes():
+def test_processes_go_on_after_the_store_lost_its_last_changes():
     # No other fault is drawn at this rate, so that the last calls must all be served.
-    plan = SoakPlan(seed=1, duration_s=13.0, store_losses=2, faults_per_s=1e-9)
+    plan = SoakPlan(
+        seed=1, duration_s=13.0, store_losses=2, agents=True, faults_per_s=1e-9
+    )
     report = asyncio.run(run_soak(plan))
     assert report.by_status.get(200, 0) > 20
     assert report.findings == []
