Log the limits on requests that servers name

Cause: neither log nor metric said that a server had named a limit, which one, and which attempts reached it meanwhile, so the hypotheses about requests beyond the limit could not be told apart.

Change: the adapter decodes a response's notices (leaving, limit) in one place; EndpointLimits keeps the limits. No decision uses them yet.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
@@ -30,6 +30,10 @@
 ATTEMPTS = Counter(
     "magnoliagrade_direct_attempts_total", "Attempts at endpoints", ["result"]
 )
+LIMITED_ATTEMPTS = Counter(
+    "magnoliagrade_direct_limited_attempts_total",
+    "Attempts at endpoints that name a limit on requests",
+)
 COLD_ATTEMPTS = Counter(
     "magnoliagrade_direct_cold_attempts_total", "Attempts at cold endpoints"
 )
@@ -206,6 +210,7 @@
         "_attempts",
         "_is_cold",
         "_is_complete",
+        "_limit_per_s",
         "_load",
         "_node",
         "_response",
@@ -222,6 +227,7 @@
         self._started_at = node.clock.monotonic()
         self.endpoint = load.endpoint
         self._is_cold = self._started_at < load.cold_until
+        self._limit_per_s = node.endpoint_limits.limit_by_id.get(load.endpoint.id)
         attempts.tried.add(load.endpoint.id)
         node.on_load_changed(load.endpoint.id)
 
@@ -231,6 +237,8 @@
         attempts.sent += 1
         if self._is_cold:
             COLD_ATTEMPTS.inc()
+        if self._limit_per_s is not None:
+            LIMITED_ATTEMPTS.inc()
         try:
             self._response = await open_response(
                 self._node.upstream_session,
@@ -242,11 +250,9 @@
         except AttemptFailed as exc:
             # A replaced endpoint is gone and never received the request.
             attempts.sent -= not exc.was_sent or exc.is_replaced
-            if exc.is_leaving:
-                self._node.record_leaving(self.endpoint)
+            self._record_notice(exc.notice)
             raise
-        if self._response.is_leaving:
-            self._node.record_leaving(self.endpoint)
+        self._record_notice(self._response.notice)
         return self._response
 
     def try_move(self):
@@ -287,6 +293,15 @@
         ATTEMPTS.labels("whole").inc()
         self._log("whole", status=self._response.status)
 
+    def _record_notice(self, notice):
+        if notice is None:
+            return
+        if notice.is_leaving:
+            self._node.record_leaving(self.endpoint)
+        self._node.record_limit(
+            self.endpoint.id, notice.limit_per_s, sent_at=self._started_at
+        )
+
     def _clear_suspicion(self):
         node = self._node
         published = node.site_state.blocked_prompt_parts
@@ -376,6 +391,7 @@
             attempt=self._attempts.sent,
             load=self._load.in_flight,
             is_cold=self._is_cold,
+            limit_per_s=self._limit_per_s,
             version=self._node.site_state.version,
             age_s=round(self._node.site_state.age_s(), 2),
             waited_s=round(self._started_at - request.arrived_at, 3),
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
@@ -17,6 +17,7 @@
 
 from magnoliagrade_entry.direct.cold_rates import ColdIntervals
 from magnoliagrade_entry.direct.door import make_caller_handler, ready_routes
+from magnoliagrade_entry.direct.endpoint_limits import EndpointLimits
 from magnoliagrade_entry.direct.knowledge import STORE_SETTLE_S, SiteState
 from magnoliagrade_entry.direct.peers import PeerLinks, keep_registered
 from magnoliagrade_entry.direct.placement import EndpointTable
@@ -73,6 +74,7 @@
         "caller_listener",
         "clock",
         "configured",
+        "endpoint_limits",
         "endpoint_table",
         "identity",
         "is_leaving",
@@ -108,6 +110,7 @@
             rng=self.rng,
             is_coldness_unknown=self.site_state.is_coldness_unknown,
         )
+        self.endpoint_limits = EndpointLimits(clock=self.clock)
         self.peers = PeerLinks(node=self)
         self.prompt_guard = PromptGuard(clock=self.clock)
         self.retry_budget = RetryBudget(
@@ -190,6 +193,7 @@
         self.endpoint_table.update(endpoints)
         self.endpoint_table.update_slow_ranks(site_state.slow_ranks_by_group.values())
         self._update_coldness(configuration)
+        self.endpoint_limits.drop_unregistered(site_state.registry.endpoint_by_id)
         self.prompt_guard.published = set(site_state.blocked_prompt_parts)
         self._apply_limits(configuration.limits)
         self.peers.update()
@@ -213,6 +217,10 @@
         if self.site_state.registry.record_leaving(endpoint):
             self.on_site_changed()
 
+    def record_limit(self, endpoint_id, limit_per_s, *, sent_at):
+        """Record the limit on requests that an endpoint names in a response."""
+        self.endpoint_limits.record_response(endpoint_id, limit_per_s, sent_at=sent_at)
+
     def start_recovery_watch(self, service):
         """Start polling the status of an unavailable service, unless a task does so."""
         running = self._recovery_by_service.get(service)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/upstream.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/upstream.py
@@ -11,8 +11,8 @@
     endpoint_headers,
     has_not_run,
     is_group_broken,
-    is_leaving,
     is_replaced,
+    notice_of,
     requested_pause_s,
     response_identity,
 )
@@ -44,13 +44,13 @@
         Whether the endpoint rejected the request because it was full.
     is_group_broken : bool
         Whether the endpoint rejected the request because its group has lost a rank.
-    is_leaving : bool
-        Whether the endpoint states that it is about to leave.
     is_moved : bool
         Whether this entry ended the attempt to resume at a faster endpoint.
     is_replaced : bool
         Whether the request was rejected by another incarnation than the registered
         one.
+    notice : EndpointNotice or None
+        What the endpoint says of itself in the response, if there is one.
     pause_s : float
         Time for which the endpoint asks for no further requests, in seconds.
     was_sent : bool
@@ -67,9 +67,9 @@
         has_run,
         is_full=False,
         is_group_broken=False,
-        is_leaving=False,
         is_moved=False,
         is_replaced=False,
+        notice=None,
         pause_s=0.0,
         was_sent=True,
         response=None,
@@ -78,9 +78,9 @@
         self.has_run = has_run
         self.is_full = is_full
         self.is_group_broken = is_group_broken
-        self.is_leaving = is_leaving
         self.is_moved = is_moved
         self.is_replaced = is_replaced
+        self.notice = notice
         self.pause_s = pause_s
         self.was_sent = was_sent
         self.response = response
@@ -140,9 +140,9 @@
         return self.response.headers
 
     @property
-    def is_leaving(self):
-        """Whether the endpoint states that it is about to leave."""
-        return is_leaving(self.status, self.headers)
+    def notice(self):
+        """What the endpoint says of itself, as `EndpointNotice`; None for a 421."""
+        return notice_of(self.status, self.headers)
 
     async def read(self):
         """Return the complete body.
@@ -238,8 +238,8 @@
             has_run=False,
             is_full=status in (429, 503),
             is_group_broken=is_group_broken(endpoint.id, response.headers),
-            is_leaving=is_leaving(status, response.headers),
             is_replaced=is_replaced(status, endpoint.id, response.headers),
+            notice=notice_of(status, response.headers),
             pause_s=requested_pause_s(status, response.headers),
         )
     request_id, signature = response_identity(response.headers)
--- a/packages/magnoliagrade/magnoliagrade/platform/headers.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/headers.py
@@ -1,20 +1,23 @@
 """Headers of the platform: reading callers' and endpoints', making forwarded ones."""
 
+import math
 import re
+from dataclasses import dataclass
 
 from multidict import CIMultiDict
 
 from magnoliagrade.http.headers import HOP_BY_HOP
 
 __all__ = [
+    "EndpointNotice",
     "deadline_of",
     "endpoint_headers",
     "event_id_of",
     "has_not_run",
     "is_group_broken",
-    "is_leaving",
     "is_replaced",
     "api_key_of",
+    "notice_of",
     "prompt_parts_of",
     "request_id_of",
     "requested_pause_s",
@@ -33,6 +36,7 @@
 PROMPT_PREFIX = "X-Magnoliagrade-Prompt-Prefix"
 AT_SERVER = "At-Server"
 SERVER_LEAVING = "Server-Leaving"
+SERVER_LIMIT = "Server-Limit"
 LAST_EVENT_ID = "Last-Event-Id"
 _BEARER = "bearer "
 _PART_ID = re.compile(r"[0-9a-fA-F]{1,64}")
@@ -55,6 +59,23 @@
 )
 
 
+@dataclass(slots=True, kw_only=True)
+class EndpointNotice:
+    """What an endpoint says of itself in the headers of a response.
+
+    Parameters
+    ----------
+    is_leaving : bool
+        Whether it is about to leave.
+    limit_per_s : float or None
+        Requests per second that it takes from all entries together; infinite without a
+        limit, None if the value cannot be read.
+    """
+
+    is_leaving: bool
+    limit_per_s: float | None
+
+
 def request_id_of(headers):
     """Return the request id that the caller has chosen, or an empty string."""
     return headers.get(REQUEST_ID, "")
@@ -155,9 +176,17 @@
     return headers.get(AT_SERVER, endpoint_id) != endpoint_id
 
 
-def is_leaving(status, headers):
-    """Return whether the expected endpoint states that it is about to leave."""
-    return status != 421 and headers.get(SERVER_LEAVING) == "1"
+def notice_of(status, headers):
+    """Return the `EndpointNotice` of a response, or None.
+
+    None means that another incarnation than the expected one has responded.
+    """
+    if status == 421:
+        return None
+    return EndpointNotice(
+        is_leaving=headers.get(SERVER_LEAVING) == "1",
+        limit_per_s=_limit_per_s(headers.get(SERVER_LIMIT)),
+    )
 
 
 def requested_pause_s(status, headers):
@@ -171,6 +200,16 @@
     return pause_s if 0 < pause_s < float("inf") else 0.0
 
 
+def _limit_per_s(value):
+    if value is None:
+        return math.inf
+    try:
+        limit_per_s = float(value)
+    except ValueError:
+        return None
+    return limit_per_s if limit_per_s >= 0 else None
+
+
 def _connection_options(headers):
     return {
         name.strip().lower()
