--- a/packages/magnoliagrade-standins/magnoliagrade_standins/operators/endpoint.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/operators/endpoint.py
@@ -41,6 +41,8 @@
         Whether each response says that the endpoint is about to leave.
     retry_after_s : float
         `Retry-After` of the responses of `busy`, in seconds; 0 for none.
+    limit : str
+        Limit on requests that each response names, per second; empty for none.
     """
 
     fault: str = ""
@@ -50,6 +52,7 @@
     crashing_part: str = ""
     is_leaving: bool = False
     retry_after_s: float = 0.0
+    limit: str = ""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -123,7 +126,12 @@
             raise
 
     def _notices(self):
-        return {"Server-Leaving": "1"} if self.behaviour.is_leaving else {}
+        notices = {}
+        if self.behaviour.is_leaving:
+            notices["Server-Leaving"] = "1"
+        if self.behaviour.limit:
+            notices["Server-Limit"] = self.behaviour.limit
+        return notices
 
     def _report_group(self):
         self.reports += 1
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/operators/site.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/operators/site.py
@@ -53,7 +53,7 @@
         for runner in self._runners:
             await runner.cleanup()
 
-    async def add_endpoint(self, endpoint_id, service, *, cold_ms=0, **fields):
+    async def add_endpoint(self, endpoint_id, service, *, cold_ms=0, slots=6, **fields):
         """Start an endpoint and register it in the store.
 
         Parameters
@@ -64,6 +64,8 @@
             Service that it belongs to.
         cold_ms : int
             Time for which it is cold, as it reports in its registration.
+        slots : int
+            Requests that it processes concurrently, as it registers.
         **fields
             Fields of its `EndpointBehaviour`.
 
@@ -85,7 +87,9 @@
         port = runner.addresses[0][1]
         endpoint.crash = functools.partial(self._crash, runner, port)
         self.endpoint_by_id[endpoint_id] = endpoint
-        self.register(endpoint_id, service, f"{HOST}:{port}", cold_ms=cold_ms)
+        self.register(
+            endpoint_id, service, f"{HOST}:{port}", cold_ms=cold_ms, slots=slots
+        )
         return endpoint
 
     def register(self, endpoint_id, service, address, **fields):
@@ -124,16 +128,16 @@
         TimeoutError
             If it is not ready within 10 s.
         """
-        settings = DirectSettings(
-            name=f"entry-{len(self.entries)}",
-            data_centre="dc-1",
-            caller_address=f"{HOST}:0",
-            ready_address=f"{HOST}:0",
-            link_address=f"{HOST}:0",
-            metrics_address=f"{HOST}:0",
-            store_address=self._store_address,
-            **fields,
-        )
+        defaults = {
+            "name": f"entry-{len(self.entries)}",
+            "data_centre": "dc-1",
+            "caller_address": f"{HOST}:0",
+            "ready_address": f"{HOST}:0",
+            "link_address": f"{HOST}:0",
+            "metrics_address": f"{HOST}:0",
+            "store_address": self._store_address,
+        }
+        settings = DirectSettings(**defaults | fields)
         entry = DirectEntry(settings=settings)
         await entry.start()
         self.entries.append(entry)
