Fix requests beyond the limit that a server has named

Seen: a server in need that named 1.2 requests per second got 2.9, from five of seven entries; with the rule's bound, 13 requests in 4 s where 12 are allowed. Callers saw nothing: the limited server was served to like any other.

Cause: nothing read the limit. Even if each entry had kept to it, all of them together would have exceeded it several times. Class: a bound over all processes that each of them checks, if at all, by itself; as with the cold endpoints, with a bound below one request per second and entry.

Change: of the linked entries, one issues the permits of an endpoint (rendezvous hashing), one for each request, at 0.9 of the limit; entries ask for one when the endpoint would be selected, and one more while requests wait. First attempts, retries, resumed and moved streams all take a slot and so a permit. Limits and their end are told to all peers, also to those that link later. Cut off from some entries, an issuer uses its part of the limit. An endpoint that takes none is asked every four seconds, because only its responses tell that its limit has ended. A limit that is no number changes nothing. Where all endpoints of a service are limited, queues stay as short as what they take, and the rest is rejected at once.

Ruled out: shares by entry as for cold endpoints. A service of three servers that name 1.7 requests per second would serve three of 33 entries.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
@@ -227,7 +227,8 @@
         self._started_at = node.clock.monotonic()
         self.endpoint = load.endpoint
         self._is_cold = self._started_at < load.cold_until
-        self._limit_per_s = node.endpoint_limits.limit_by_id.get(load.endpoint.id)
+        limits = node.limit_exchange.limits
+        self._limit_per_s = limits.limit_by_id.get(load.endpoint.id)
         attempts.tried.add(load.endpoint.id)
         node.on_load_changed(load.endpoint.id)
 
@@ -298,7 +299,7 @@
             return
         if notice.is_leaving:
             self._node.record_leaving(self.endpoint)
-        self._node.record_limit(
+        self._node.limit_exchange.record_response(
             self.endpoint.id, notice.limit_per_s, sent_at=self._started_at
         )
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
@@ -17,8 +17,8 @@
 
 from magnoliagrade_entry.direct.cold_rates import ColdIntervals
 from magnoliagrade_entry.direct.door import make_caller_handler, ready_routes
-from magnoliagrade_entry.direct.endpoint_limits import EndpointLimits
 from magnoliagrade_entry.direct.knowledge import STORE_SETTLE_S, SiteState
+from magnoliagrade_entry.direct.limit_exchange import LimitExchange
 from magnoliagrade_entry.direct.peers import PeerLinks, keep_registered
 from magnoliagrade_entry.direct.placement import EndpointTable
 from magnoliagrade_entry.direct.prompt_guard import PromptGuard
@@ -74,11 +74,11 @@
         "caller_listener",
         "clock",
         "configured",
-        "endpoint_limits",
         "endpoint_table",
         "identity",
         "is_leaving",
         "lease",
+        "limit_exchange",
         "peers",
         "prompt_guard",
         "rejects_requests",
@@ -110,8 +110,8 @@
             rng=self.rng,
             is_coldness_unknown=self.site_state.is_coldness_unknown,
         )
-        self.endpoint_limits = EndpointLimits(clock=self.clock)
         self.peers = PeerLinks(node=self)
+        self.limit_exchange = LimitExchange(node=self)
         self.prompt_guard = PromptGuard(clock=self.clock)
         self.retry_budget = RetryBudget(
             ratio=settings.retry_ratio,
@@ -193,7 +193,7 @@
         self.endpoint_table.update(endpoints)
         self.endpoint_table.update_slow_ranks(site_state.slow_ranks_by_group.values())
         self._update_coldness(configuration)
-        self.endpoint_limits.drop_unregistered(site_state.registry.endpoint_by_id)
+        self.limit_exchange.on_site_changed()
         self.prompt_guard.published = set(site_state.blocked_prompt_parts)
         self._apply_limits(configuration.limits)
         self.peers.update()
@@ -217,10 +217,6 @@
         if self.site_state.registry.record_leaving(endpoint):
             self.on_site_changed()
 
-    def record_limit(self, endpoint_id, limit_per_s, *, sent_at):
-        """Record the limit on requests that an endpoint names in a response."""
-        self.endpoint_limits.record_response(endpoint_id, limit_per_s, sent_at=sent_at)
-
     def start_recovery_watch(self, service):
         """Start polling the status of an unavailable service, unless a task does so."""
         running = self._recovery_by_service.get(service)
@@ -244,11 +240,21 @@
             queue = self._wait_queue_by_service[service] = WaitQueue(
                 service=service,
                 endpoint_table=self.endpoint_table,
+                limit_exchange=self.limit_exchange,
                 clock=self.clock,
                 rng=self.rng,
             )
         return queue
 
+    def count_entries(self):
+        """Return the number of entries that may run, with this one.
+
+        An entry with a link has been told of all registered ones.
+        """
+        linked = self.peers.link_by_name
+        names = linked.keys() | self.site_state.link_address_by_name.keys()
+        return len({*(names if linked else self._entry_names()), self.settings.name})
+
     def wake_wait_queues(self):
         """Assign free slots to waiting requests."""
         for queue in self._wait_queue_by_service.values():
@@ -300,7 +306,7 @@
         )
 
     def _entry_names(self):
-        """Return the names of all entries, with placeholders for those not yet known.
+        """Return the names of all entries, with placeholders for unknown ones.
 
         The entries that start together after a long outage know none of the others.
         """
@@ -337,6 +343,7 @@
     async def _wake_periodically(self):
         while True:
             await self.clock.sleep(WAKE_INTERVAL_S)
+            self.limit_exchange.issue_due_permits()
             self.wake_wait_queues()
 
     def _log_reload(self):
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/overload.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/overload.py
@@ -5,6 +5,7 @@
 
 __all__ = [
     "completion_rate",
+    "limited_wait_s",
     "slot_deadline",
     "wait_order",
     "predicted_wait_s",
@@ -95,6 +96,31 @@
     return max(recent_per_s, by_work)
 
 
+def limited_wait_s(waiting, completions_per_s, *, limit_per_s, entries):
+    """Return how long a request would wait where all endpoints name limits, in seconds.
+
+    Parameters
+    ----------
+    waiting : int
+        Requests that are ahead of it in the queue of this entry.
+    completions_per_s : float
+        Rate at which requests of this entry were completed recently.
+    limit_per_s : float
+        Requests per second that all endpoints together take from all entries.
+    entries : int
+        Number of entries.
+
+    Notes
+    -----
+    What the other entries send is not known. One request may always wait, so that each
+    entry goes on asking for permits while the others may need none.
+    """
+    if not waiting:
+        return 0.0
+    rate_per_s = min(limit_per_s, max(completions_per_s, limit_per_s / entries))
+    return (waiting + 1) / rate_per_s
+
+
 def predicted_wait_s(waiting, completions_per_s):
     """Return how long a request that arrives now would wait for a slot, in seconds.
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/peers.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/peers.py
@@ -8,9 +8,12 @@
 from magnoliagrade.platform import FormatError, encode_instance, instance_key
 from magnoliagrade.store import StoreConflict
 from magnoliagrade.wire import (
+    EndpointLimit,
     EndpointWork,
     Hello,
     Link,
+    Permit,
+    PermitRequest,
     PromptCrash,
     PromptServed,
     ServiceOutage,
@@ -135,25 +138,30 @@
             if clock.monotonic() >= full_report_at:
                 full_report_at = clock.monotonic() + FULL_REPORT_INTERVAL_S
                 self._changed.clear()
-                self._broadcast(self._full_report())
+                self.broadcast(self._full_report())
             elif self._changed:
                 changed, self._changed = self._changed, set()
                 rows = [self._row(endpoint_id) for endpoint_id in changed]
-                self._broadcast(WorkInFlight(endpoints=rows))
+                self.broadcast(WorkInFlight(endpoints=rows))
+
+    def broadcast(self, message):
+        """Send a message to all linked peers."""
+        for link in list(self.link_by_name.values()):
+            link.send(message)
 
     def announce_outage(self, service, *, is_out):
         """Announce to all peers that an outage of a service begins or ends."""
-        self._broadcast(ServiceOutage(service=service, is_out=is_out))
+        self.broadcast(ServiceOutage(service=service, is_out=is_out))
 
     def announce_crash(self, endpoint_id, parts, *, age_s):
         """Announce to all peers that a server ended under the parts of a prompt."""
-        self._broadcast(
+        self.broadcast(
             PromptCrash(endpoint=endpoint_id, parts=list(parts), age_seconds=age_s)
         )
 
     def announce_served(self, parts):
         """Announce to all peers that servers do not end under parts of a prompt."""
-        self._broadcast(PromptServed(parts=list(parts)))
+        self.broadcast(PromptServed(parts=list(parts)))
 
     def newest_version(self):
         """Return the newest configuration version of any linked entry; 0 without."""
@@ -204,6 +212,8 @@
         self.link_by_name[name] = link
         log_event(_log, "link.up", peer=name, peer_version=link.peer_revision)
         link.send(self._full_report())
+        for limit in self._node.limit_exchange.all_limits():
+            link.send(limit)
         for endpoint_id, age_s, part in self._node.prompt_guard.evidence():
             link.send(
                 PromptCrash(endpoint=endpoint_id, parts=[part], age_seconds=age_s)
@@ -222,6 +232,8 @@
                     )
                 elif isinstance(message, PromptServed):
                     self._node.prompt_guard.record_served(message.parts)
+                elif isinstance(message, (EndpointLimit, PermitRequest, Permit)):
+                    self._node.limit_exchange.receive(name, message)
                 elif isinstance(message, SiteConfigurationPull):
                     self._send_configuration(link, message)
                 elif isinstance(message, SiteConfigurationCopy):
@@ -292,10 +304,6 @@
             return
         self._node.on_site_changed()
 
-    def _broadcast(self, message):
-        for link in list(self.link_by_name.values()):
-            link.send(message)
-
     def _row(self, endpoint_id):
         load = self._node.endpoint_table.by_id.get(endpoint_id)
         in_flight = load.local_in_flight if load is not None else 0
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement.py
@@ -8,6 +8,7 @@
 from magnoliagrade.registry import Registry
 
 from magnoliagrade_entry.direct.outages import OutageTracker
+from magnoliagrade_entry.direct.permits import MIN_RATE_PER_S
 
 __all__ = ["EJECT_MAX_S", "EndpointLoad", "EndpointTable", "placement_policies"]
 
@@ -73,6 +74,10 @@
         Time of this entry's last request.
     paused_until : float
         Time until which the endpoint has asked this entry for no further requests.
+    limit_per_s : float
+        Requests per second that the endpoint takes from all entries together.
+    permitted_until : float
+        Time until which this entry may send one request to it in spite of its limit.
     """
 
     endpoint: object
@@ -86,6 +91,8 @@
     cold_interval_s: float | None = 0.0
     sent_at: float = float("-inf")
     paused_until: float = float("-inf")
+    limit_per_s: float = float("inf")
+    permitted_until: float = float("-inf")
 
     def pace_at(self, now):
         """Return the pace that is valid at a time; 1.0 is normal."""
@@ -111,6 +118,16 @@
             return max(available_at, self.cold_until, now + COLD_RECHECK_S)
         return max(available_at, self.sent_at + self.cold_interval_s)
 
+    def needs_permit(self, now):
+        """Return whether the endpoint's limit forbids this entry a request."""
+        return self.limit_per_s < float("inf") and now >= self.permitted_until
+
+    def acquire_slot(self, now):
+        """Count a request that is about to be sent."""
+        self.local_in_flight += 1
+        self.sent_at = now
+        self.permitted_until = float("-inf")
+
     @property
     def in_flight(self):
         """Requests of all entries in flight at the endpoint."""
@@ -197,21 +214,42 @@
         excluded : collection of str
             Ids of endpoints that must not be selected.
         """
-        loads = self.loads_of(service)
-        best_pace = min((load.pace_at(now) for load in loads), default=1.0)
-        is_unknown = self._is_coldness_unknown()
         free = [
             load
-            for load in loads
-            if load.endpoint.id not in excluded
-            and load.available_at(now, is_coldness_unknown=is_unknown) <= now
-            and load.in_flight < _usable_slots(load, load.pace_at(now) / best_pace)
-            and (not load.failures or not load.local_in_flight)
+            for load in self._free_loads(service, now, excluded)
+            if not load.needs_permit(now)
         ]
         if not free:
             return None
         return self._policy(free, self._data_centre, self._rng, now)
 
+    def select_limited_endpoint(self, service, *, now, excluded, rival):
+        """Return the load that would be selected if it did not need a permit, or None.
+
+        Parameters
+        ----------
+        service : str
+            Service.
+        now : float
+            Time in seconds.
+        excluded : collection of str
+            Ids of endpoints that must not be selected.
+        rival : EndpointLoad or None
+            Load that is selected without a permit.
+        """
+        limited = [
+            load
+            for load in self._free_loads(service, now, excluded)
+            if load.needs_permit(now)
+        ]
+        if not limited:
+            return None
+        best = self._policy(limited, self._data_centre, self._rng, now)
+        if rival is None:
+            return best
+        selected = self._policy([best, rival], self._data_centre, self._rng, now)
+        return best if selected is best else None
+
     def update_coldness(self, cold_until, cold_interval_s):
         """Update until when each endpoint is cold, and this entry's rate meanwhile.
 
@@ -228,6 +266,23 @@
             load.cold_until = cold_until(load.endpoint.id)
             load.cold_interval_s = cold_interval_s(load.endpoint)
 
+    def update_limits(self, limit_of):
+        """Update the limits of all endpoints.
+
+        Parameters
+        ----------
+        limit_of : callable
+            Returns the requests per second that the endpoint of an id takes.
+        """
+        for load in self.by_id.values():
+            load.limit_per_s = limit_of(load.endpoint.id)
+
+    def total_limit_per_s(self, service):
+        """Return the permits per second of a service; infinite without a limit."""
+        loads = self.loads_of(service)
+        limits = [max(MIN_RATE_PER_S, load.limit_per_s) for load in loads]
+        return sum(limits) if limits else float("inf")
+
     def update_slow_ranks(self, notices):
         """Apply the paces of slow ranks; all other endpoints get the normal pace.
 
@@ -246,6 +301,20 @@
             address = load.endpoint.address
             load.pace, load.slow_until = pace_and_end.get(address, normal)
 
+    def _free_loads(self, service, now, excluded):
+        """Return the loads with a free slot that may get a request but for a limit."""
+        loads = self.loads_of(service)
+        best_pace = min((load.pace_at(now) for load in loads), default=1.0)
+        is_unknown = self._is_coldness_unknown()
+        return [
+            load
+            for load in loads
+            if load.endpoint.id not in excluded
+            and load.available_at(now, is_coldness_unknown=is_unknown) <= now
+            and load.in_flight < _usable_slots(load, load.pace_at(now) / best_pace)
+            and (not load.failures or not load.local_in_flight)
+        ]
+
     def next_return_time(self, service, *, now):
         """Return when the first endpoint of a service is available again, or None.
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_waiting.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_waiting.py
@@ -1,5 +1,6 @@
 import asyncio
 import random
+from types import SimpleNamespace
 
 from magnoliagrade.clock import ManualClock
 from magnoliagrade.world.site import SiteEndpoint
@@ -80,6 +81,7 @@
     queue = WaitQueue(
         service=STREAM.name,
         endpoint_table=endpoint_table,
+        limit_exchange=SimpleNamespace(request_permit=lambda *_, **__: None),
         clock=clock,
         rng=random.Random(2),
     )
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/waiting.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/waiting.py
@@ -8,6 +8,7 @@
 
 from magnoliagrade_entry.direct.overload import (
     completion_rate,
+    limited_wait_s,
     predicted_wait_s,
     retry_after_s,
     wait_order,
@@ -57,6 +58,8 @@
         Service.
     endpoint_table : EndpointTable
         Requests in flight by endpoint.
+    limit_exchange : LimitExchange
+        Asks for permits to send requests to endpoints that name a limit.
     clock : Clock
         Source of time.
     rng : random.Random
@@ -68,15 +71,17 @@
         "_completions",
         "_endpoint_table",
         "_in_flight",
+        "_limit_exchange",
         "_rng",
         "_service",
         "_work_s",
         "waiters",
     )
 
-    def __init__(self, *, service, endpoint_table, clock, rng):
+    def __init__(self, *, service, endpoint_table, limit_exchange, clock, rng):
         self._service = service
         self._endpoint_table = endpoint_table
+        self._limit_exchange = limit_exchange
         self._clock = clock
         self._rng = rng
         self._completions = deque()
@@ -190,9 +195,15 @@
         load = self._endpoint_table.select_endpoint(
             self._service, now=now, excluded=excluded
         )
+        self._limit_exchange.request_permit(
+            self._service,
+            rival=load,
+            excluded=excluded,
+            waiting=len(self.waiters),
+            now=now,
+        )
         if load is not None:
-            load.local_in_flight += 1
-            load.sent_at = now
+            load.acquire_slot(now)
             self._in_flight += 1
         return load
 
@@ -220,7 +231,16 @@
 
     def _expected_wait_s(self, now, ahead):
         recent = sum(now - at <= RATE_WINDOW_S for at in self._completions)
-        rate = completion_rate(recent / RATE_WINDOW_S, self._in_flight, self._work_s)
+        recent_per_s = recent / RATE_WINDOW_S
+        limit_per_s = self._endpoint_table.total_limit_per_s(self._service)
+        if limit_per_s < float("inf"):
+            return limited_wait_s(
+                ahead,
+                recent_per_s,
+                limit_per_s=limit_per_s,
+                entries=self._limit_exchange.count_entries(),
+            )
+        rate = completion_rate(recent_per_s, self._in_flight, self._work_s)
         return predicted_wait_s(ahead, rate)
 
     def _outage_error(self, request, now):
--- a/packages/magnoliagrade/magnoliagrade/wire/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/__init__.py
@@ -51,7 +51,10 @@
     RevokeAnswer,
 )
 from magnoliagrade.wire.work import (
+    EndpointLimit,
     EndpointWork,
+    Permit,
+    PermitRequest,
     PromptCrash,
     PromptServed,
     RankCall,
@@ -75,6 +78,7 @@
     "CountsRequest",
     "CreditGrant",
     "CreditRequest",
+    "EndpointLimit",
     "EndpointWork",
     "EngineLoad",
     "Envelope",
@@ -96,6 +100,8 @@
     "OutcomeKnown",
     "OutcomeQuery",
     "PeerSummary",
+    "Permit",
+    "PermitRequest",
     "PoolSummary",
     "RankCall",
     "RankReply",
--- a/packages/magnoliagrade/magnoliagrade/wire/work.capnp
+++ b/packages/magnoliagrade/magnoliagrade/wire/work.capnp
@@ -52,6 +52,20 @@
   parts @0 :List(Text);      # parts of a prompt with a complete response
 }
 
+struct EndpointLimit {
+  endpoint @0 :Text;
+  perSecond @1 :Float64;     # requests that it takes; infinite: it names no limit
+}
+
+struct PermitRequest {
+  endpoint @0 :Text;         # endpoint that the sender wants to send a request to
+  perSecond @1 :Float64;     # its limit, as the sender knows it
+}
+
+struct Permit {
+  endpoint @0 :Text;         # endpoint that the receiver may send one request to
+}
+
 struct WorkMessage {
   union {
     inFlight @0 :WorkInFlight;
@@ -62,5 +76,8 @@
     siteConfigurationCopy @5 :SiteConfigurationCopy;
     promptCrash @6 :PromptCrash;
     promptServed @7 :PromptServed;
+    endpointLimit @8 :EndpointLimit;
+    permitRequest @9 :PermitRequest;
+    permit @10 :Permit;
   }
 }
--- a/packages/magnoliagrade/magnoliagrade/wire/work.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/work.py
@@ -5,7 +5,10 @@
 from magnoliagrade.wire.message_table import message
 
 __all__ = [
+    "EndpointLimit",
     "EndpointWork",
+    "Permit",
+    "PermitRequest",
     "PromptCrash",
     "PromptServed",
     "RankCall",
@@ -95,3 +98,26 @@
     """A prompt with these parts, under which a server had ended, was served."""
 
     parts: list = field(default_factory=list)
+
+
+@message("work", "endpointLimit")
+class EndpointLimit:
+    """An endpoint names a limit on the requests that it takes per second, or none."""
+
+    endpoint: str = ""
+    per_second: float = 0.0
+
+
+@message("work", "permitRequest")
+class PermitRequest:
+    """An entry asks the issuer for a permit to send a request to an endpoint."""
+
+    endpoint: str = ""
+    per_second: float = 0.0
+
+
+@message("work", "permit")
+class Permit:
+    """The receiver may send one request to an endpoint."""
+
+    endpoint: str = ""
--- a/tests/test_limits_of_servers.py
+++ b/tests/test_limits_of_servers.py
@@ -108,7 +108,9 @@
         await _load(site, 2.0)
         limited.behaviour.limit = ""
         await _load(site, 6.0)
-        assert not any(entry.endpoint_limits.limit_by_id for entry in site.entries)
+        assert not any(
+            entry.limit_exchange.limits.limit_by_id for entry in site.entries
+        )
         limited.arrived_at.clear()
         await _load(site, 1.0)
         assert len(limited.arrived_at) > 3 * LIMIT_PER_S
@@ -123,7 +125,9 @@
             limited.behaviour.limit = limit
             statuses = await _load(site, 0.5)
             assert set(statuses) == {200}, limit
-        assert not any(entry.endpoint_limits.limit_by_id for entry in site.entries)
+        assert not any(
+            entry.limit_exchange.limits.limit_by_id for entry in site.entries
+        )
         assert len(limited.arrived_at) > 3 * LIMIT_PER_S
 
     _run(scenario)
