Log what failed requests have in common with others

Cause: a failed attempt logged neither the caller nor anything by which the repetitions of a request can be recognised, so it could not be told whether one request had been at all servers that ended.

Change: request_digest (of method, path, caller and body) and caller_digest of failed attempts. Neither body nor key is logged, and no decision uses them yet.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
@@ -9,6 +9,7 @@
 
 from magnoliagrade_entry.direct.overload import retry_after_s, slot_deadline
 from magnoliagrade_entry.direct.placement import EJECT_MAX_S
+from magnoliagrade_entry.direct.request_traits import traits_of
 from magnoliagrade_entry.direct.server_crashes import check_for_crash, withdraw_block
 from magnoliagrade_entry.direct.upstream import AttemptFailed, open_response
 
@@ -61,6 +62,7 @@
     __slots__ = (
         "_load",
         "_node",
+        "_traits",
         "has_run",
         "last_event_at",
         "last_event_id",
@@ -72,6 +74,7 @@
     def __init__(self, *, node, request):
         self._node = node
         self._load = None
+        self._traits = None
         self.request = request
         self.has_run = False
         self.sent = 0
@@ -79,6 +82,13 @@
         self.last_event_id = request.last_event_id
         self.last_event_at = None
 
+    @property
+    def traits(self):
+        """Traits of the request, computed at the first use."""
+        if self._traits is None:
+            self._traits = traits_of(self.request)
+        return self._traits
+
     def remaining_s(self):
         """Return the seconds until the deadline of the request."""
         return self.request.ends_at - self._node.clock.monotonic()
@@ -363,6 +373,8 @@
             has_run=failed.has_run,
             has_begun=self._response is not None,
             has_events=self._attempts.last_event_at is not None,
+            request_digest=self._attempts.traits.request,
+            caller_digest=self._attempts.traits.caller,
             prompt_parts=self._attempts.request.prompt_parts,
             is_left_out=is_ejected,
         )
