--- a/packages/magnoliagrade-standins/magnoliagrade_standins/operators/endpoint.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/operators/endpoint.py
@@ -12,6 +12,8 @@
 
 STAMP_HEADER = "X-Magnoliagrade-Response-Stamp"
 REQUEST_ID_HEADER = "X-Magnoliagrade-Request-Id"
+# Time for which an endpoint runs a request under which it ends.
+CRASH_DELAY_S = 0.05
 
 
 @dataclass(slots=True, kw_only=True)
@@ -41,6 +43,13 @@
         Whether each response says that the endpoint is about to leave.
     retry_after_s : float
         `Retry-After` of the responses of `busy`, in seconds; 0 for none.
+    crashing_target : str
+        Path under which the endpoint ends some time after it has begun to run the
+        request; empty for none.
+    crash_manner : str
+        How it ends: `reset` (its connections are reset before any response), `body`
+        (within the body of a response), `events` (after events of a stream) or
+        `silent` (its connections stay open, new ones are not accepted).
     limit : str
         Limit on requests that each response names, per second; empty for none.
     """
@@ -52,6 +61,8 @@
     crashing_part: str = ""
     is_leaving: bool = False
     retry_after_s: float = 0.0
+    crashing_target: str = ""
+    crash_manner: str = "reset"
     limit: str = ""
 
 
@@ -62,8 +73,8 @@
     Parameters
     ----------
     id : str
-        Id of this incarnation of the endpoint; requests that expect another id get
-        status 421.
+        Id of the present incarnation of the endpoint; requests that expect another id
+        get status 421.
     behaviour : EndpointBehaviour
         Fault and timing.
     runs : list of str
@@ -83,8 +94,10 @@
         Ids of the requests under which it ended.
     bytes_without_end : int
         Number of bytes that it has sent of heads and bodies that do not end.
+    is_down : bool
+        Whether it has ended and not started again.
     crash : coroutine function or None
-        Ends the endpoint and starts it again later; called without arguments.
+        Ends the endpoint and starts it again later; called with whether it is silent.
     """
 
     id: str
@@ -97,10 +110,13 @@
     reports: int = 0
     crashed_by: list = field(default_factory=list)
     bytes_without_end: int = 0
+    is_down: bool = False
     crash: object = None
 
     async def handle(self, request):
         """Respond to a request, or inject the current fault."""
+        if self.is_down:
+            await asyncio.sleep(3600)
         if request.path == "/report":
             return self._report_group()
         self.headers_seen.append(request.headers.copy())
@@ -152,6 +168,11 @@
             STAMP_HEADER: f"stamp of {endpoint_id}",
             **self._notices(),
         }
+        if self._ends_under(request) and self.behaviour.crash_manner != "events":
+            if self.behaviour.crash_manner == "body":
+                await self._begin_body(request, headers)
+            await self._crash(request)
+            return web.Response()
         if fault == "other-answer":
             headers[REQUEST_ID_HEADER] = "another"
         if fault in ("endless-head", "endless-body"):
@@ -177,6 +198,10 @@
             self.crashed_by.append(request.headers.get(REQUEST_ID_HEADER, ""))
             await self.crash()
             return response
+        if self._ends_under(request) and self.behaviour.crash_manner == "events":
+            await response.write(b"id: 1\ndata: 1\n\nid: 2\nda")
+            await self._crash(request)
+            return response
         first_id = int(request.headers.get("Last-Event-Id") or 0) + 1
         for event_id in range(first_id, self.behaviour.events + 1):
             await asyncio.sleep(self.behaviour.delay_s)
@@ -208,7 +233,21 @@
             await asyncio.sleep(0.001)
         return web.Response()
 
+    def _ends_under(self, request):
+        target = self.behaviour.crashing_target
+        return bool(target) and request.path_qs == target
+
+    async def _crash(self, request):
+        await asyncio.sleep(CRASH_DELAY_S)
+        self.crashed_by.append(request.headers.get(REQUEST_ID_HEADER, ""))
+        await self.crash(is_silent=self.behaviour.crash_manner == "silent")
+
     async def _cut_body(self, request, headers):
+        await self._begin_body(request, headers)
+        reset_connection(request.transport)
+        return web.Response()
+
+    async def _begin_body(self, request, headers):
         transport = request.transport
         header_lines = [f"{name}: {value}" for name, value in headers.items()]
         head = "\r\n".join(
@@ -216,8 +255,6 @@
         )
         transport.write(head.encode() + b"half of the bo")
         await asyncio.sleep(0.02)
-        reset_connection(transport)
-        return web.Response()
 
 
 def _shared_parts(request):
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/operators/site.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/operators/site.py
@@ -85,7 +85,7 @@
         await web.TCPSite(runner, HOST, 0).start()
         self._runners.append(runner)
         port = runner.addresses[0][1]
-        endpoint.crash = functools.partial(self._crash, runner, port)
+        endpoint.crash = functools.partial(self._crash, endpoint, service, runner, port)
         self.endpoint_by_id[endpoint_id] = endpoint
         self.register(
             endpoint_id, service, f"{HOST}:{port}", cold_ms=cold_ms, slots=slots
@@ -170,17 +170,30 @@
         ) as response:
             return response.status, response.headers, await response.text()
 
-    async def _crash(self, runner, port):
-        """Reset an endpoint's connections and refuse new ones for `CRASH_S`."""
-        for site in list(runner.sites):
-            await site.stop()
-        for connection in list(runner.server.connections):
-            reset_connection(connection.transport)
-        self._restarts.append(asyncio.create_task(self._restart(runner, port)))
+    async def _crash(self, endpoint, service, runner, port, *, is_silent=False):
+        """End an endpoint, and start its next incarnation after `CRASH_S`.
 
-    async def _restart(self, runner, port):
+        Its connections are reset and new ones refused, unless it is silent.
+        """
+        if endpoint.is_down:
+            return
+        endpoint.is_down = True
+        if not is_silent:
+            for site in list(runner.sites):
+                await site.stop()
+            for connection in list(runner.server.connections):
+                reset_connection(connection.transport)
+        restart = self._restart(endpoint, service, runner, port, is_silent=is_silent)
+        self._restarts.append(asyncio.create_task(restart))
+
+    async def _restart(self, endpoint, service, runner, port, *, is_silent):
         await asyncio.sleep(CRASH_S)
-        await web.TCPSite(runner, HOST, port, reuse_address=True).start()
+        name, _, number = endpoint.id.partition("~")
+        endpoint.id = f"{name}~{int(number or 1) + 1}"
+        endpoint.is_down = False
+        if not is_silent:
+            await web.TCPSite(runner, HOST, port, reuse_address=True).start()
+        self.register(endpoint.id, service, f"{HOST}:{port}")
 
     async def _serve(self, app):
         runner = web.AppRunner(app, shutdown_timeout=0.1)
