Fix requests that crash one server after the other

Seen: an order service of three servers ended five times, each time all three within 0.3 s; 9 servers under one request, 4 requests of it after the third crash. Callers of the service got 503 while its servers were starting again.

A plain request has no prompt, and its connection is reset before any byte; so it was sent to a second server within milliseconds, and to all of them when it came again. Three servers that end within 0.3 s would also have counted as one. Class: retries and routing that treat a request as innocent of the failures that it meets.

Change: CrashGuard blocks groups of requests: the repetitions of a request (method, path, caller and body, as a digest), a caller's requests with a part of the prompt, and all requests with that part. It counts crashes under attempts that began after the last crash, so retries within a moment count each and servers that end together count once. Any attempt that broke off or had no response is followed up: the port refuses connections, or another incarnation registers at its address without an announced end (CrashWatch), also after events or within a body, also silently. Evidence goes to all peers, also to those that link later; blocks go to the store, again if it is away. A complete response clears the groups it belongs to. Closed to misuse: callers differ in their digests; a part is blocked for one caller only once two different requests, for all once two callers crashed servers with it; all tables are bounded. The error kind PROMPT_BLOCKED becomes REQUEST_BLOCKED, the events prompt.* become request.*, PromptCrash and PromptServed become RequestCrash and RequestServed.

Why it works: the third crash blocks the request at all entries within milliseconds, and entries that start later read the block from the store. A sound request in flight when servers end of another cause is served in between, which clears it (test).

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/arrival.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/arrival.py
@@ -9,6 +9,7 @@
     api_key_of,
     deadline_of,
     event_id_of,
+    prompt_ids_of,
     prompt_parts_of,
     request_id_of,
 )
@@ -60,6 +61,8 @@
         Time of arrival and deadline of the response, in seconds of the monotonic clock.
     last_event_id : str
         Id of the event after which its stream resumes; empty to start a new one.
+    prompt_ids : str
+        Ids of all parts of its prompt as the caller lists them; empty without a prompt.
     prompt_parts : tuple of str
         Ids of the parts of its prompt that other requests may share.
     """
@@ -75,6 +78,7 @@
     arrived_at: float
     ends_at: float
     last_event_id: str = ""
+    prompt_ids: str = ""
     prompt_parts: tuple = ()
 
     @property
@@ -145,6 +149,7 @@
         arrived_at=arrived_at,
         ends_at=ends_at,
         last_event_id=event_id_of(headers) if route.is_stream else "",
+        prompt_ids=prompt_ids_of(headers),
         prompt_parts=prompt_parts_of(headers),
     )
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
@@ -10,7 +10,7 @@
 from magnoliagrade_entry.direct.overload import retry_after_s, slot_deadline
 from magnoliagrade_entry.direct.placement import EJECT_MAX_S
 from magnoliagrade_entry.direct.request_traits import traits_of
-from magnoliagrade_entry.direct.server_crashes import check_for_crash, withdraw_block
+from magnoliagrade_entry.direct.server_crashes import withdraw_blocks
 from magnoliagrade_entry.direct.upstream import AttemptFailed, open_response
 
 __all__ = ["Attempt", "Attempts"]
@@ -109,7 +109,7 @@
         """
         if self._load is not None:
             return
-        self._check_prompt()
+        self._check_blocked()
         queue = self._node.wait_queue_of(self.request.service)
         try:
             self._load = await queue.acquire_slot(
@@ -123,7 +123,7 @@
                 raise
             raise _upstream_failed(exc) from exc
         try:
-            self._check_prompt()
+            self._check_blocked()
         except MagnoliagradeError:
             load, self._load = self._load, None
             queue.release(load)
@@ -170,15 +170,16 @@
             retry_after=retry_after_s(wait_s, self.remaining_s(), rng=self._node.rng),
         )
 
-    def _check_prompt(self):
-        """Raise `PROMPT_BLOCKED` if servers end under a part of the prompt."""
-        blocked_for_s = self._node.prompt_guard.blocked_for_s(self.request.prompt_parts)
+    def _check_blocked(self):
+        """Raise `REQUEST_BLOCKED` if servers end under requests like this one."""
+        guard = self._node.crash_guard
+        blocked_for_s = guard.blocked_for_s(self.traits) if guard.has_blocks else 0.0
         if not blocked_for_s:
             return
         error = MagnoliagradeError(
-            ErrorKind.PROMPT_BLOCKED,
-            "servers ended under a part of this prompt: requests with the part are "
-            f"rejected for {blocked_for_s:.0f} s",
+            ErrorKind.REQUEST_BLOCKED,
+            "servers ended under this request, or others with a part of its prompt: it "
+            f"is rejected for {blocked_for_s:.0f} s",
             retry_after=blocked_for_s,
         )
         raise _upstream_failed(error) if self.has_run else error
@@ -192,7 +193,7 @@
             return False
         if self.sent >= self.request.route.max_endpoints:
             return False
-        if failed.has_run and node.prompt_guard.is_suspected(self.request.prompt_parts):
+        if failed.has_run and node.crash_guard.is_suspected(self.traits):
             return False
         if failed.is_group_broken and node.endpoint_table.is_unavailable(
             self.request.service
@@ -315,31 +316,31 @@
 
     def _clear_suspicion(self):
         node = self._node
-        published = node.site_state.blocked_prompt_parts
-        cleared = node.prompt_guard.record_served(self._attempts.request.prompt_parts)
-        if cleared:
-            node.peers.announce_served(cleared)
-        for part in published.intersection(cleared):
-            node.tasks.start(withdraw_block(node, part), name="block of a prompt")
-
-    def _check_for_crash(self, failed):
-        """Check whether the endpoint crashed as it began to write the response."""
-        parts = self._attempts.request.prompt_parts
-        has_broken_off = failed.kind in (
-            ErrorKind.OUTCOME_UNKNOWN,
-            ErrorKind.ANSWER_BROKEN,
+        if node.crash_guard.is_idle:
+            return
+        traits = self._attempts.traits
+        if node.crash_guard.record_served(traits):
+            node.peers.announce_served(traits)
+        published = node.site_state.blocked_requests.intersection(traits.groups())
+        if published:
+            node.tasks.start(withdraw_blocks(node, published), name="sound requests")
+
+    def _watch_for_crash(self, failed):
+        """Find out whether the endpoint crashed while it ran the request."""
+        if not failed.has_run or failed.is_moved:
+            return
+        self._node.crash_watch.begin(
+            self.endpoint,
+            self._attempts.request.id,
+            self._attempts.traits,
+            kind=failed.kind,
+            began_at=self._started_at,
         )
-        has_events = self._attempts.last_event_at is not None
-        if parts and has_broken_off and self._response is not None and not has_events:
-            self._node.tasks.start(
-                check_for_crash(self._node, self.endpoint, parts),
-                name=f"check of {self.endpoint.id}",
-            )
 
     def record_failure(self, failed):
         """Record how the attempt failed, and eject the endpoint if needed."""
         now = self._node.clock.monotonic()
-        self._check_for_crash(failed)
+        self._watch_for_crash(failed)
         self._load.paused_until = max(self._load.paused_until, now + failed.pause_s)
         is_ejected = False
         if failed.is_moved:
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/endpoint_registry.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/endpoint_registry.py
@@ -8,6 +8,9 @@
 
 __all__ = ["EndpointRegistry"]
 
+# Limit on the endpoints that are remembered to have announced their end.
+MAX_ANNOUNCED = 1000
+
 _log = logging.getLogger(__name__)
 
 
@@ -28,6 +31,7 @@
     """
 
     __slots__ = (
+        "_announced_born_by_id",
         "_clock",
         "_cold_until_by_id",
         "_leaving_born_by_id",
@@ -39,6 +43,7 @@
     )
 
     def __init__(self, *, clock, service_of):
+        self._announced_born_by_id = {}
         self._clock = clock
         self._cold_until_by_id = {}
         self._leaving_born_by_id = {}
@@ -66,6 +71,8 @@
         self.endpoint_by_id[endpoint.id] = endpoint
         self._position_by_id[endpoint.id] = position
         self._extend_coldness(endpoint, endpoint.cold_s)
+        if endpoint.is_draining:
+            self._record_announcement(endpoint)
         if known is None or known.is_draining != endpoint.is_draining:
             log_event(
                 _log,
@@ -125,9 +132,22 @@
         if endpoint.id not in self.endpoint_by_id or self._is_leaving(endpoint):
             return False
         self._leaving_born_by_id[endpoint.id] = endpoint.born_ms
+        self._record_announcement(endpoint)
         log_event(_log, "site.endpoint.leaving", endpoint=endpoint.id)
         return True
 
+    def has_announced_end(self, endpoint):
+        """Return whether an endpoint has announced its end, also once it has ended."""
+        return self._announced_born_by_id.get(endpoint.id) == endpoint.born_ms
+
+    def has_successor(self, endpoint):
+        """Return whether a newer incarnation has registered at the same address."""
+        return any(
+            other.address == endpoint.address
+            and (other.id, other.born_ms) != (endpoint.id, endpoint.born_ms)
+            for other in self.endpoint_by_id.values()
+        )
+
     def cold_until(self, endpoint_id):
         """Return the monotonic time until which an endpoint counts as cold."""
         return self._cold_until_by_id.get(endpoint_id, float("-inf"))
@@ -156,6 +176,11 @@
             if endpoint.data_centre == data_centre:
                 self._extend_coldness(endpoint, self._cold_start_s(endpoint))
 
+    def _record_announcement(self, endpoint):
+        self._announced_born_by_id[endpoint.id] = endpoint.born_ms
+        if len(self._announced_born_by_id) > MAX_ANNOUNCED:
+            del self._announced_born_by_id[next(iter(self._announced_born_by_id))]
+
     def _is_leaving(self, endpoint):
         return self._leaving_born_by_id.get(endpoint.id) == endpoint.born_ms
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
@@ -16,14 +16,15 @@
 from magnoliagrade.platform import PlatformStore
 
 from magnoliagrade_entry.direct.cold_rates import ColdIntervals
+from magnoliagrade_entry.direct.crash_guard import CrashGuard
 from magnoliagrade_entry.direct.door import make_caller_handler, ready_routes
 from magnoliagrade_entry.direct.knowledge import STORE_SETTLE_S, SiteState
 from magnoliagrade_entry.direct.limit_exchange import LimitExchange
 from magnoliagrade_entry.direct.peers import PeerLinks, keep_registered
 from magnoliagrade_entry.direct.placement import EndpointTable
-from magnoliagrade_entry.direct.prompt_guard import PromptGuard
 from magnoliagrade_entry.direct.recovery import watch_recovery
 from magnoliagrade_entry.direct.retry_budget import RetryBudget
+from magnoliagrade_entry.direct.server_crashes import CrashWatch
 from magnoliagrade_entry.direct.site_watch import follow_site
 from magnoliagrade_entry.direct.upstream import EndpointConnector
 from magnoliagrade_entry.direct.waiting import WaitQueue
@@ -74,13 +75,14 @@
         "caller_listener",
         "clock",
         "configured",
+        "crash_guard",
+        "crash_watch",
         "endpoint_table",
         "identity",
         "is_leaving",
         "lease",
         "limit_exchange",
         "peers",
-        "prompt_guard",
         "rejects_requests",
         "requests_in_flight",
         "retry_budget",
@@ -112,7 +114,8 @@
         )
         self.peers = PeerLinks(node=self)
         self.limit_exchange = LimitExchange(node=self)
-        self.prompt_guard = PromptGuard(clock=self.clock)
+        self.crash_guard = CrashGuard(clock=self.clock)
+        self.crash_watch = CrashWatch(node=self)
         self.retry_budget = RetryBudget(
             ratio=settings.retry_ratio,
             extra=settings.retry_extra,
@@ -194,7 +197,7 @@
         self.endpoint_table.update_slow_ranks(site_state.slow_ranks_by_group.values())
         self._update_coldness(configuration)
         self.limit_exchange.on_site_changed()
-        self.prompt_guard.published = set(site_state.blocked_prompt_parts)
+        self.crash_guard.published = set(site_state.blocked_requests)
         self._apply_limits(configuration.limits)
         self.peers.update()
         self.wake_wait_queues()
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge.py
@@ -6,7 +6,7 @@
 from magnoliagrade.observability import log_event
 from magnoliagrade.platform import (
     SLOW_RANKS_LIFE_S,
-    BlockedPromptItem,
+    BlockedRequestItem,
     ConfigurationItem,
     EndpointItem,
     EvacuationItem,
@@ -63,8 +63,8 @@
 
     Attributes
     ----------
-    blocked_prompt_parts : set of str
-        Parts of prompts that are blocked because servers end under them.
+    blocked_requests : set of str
+        Keys of the groups of requests that are blocked because servers end under them.
     configuration_data : bytes
         The encoded configuration in force; empty without one.
     era : int or None
@@ -77,7 +77,7 @@
         "_clock",
         "_delete_at_by_key",
         "_position_by_key",
-        "blocked_prompt_parts",
+        "blocked_requests",
         "configuration",
         "configuration_data",
         "confirmed_at",
@@ -94,7 +94,7 @@
         self._clock = clock
         self._delete_at_by_key = {}
         self._position_by_key = {}
-        self.blocked_prompt_parts = set()
+        self.blocked_requests = set()
         self.configuration = None
         self.configuration_data = b""
         self.confirmed_at = float("-inf")
@@ -359,9 +359,9 @@
                 data_centre_changed=item.data_centre,
                 revision=revision,
             )
-        elif isinstance(item, BlockedPromptItem):
-            parts = self.blocked_prompt_parts
-            (parts.add if item.is_blocked else parts.discard)(item.part)
+        elif isinstance(item, BlockedRequestItem):
+            groups = self.blocked_requests
+            (groups.add if item.is_blocked else groups.discard)(item.group)
         elif isinstance(item, SlowRanksItem):
             self._apply_slow_ranks(item, revision)
         elif isinstance(item, InstanceItem) and item.address:
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/peers.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/peers.py
@@ -14,8 +14,8 @@
     Link,
     Permit,
     PermitRequest,
-    PromptCrash,
-    PromptServed,
+    RequestCrash,
+    RequestServed,
     ServiceOutage,
     SiteConfigurationCopy,
     SiteConfigurationPull,
@@ -25,6 +25,9 @@
 )
 from prometheus_client import Gauge
 
+from magnoliagrade_entry.direct.crash_guard import ServerCrash
+from magnoliagrade_entry.direct.request_traits import RequestTraits
+
 __all__ = ["PeerLinks", "keep_registered"]
 
 # Changes within this interval, about one pass of a group, are sent in one message.
@@ -153,15 +156,13 @@
         """Announce to all peers that an outage of a service begins or ends."""
         self.broadcast(ServiceOutage(service=service, is_out=is_out))
 
-    def announce_crash(self, endpoint_id, parts, *, age_s):
-        """Announce to all peers that a server ended under the parts of a prompt."""
-        self.broadcast(
-            PromptCrash(endpoint=endpoint_id, parts=list(parts), age_seconds=age_s)
-        )
+    def announce_crash(self, crash):
+        """Announce to all peers that a server ended while it ran a request."""
+        self.broadcast(self._crash_message(crash))
 
-    def announce_served(self, parts):
-        """Announce to all peers that servers do not end under parts of a prompt."""
-        self.broadcast(PromptServed(parts=list(parts)))
+    def announce_served(self, traits):
+        """Announce to all peers that a request is served under which a server ended."""
+        self.broadcast(RequestServed(**_trait_fields(traits)))
 
     def newest_version(self):
         """Return the newest configuration version of any linked entry; 0 without."""
@@ -214,10 +215,8 @@
         link.send(self._full_report())
         for limit in self._node.limit_exchange.all_limits():
             link.send(limit)
-        for endpoint_id, age_s, part in self._node.prompt_guard.evidence():
-            link.send(
-                PromptCrash(endpoint=endpoint_id, parts=[part], age_seconds=age_s)
-            )
+        for crash in self._node.crash_guard.crashes():
+            link.send(self._crash_message(crash))
         try:
             while True:
                 async with asyncio.timeout(PEER_TIMEOUT_S):
@@ -226,12 +225,10 @@
                     self._apply_peer_work(name, message)
                 elif isinstance(message, ServiceOutage):
                     self._apply_peer_outage(message)
-                elif isinstance(message, PromptCrash):
-                    self._node.prompt_guard.record_crash(
-                        message.endpoint, message.parts, age_s=message.age_seconds
-                    )
-                elif isinstance(message, PromptServed):
-                    self._node.prompt_guard.record_served(message.parts)
+                elif isinstance(message, RequestCrash):
+                    self._record_peer_crash(message)
+                elif isinstance(message, RequestServed):
+                    self._node.crash_guard.record_served(_traits_of_message(message))
                 elif isinstance(message, (EndpointLimit, PermitRequest, Permit)):
                     self._node.limit_exchange.receive(name, message)
                 elif isinstance(message, SiteConfigurationPull):
@@ -245,6 +242,25 @@
                 self._node.wake_wait_queues()
             log_event(_log, "link.down", peer=name)
 
+    def _crash_message(self, crash):
+        return RequestCrash(
+            endpoint=crash.endpoint_id,
+            age_seconds=self._node.clock.monotonic() - crash.crashed_at,
+            lasted_seconds=crash.crashed_at - crash.began_at,
+            **_trait_fields(crash.traits),
+        )
+
+    def _record_peer_crash(self, message):
+        crashed_at = self._node.clock.monotonic() - message.age_seconds
+        self._node.crash_guard.record_crash(
+            ServerCrash(
+                endpoint_id=message.endpoint,
+                traits=_traits_of_message(message),
+                began_at=crashed_at - message.lasted_seconds,
+                crashed_at=crashed_at,
+            )
+        )
+
     def _apply_peer_work(self, name, message):
         self._node.endpoint_table.update_peer_work(
             name, message.endpoints, is_complete=message.is_complete
@@ -318,6 +334,24 @@
         return WorkInFlight(is_complete=True, endpoints=rows)
 
 
+def _trait_fields(traits):
+    return {
+        "parts": list(traits.parts),
+        "request": traits.request,
+        "variant": traits.variant,
+        "caller": traits.caller,
+    }
+
+
+def _traits_of_message(message):
+    return RequestTraits(
+        request=message.request,
+        variant=message.variant,
+        caller=message.caller,
+        parts=tuple(message.parts),
+    )
+
+
 async def keep_registered(node):
     """Keep the entry registered in the store under a lease until cancelled.
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/request_traits.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/request_traits.py
@@ -17,6 +17,8 @@
     ----------
     request : str
         Digest of method, path, caller and body, which repetitions of it share.
+    variant : str
+        Digest of `request` and of the ids of all parts of its prompt.
     caller : str
         Digest of the organisation that sent it.
     parts : tuple of str
@@ -24,19 +26,25 @@
     """
 
     request: str
+    variant: str
     caller: str
     parts: tuple = ()
 
-    def keys(self):
-        """Return one key for each group of requests that it belongs to.
+    def groups(self):
+        """Return the groups of requests that it belongs to.
 
-        The groups are the repetitions of the request, the caller's requests with one
-        part of the prompt, and all callers' requests with that part.
+        Returns
+        -------
+        varies_by_key : dict of str to str
+            For the key of each group, the trait in which its requests differ, empty for
+            none. The groups are the repetitions of the request, the caller's requests
+            with one part of the prompt, and all callers' requests with that part.
         """
-        keys = [f"request-{self.request}"]
+        varies_by_key = {f"request-{self.request}": ""}
         for part in self.parts:
-            keys += [f"part-{part}-{self.caller}", f"part-{part}"]
-        return keys
+            varies_by_key[f"part-{part}-{self.caller}"] = "variant"
+            varies_by_key[f"part-{part}"] = "caller"
+        return varies_by_key
 
 
 def traits_of(request):
@@ -48,9 +56,12 @@
         # Lengths keep the fields apart.
         digest.update(len(field).to_bytes(8))
         digest.update(field)
+    variant = digest.copy()
+    variant.update(request.prompt_ids.encode())
     caller = hashlib.blake2b(organisation.encode(), digest_size=CALLER_DIGEST_BYTES)
     return RequestTraits(
         request=digest.hexdigest(),
+        variant=variant.hexdigest(),
         caller=caller.hexdigest(),
         parts=request.prompt_parts,
     )
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_knowledge.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_knowledge.py
@@ -3,7 +3,7 @@
 from magnoliagrade.clock import ManualClock
 from magnoliagrade.platform import (
     StorePosition,
-    blocked_prompt_key,
+    blocked_request_key,
     encode_instance,
     encode_slow_ranks,
     instance_key,
@@ -181,10 +181,10 @@
 
 def test_blocked_part_of_prompts_is_known_until_its_record_expires():
     site_state, _ = _site_state()
-    site_state.apply(blocked_prompt_key("5c1e"), b"{}", _at(20))
-    assert site_state.blocked_prompt_parts == {"5c1e"}
-    site_state.apply(blocked_prompt_key("5c1e"), None, _at(21))
-    assert not site_state.blocked_prompt_parts
+    site_state.apply(blocked_request_key("5c1e"), b"{}", _at(20))
+    assert site_state.blocked_requests == {"5c1e"}
+    site_state.apply(blocked_request_key("5c1e"), None, _at(21))
+    assert not site_state.blocked_requests
 
 
 def test_age_is_measured_from_the_start_of_the_read():
--- a/packages/magnoliagrade/magnoliagrade/errors.py
+++ b/packages/magnoliagrade/magnoliagrade/errors.py
@@ -30,7 +30,7 @@
     LIMITED = "LIMITED"
     OVERLOADED = "OVERLOADED"
     NOT_RUN = "NOT_RUN"
-    PROMPT_BLOCKED = "PROMPT_BLOCKED"
+    REQUEST_BLOCKED = "REQUEST_BLOCKED"
     SHUTTING_DOWN = "SHUTTING_DOWN"
     UPSTREAM_FAILED = "UPSTREAM_FAILED"
     OUTCOME_UNKNOWN = "OUTCOME_UNKNOWN"
@@ -93,7 +93,9 @@
     _Kind.LIMITED: _response(429, Ran.NO, True, "The organisation's share is used up"),
     _Kind.OVERLOADED: _response(503, Ran.NO, True, "There is no capacity"),
     _Kind.NOT_RUN: _response(503, Ran.NO, True, "No back end took the request"),
-    _Kind.PROMPT_BLOCKED: _response(503, Ran.NO, True, "Servers end under this prompt"),
+    _Kind.REQUEST_BLOCKED: _response(
+        503, Ran.NO, True, "Servers end under the request"
+    ),
     _Kind.SHUTTING_DOWN: _response(503, Ran.NO, True, "The instance is leaving"),
     _Kind.UPSTREAM_FAILED: _response(502, Ran.YES, False, "The back end failed"),
     _Kind.OUTCOME_UNKNOWN: _response(
--- a/packages/magnoliagrade/magnoliagrade/platform/headers.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/headers.py
@@ -18,6 +18,7 @@
     "is_replaced",
     "api_key_of",
     "notice_of",
+    "prompt_ids_of",
     "prompt_parts_of",
     "request_id_of",
     "requested_pause_s",
@@ -115,6 +116,11 @@
     return tuple(part for part in parts if _PART_ID.fullmatch(part))
 
 
+def prompt_ids_of(headers):
+    """Return the ids of all parts of the prompt as the caller lists them, or empty."""
+    return headers.get(PROMPT_PREFIX, "")
+
+
 def endpoint_headers(headers, *, endpoint_id, organisation, deadline_s, last_event_id):
     """Return the headers of a caller's request as it is forwarded to an endpoint.
 
--- a/packages/magnoliagrade/magnoliagrade/platform/items.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/items.py
@@ -17,15 +17,15 @@
 from magnoliagrade.world.site import SiteConfiguration, SiteEndpoint
 
 __all__ = [
-    "BLOCKED_PROMPT_LIFE_S",
+    "BLOCKED_REQUEST_LIFE_S",
     "SLOW_RANKS_LIFE_S",
-    "BlockedPromptItem",
+    "BlockedRequestItem",
     "ConfigurationItem",
     "EndpointItem",
     "EvacuationItem",
     "InstanceItem",
     "SlowRanksItem",
-    "blocked_prompt_key",
+    "blocked_request_key",
     "decode_item",
     "encode_instance",
     "encode_slow_ranks",
@@ -42,9 +42,9 @@
 _ENDPOINT_PREFIX = "servers/"
 _INSTANCE_PREFIX = "magnoliagrade/instances/"
 _SLOW_RANKS_PREFIX = "magnoliagrade/slow-ranks/"
-_BLOCKED_PROMPT_PREFIX = "magnoliagrade/blocked-prompts/"
-# Life of the record of a blocked part of prompts; the longest that the platform allows.
-BLOCKED_PROMPT_LIFE_S = 600.0
+_BLOCKED_REQUEST_PREFIX = "magnoliagrade/blocked-requests/"
+# Life of the record of blocked requests; the longest that the platform allows.
+BLOCKED_REQUEST_LIFE_S = 600.0
 # A notice of slow ranks expires this long after it was received, in case the
 # coordinator that renews it has stopped. Servers are slow for 4 to 9 s at a time.
 SLOW_RANKS_LIFE_S = 6.0
@@ -90,10 +90,10 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class BlockedPromptItem:
-    """A part of prompts under which servers crash; it may be blocked no longer."""
+class BlockedRequestItem:
+    """A group of requests under which servers crash; it may be blocked no longer."""
 
-    part: str
+    group: str
     is_blocked: bool
 
 
@@ -139,9 +139,9 @@
             group=key.removeprefix(_SLOW_RANKS_PREFIX),
             pace_by_address={} if value is None else _paces(load_object(value)),
         )
-    if key.startswith(_BLOCKED_PROMPT_PREFIX):
-        part = key.removeprefix(_BLOCKED_PROMPT_PREFIX)
-        return BlockedPromptItem(part=part, is_blocked=value is not None)
+    if key.startswith(_BLOCKED_REQUEST_PREFIX):
+        group = key.removeprefix(_BLOCKED_REQUEST_PREFIX)
+        return BlockedRequestItem(group=group, is_blocked=value is not None)
     return None
 
 
@@ -189,9 +189,9 @@
     return _SLOW_RANKS_PREFIX + group
 
 
-def blocked_prompt_key(part):
-    """Return the key that records that a part of prompts is blocked."""
-    return _BLOCKED_PROMPT_PREFIX + part
+def blocked_request_key(group):
+    """Return the key that records that a group of requests is blocked."""
+    return _BLOCKED_REQUEST_PREFIX + group
 
 
 def encode_slow_ranks(pace_by_address):
--- a/packages/magnoliagrade/magnoliagrade/wire/work.capnp
+++ b/packages/magnoliagrade/magnoliagrade/wire/work.capnp
@@ -42,14 +42,21 @@
   data @0 :Data;             # configuration in force at the sender, as in the store
 }
 
-struct PromptCrash {
-  endpoint @0 :Text;         # server that ended as it began to write a response
+struct RequestCrash {
+  endpoint @0 :Text;         # server that ended while it ran a request
   parts @1 :List(Text);      # shared parts of the prompt
-  ageSeconds @2 :Float64;    # time since the response broke off
+  ageSeconds @2 :Float64;    # time since the attempt broke off
+  request @3 :Text;          # digest of method, path, caller and body
+  variant @4 :Text;          # digest of `request` and all parts of the prompt
+  caller @5 :Text;           # digest of the organisation
+  lastedSeconds @6 :Float64; # time from the start of the attempt until it broke off
 }
 
-struct PromptServed {
-  parts @0 :List(Text);      # parts of a prompt with a complete response
+struct RequestServed {       # a request with these traits had a complete response
+  parts @0 :List(Text);
+  request @1 :Text;
+  variant @2 :Text;
+  caller @3 :Text;
 }
 
 struct EndpointLimit {
@@ -74,8 +81,8 @@
     serviceOutage @3 :ServiceOutage;
     siteConfigurationPull @4 :SiteConfigurationPull;
     siteConfigurationCopy @5 :SiteConfigurationCopy;
-    promptCrash @6 :PromptCrash;
-    promptServed @7 :PromptServed;
+    requestCrash @6 :RequestCrash;
+    requestServed @7 :RequestServed;
     endpointLimit @8 :EndpointLimit;
     permitRequest @9 :PermitRequest;
     permit @10 :Permit;
--- a/packages/magnoliagrade/magnoliagrade/wire/work.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/work.py
@@ -9,10 +9,10 @@
     "EndpointWork",
     "Permit",
     "PermitRequest",
-    "PromptCrash",
-    "PromptServed",
     "RankCall",
     "RankReply",
+    "RequestCrash",
+    "RequestServed",
     "ServiceOutage",
     "SiteConfigurationCopy",
     "SiteConfigurationPull",
@@ -84,20 +84,27 @@
     data: bytes = b""
 
 
-@message("work", "promptCrash")
-class PromptCrash:
-    """A server ended as it began to write a response to a prompt with these parts."""
+@message("work", "requestCrash")
+class RequestCrash:
+    """A server ended while it ran a request with these traits."""
 
     endpoint: str = ""
     parts: list = field(default_factory=list)
     age_seconds: float = 0.0
+    request: str = ""
+    variant: str = ""
+    caller: str = ""
+    lasted_seconds: float = 0.0
 
 
-@message("work", "promptServed")
-class PromptServed:
-    """A prompt with these parts, under which a server had ended, was served."""
+@message("work", "requestServed")
+class RequestServed:
+    """A request with these traits, under which a server had ended, was served."""
 
     parts: list = field(default_factory=list)
+    request: str = ""
+    variant: str = ""
+    caller: str = ""
 
 
 @message("work", "endpointLimit")
--- a/tests/test_requests_that_crash_servers.py
+++ b/tests/test_requests_that_crash_servers.py
@@ -118,6 +118,29 @@
     _run(scenario, delay_s=0.05)
 
 
+def test_request_that_timed_out_at_servers_that_were_cut_off_is_served_afterwards():
+    async def scenario(site):
+        entry = site.entries[0]
+        registry = entry.site_state.registry
+        address_by_id = {i: e.address for i, e in registry.endpoint_by_id.items()}
+        for endpoint in site.endpoint_by_id.values():
+            endpoint.behaviour.fault = "hang"
+        for _ in range(3):
+            for sender in site.entries:
+                await _call(site, sender, "GET", "/look/1")
+        for endpoint_id in address_by_id:
+            site.store.delete(f"servers/{endpoint_id}")
+        await asyncio.sleep(4.0)
+        for endpoint_id, address in address_by_id.items():
+            site.endpoint_by_id[endpoint_id].behaviour.fault = ""
+            site.register(endpoint_id, "plain", address)
+        await _await_endpoints(site)
+        for sender in site.entries:
+            assert (await _call(site, sender, "GET", "/look/1"))[0] == 200
+
+    _run(scenario)
+
+
 async def _send_crashing(site, entries, duration_s, *, method="GET", target=CRASHING):
     """Send a request that crashes servers, with a new id each time."""
     ends_at = time.monotonic() + duration_s
