--- /dev/null
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/request_attempts.py
@@ -0,0 +1,191 @@
+"""All attempts of one request: slots, limits and retries."""
+
+import contextlib
+
+from magnoliagrade.errors import ErrorKind, MagnoliagradeError
+
+from magnoliagrade_entry.direct.attempts import Attempt
+from magnoliagrade_entry.direct.overload import retry_after_s, slot_deadline
+from magnoliagrade_entry.direct.request_traits import traits_of
+from magnoliagrade_entry.direct.upstream import AttemptFailed
+
+__all__ = ["Attempts"]
+
+# Limit on the endpoints tried for one request, counting failed connections.
+MAX_CONNECTIONS = 4
+# With less time than this before the deadline, no further attempt is made: it could not
+# succeed.
+MIN_REMAINING_S = 0.02
+
+
+class Attempts:
+    """All attempts of one request.
+
+    Parameters
+    ----------
+    node : DirectEntry
+        The entry.
+    request : DirectRequest
+        The request.
+
+    Notes
+    -----
+    `tried` holds the ids of the endpoints selected so far, and `sent` counts those that
+    the request was sent to. `has_run` is set once an attempt that may have run the
+    request has failed. `last_event_id` and `last_event_at` (seconds; None before the
+    first event) describe the last event sent to the caller of a stream.
+    """
+
+    __slots__ = (
+        "_load",
+        "_node",
+        "_traits",
+        "has_run",
+        "last_event_at",
+        "last_event_id",
+        "request",
+        "sent",
+        "tried",
+    )
+
+    def __init__(self, *, node, request):
+        self._node = node
+        self._load = None
+        self._traits = None
+        self.request = request
+        self.has_run = False
+        self.sent = 0
+        self.tried = set()
+        self.last_event_id = request.last_event_id
+        self.last_event_at = None
+
+    @property
+    def traits(self):
+        """Traits of the request, computed at the first use."""
+        if self._traits is None:
+            self._traits = traits_of(self.request)
+        return self._traits
+
+    def remaining_s(self):
+        """Return the seconds until the deadline of the request."""
+        return self.request.ends_at - self._node.clock.monotonic()
+
+    def may_retry(self):
+        """Return whether the request may be sent again after an attempt has run it."""
+        request = self.request
+        return request.route.is_idempotent and self.sent < request.route.max_endpoints
+
+    async def ensure_slot(self):
+        """Acquire a slot at an endpoint, waiting for one, unless one is held already.
+
+        Raises
+        ------
+        MagnoliagradeError
+            `OVERLOADED` if no slot is expected in time, or `UPSTREAM_FAILED` if the
+            request has run at an endpoint before.
+        """
+        if self._load is not None:
+            return
+        self._check_blocked()
+        queue = self._node.wait_queue_of(self.request.service)
+        try:
+            self._load = await queue.acquire_slot(
+                self.request,
+                excluded=self.tried,
+                slot_deadline=self._slot_deadline(),
+                has_started=self.last_event_at is not None,
+            )
+        except MagnoliagradeError as exc:
+            if not self.has_run:
+                raise
+            raise _upstream_failed(exc) from exc
+        try:
+            self._check_blocked()
+        except MagnoliagradeError:
+            load, self._load = self._load, None
+            queue.release(load)
+            raise
+
+    @contextlib.asynccontextmanager
+    async def next_attempt(self):
+        """Hold a slot for one attempt and record a failure of the attempt."""
+        await self.ensure_slot()
+        load, self._load = self._load, None
+        attempt = Attempt(node=self._node, attempts=self, load=load)
+        try:
+            yield attempt
+        except AttemptFailed as exc:
+            attempt.record_failure(exc)
+            raise
+        finally:
+            attempt.close()
+
+    def check_retry(self, failed):
+        """Check that another attempt may follow a failed one.
+
+        Parameters
+        ----------
+        failed : AttemptFailed
+            Failure of the last attempt.
+
+        Raises
+        ------
+        MagnoliagradeError
+            If none may follow; the error is the response to the caller.
+        """
+        self.has_run = self.has_run or failed.has_run
+        if failed.is_moved or self._may_retry_after(failed):
+            return
+        if failed.has_run:
+            raise failed
+        if self.has_run:
+            raise _upstream_failed(failed)
+        wait_s = self.remaining_s() if failed.is_group_broken else 0.0
+        raise MagnoliagradeError(
+            ErrorKind.NOT_RUN,
+            failed.detail,
+            retry_after=retry_after_s(wait_s, self.remaining_s(), rng=self._node.rng),
+        )
+
+    def _check_blocked(self):
+        """Raise `REQUEST_BLOCKED` if servers end under requests like this one."""
+        guard = self._node.crash_guard
+        blocked_for_s = guard.blocked_for_s(self.traits) if guard.has_blocks else 0.0
+        if not blocked_for_s:
+            return
+        error = MagnoliagradeError(
+            ErrorKind.REQUEST_BLOCKED,
+            "servers ended under this request, or others with a part of its prompt: it "
+            f"is rejected for {blocked_for_s:.0f} s",
+            retry_after=blocked_for_s,
+        )
+        raise _upstream_failed(error) if self.has_run else error
+
+    def _slot_deadline(self):
+        return slot_deadline(self.request, last_event_at=self.last_event_at)
+
+    def _may_retry_after(self, failed):
+        node = self._node
+        if failed.has_run and not self.request.route.is_idempotent:
+            return False
+        if self.sent >= self.request.route.max_endpoints:
+            return False
+        if failed.has_run and node.crash_guard.is_suspected(self.traits):
+            return False
+        if failed.is_group_broken and node.endpoint_table.is_unavailable(
+            self.request.service
+        ):
+            return False
+        if len(self.tried) >= MAX_CONNECTIONS or self.remaining_s() < MIN_REMAINING_S:
+            return False
+        if not failed.was_sent:
+            return True
+        return node.retry_budget.acquire(
+            self.request.service, now=node.clock.monotonic()
+        )
+
+
+def _upstream_failed(error):
+    # A NOT_RUN error must hold for all attempts, and one of them has run.
+    detail = f"the request ran and failed; the next attempt failed: {error.detail}"
+    return MagnoliagradeError(ErrorKind.UPSTREAM_FAILED, detail)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving.py
@@ -9,7 +9,7 @@
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
 from magnoliagrade.platform import response_headers
 
-from magnoliagrade_entry.direct.attempts import Attempts
+from magnoliagrade_entry.direct.request_attempts import Attempts
 from magnoliagrade_entry.direct.streams import relay_stream
 from magnoliagrade_entry.direct.upstream import AttemptFailed
 
