Issue permits by the issuer's own knowledge of a limit

Cause: a request for a permit carries the limit that its sender knows, and the issuer used it although changes of a limit are told to all entries at once. While two entries knew different limits the rate alternated between both.

Change: the issuer uses its own limit, if it knows one. Tests of LimitExchange with stand-in links; test_issuer_uses_its_own_newer_limit_and_answers_in_order failed before.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/limit_exchange.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/limit_exchange.py
@@ -131,6 +131,9 @@
         self._apply_limits()
 
     def _queue_request(self, endpoint_id, name, limit_per_s):
+        # What this entry knows is newer than what a request says: changes of a limit
+        # are told at once.
+        limit_per_s = self.limits.limit_by_id.get(endpoint_id, limit_per_s)
         linked = len(self._node.peers.link_by_name) + 1
         known = max(linked, self.count_entries())
         rate_per_s = issue_rate(limit_per_s, linked=linked, known=known)
