Ignore small changes of a server's limit

Cause: each change of a limit was told to all peers at once. A server whose limit varies with every response would cost each entry one message per response of the whole site.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/endpoint_limits.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/endpoint_limits.py
@@ -12,6 +12,11 @@
 # endpoint before the store's watch does.
 UNREGISTERED_LIFE_S = 30.0
 
+# Changes of a limit by less than this part of it are ignored, so that one that varies
+# with each response is not told to all peers each time. Permits are issued for less
+# than the limit by this part.
+IGNORED_CHANGE = 0.1
+
 LIMITED = Gauge(
     "magnoliagrade_direct_limited_endpoints", "Endpoints that name a limit on requests"
 )
@@ -77,7 +82,8 @@
         limit_per_s : float
             Requests per second.
         """
-        if limit_per_s == self.limit_of(endpoint_id):
+        known_per_s = self.limit_of(endpoint_id)
+        if math.isclose(limit_per_s, known_per_s, rel_tol=IGNORED_CHANGE):
             return False
         self._changed_at_by_id[endpoint_id] = self._clock.monotonic()
         if math.isinf(limit_per_s):
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_permits.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_permits.py
@@ -5,6 +5,7 @@
 from magnoliagrade.world.site import SiteEndpoint
 
 from magnoliagrade_entry.direct.endpoint_limits import (
+    IGNORED_CHANGE,
     UNREGISTERED_LIFE_S,
     EndpointLimits,
 )
@@ -132,6 +133,17 @@
     assert limits.limit_of("i-1") == math.inf
 
 
+def test_small_changes_of_a_limit_are_ignored():
+    limits = EndpointLimits(clock=ManualClock(start=50.0))
+    changes = [limits.record("i-1", 2.0 + 0.01 * number) for number in range(20)]
+    assert changes == [True] + 19 * [False]
+    assert limits.record("i-1", 3.0)
+    assert limits.record("i-1", 0.0)
+    assert not limits.record("i-1", 0.0)
+    # Permits stay within a limit that is ignored.
+    assert issue_rate(1.0, linked=1, known=1) <= 1.0 - IGNORED_CHANGE
+
+
 def test_limits_of_endpoints_that_are_gone_are_forgotten():
     clock = ManualClock(start=50.0)
     limits = EndpointLimits(clock=clock)
