Fix requests rejected after their block has expired

Cause: the remaining time of an expired block is negative, which counted as blocked until the next crash or response removed the block.

Change: the remaining time is 0 at least. Responses no longer look through all suspects. test_request_is_blocked_after_crashes_one_after_the_other failed before, with the check of the expired block that it has now.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/crash_guard.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/crash_guard.py
@@ -157,7 +157,7 @@
             if key not in self._blocked_until_by_key and suspect.is_to_blame():
                 self._blocked_until_by_key[key] = now + BLOCK_S
                 blocked.append(key)
-        self._drop_old(now)
+        self._drop_old_crashes(now)
         return blocked
 
     def record_served(self, traits):
@@ -170,7 +170,7 @@
             is_cleared |= self._suspect_by_key.pop(key, None) is not None
             self._blocked_until_by_key.pop(key, None)
             self.published.discard(key)
-        self._drop_old(now)
+        self._drop_old_responses(now)
         return is_cleared
 
     def blocked_for_s(self, traits):
@@ -181,7 +181,7 @@
             for key in traits.groups()
             if key in self._blocked_until_by_key or key in self.published
         ]
-        return max(times, default=0.0)
+        return max(0.0, *times) if times else 0.0
 
     def is_suspected(self, traits):
         """Return whether a server has crashed under a request of the same groups."""
@@ -195,7 +195,7 @@
             for crash in suspect.crashes
         }
 
-    def _drop_old(self, now):
+    def _drop_old_crashes(self, now):
         for key, suspect in list(self._suspect_by_key.items()):
             is_old = suspect.crashes[-1].crashed_at < now - BLOCK_S
             if is_old or len(self._suspect_by_key) > MAX_GROUPS:
@@ -203,6 +203,8 @@
         for key, until in list(self._blocked_until_by_key.items()):
             if until <= now:
                 del self._blocked_until_by_key[key]
+
+    def _drop_old_responses(self, now):
         for key, served_at in list(self._served_at_by_key.items()):
             is_old = served_at < now - SERVED_LIFE_S
             if not is_old and len(self._served_at_by_key) <= MAX_GROUPS:
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_crash_guard.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_crash_guard.py
@@ -24,9 +24,10 @@
     assert blocked == ["request-r"]
     assert guard.blocked_for_s(traits) == BLOCK_S
     assert not guard.blocked_for_s(_traits("other"))
-    clock._time += BLOCK_S
+    clock._time += BLOCK_S + 1.0
+    assert guard.blocked_for_s(traits) == 0.0
     _crash(guard, clock, _traits("another"))
-    assert not guard.blocked_for_s(traits)
+    assert not guard.has_blocks
 
 
 def test_servers_that_end_within_a_moment_of_retries_count_each():
@@ -126,7 +127,8 @@
     assert len(guard.crashes()) <= MAX_GROUPS
     assert len(guard._served_at_by_key) <= MAX_GROUPS
     clock._time += BLOCK_S + SERVED_LIFE_S
-    guard.record_served(_traits("s"))
+    _crash(guard, clock, _traits("r"))
+    guard.record_served(_traits("r"))
     assert guard.is_idle
 
 
