--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/endpoint_limits.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/endpoint_limits.py
@@ -11,7 +11,6 @@
 # Limits of endpoints that are not registered are kept for this long: a peer may name an
 # endpoint before the store's watch does.
 UNREGISTERED_LIFE_S = 30.0
-
 # Changes of a limit by less than this part of it are ignored, so that one that varies
 # with each response is not told to all peers each time. Permits are issued for less
 # than the limit by this part.
@@ -47,7 +46,7 @@
         LIMITED.set_function(lambda: len(self.limit_by_id))
 
     def limit_of(self, endpoint_id):
-        """Return the requests per second that an endpoint takes; infinite if any."""
+        """Return the requests per second that an endpoint takes, or infinity."""
         return self.limit_by_id.get(endpoint_id, math.inf)
 
     def record_response(self, endpoint_id, limit_per_s, *, sent_at):
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
@@ -252,7 +252,7 @@
     def count_entries(self):
         """Return the number of entries that may run, with this one.
 
-        An entry with a link has been told of all registered ones.
+        Placeholders for unknown entries count only while no link is up.
         """
         linked = self.peers.link_by_name
         names = linked.keys() | self.site_state.link_address_by_name.keys()
