Fix requests reset by an agent that leaves while nothing is in flight

Cause: an agent closed its listener as soon as no request was in flight, also when an entry that did not know yet that it leaves had just connected. The connection was reset, and whether the order had run could not be told.

Change: the agent waits half a second after its announcement; requests that arrive meanwhile get a rejection that promises that they have not run.

Evidence: test_request_on_a_connection_that_an_agent_accepted_before_it_left_is_rejected failed before on the same agent code (no response at all) and passes.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/instance.py
@@ -19,6 +19,8 @@
 
 DEFAULT_LIMIT_POLICY = "evidence"
 LIMIT_POLICY_OPTION = "option.limit.policy"
+# Time from an entry's choice of this agent to the arrival of the request here.
+LEAVING_LAG_S = 0.5
 _log = logging.getLogger(__name__)
 
 
@@ -99,6 +101,8 @@
         in_flight = self.credits.count_in_flight
         log_event(_log, "agent.leaving", requests_in_flight=in_flight)
         await self.announce_leaving()
+        # Entries that connected before they received the announcement are answered.
+        await self.clock.sleep(LEAVING_LAG_S)
         await self.wait_for_requests(self.count_in_flight)
         await self.close()
         await self.single_use_session.close()
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -21,6 +21,8 @@
 BALANCER_LAG_S = 0.6  # less than the entries' drain_lag_s
 LOAD_DURATION_S = 2.0
 LOAD_BEFORE_STOP_S = 0.3
+# Time that an entry may take from opening a connection to sending its request.
+SENT_AFTER_SIGTERM_S = 0.15
 
 
 def test_no_request_fails_when_a_process_of_each_role_shuts_down():
@@ -78,6 +80,29 @@
         assert [outcome.body.get("number") for outcome in repeated] == numbers
 
 
+def test_request_on_a_connection_that_an_agent_accepted_before_it_left_is_rejected():
+    # An entry may have connected before it knows that the agent leaves.
+    asyncio.run(_send_after_the_agent_left())
+
+
+async def _send_after_the_agent_left():
+    plan = SitePlan(
+        entries_by_data_centre={"kamloops": 1}, services_by_data_centre={"kamloops": 1}
+    )
+    async with Site(plan=plan) as site:
+        agent = site.agent_by_name["kamloops-service-0"]
+        host, _, port = agent.addresses["data"].rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        stopping = asyncio.create_task(agent.stop())
+        await asyncio.sleep(SENT_AFTER_SIGTERM_S)
+        request = "GET /stock HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+        writer.write(request.encode())
+        response = await reader.read()
+        assert response.startswith(b"HTTP/1.1 "), response
+        writer.close()
+        assert await stopping == 0
+
+
 async def _call_with_key(site, entry, key):
     return await call_service(site, entry, headers={"Idempotency-Key": key})
 
