Fix sound requests blocked after all servers of a service fell silent

Cause: each attempt that timed out counted as a crash under its request once the server had started again, also if no connection to it had been made, and also at servers that had been silent for a while: attempts at them follow one another like those under a request that crashes servers.

Change: an attempt counts only if its connection was established (ConnectionState); and an attempt without a response only if the service has shown since the last one began that it runs: by a response, or by the server's first registration.

Evidence: test_servers_that_fall_silent_together_count_once failed before; requests under which servers do fall silent are still blocked (test).

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
@@ -8,7 +8,11 @@
 
 from magnoliagrade_entry.direct.placement import EJECT_MAX_S
 from magnoliagrade_entry.direct.server_crashes import withdraw_blocks
-from magnoliagrade_entry.direct.upstream import AttemptFailed, open_response
+from magnoliagrade_entry.direct.upstream import (
+    AttemptFailed,
+    ConnectionState,
+    open_response,
+)
 
 __all__ = ["Attempt"]
 
@@ -38,6 +42,7 @@
 
     __slots__ = (
         "_attempts",
+        "_connection",
         "_is_cold",
         "_is_complete",
         "_limit_per_s",
@@ -52,6 +57,7 @@
         self._node = node
         self._attempts = attempts
         self._load = load
+        self._connection = ConnectionState()
         self._response = None
         self._is_complete = False
         self._started_at = node.clock.monotonic()
@@ -76,6 +82,7 @@
                 self.endpoint,
                 attempts.request,
                 now=self._started_at,
+                connection=self._connection,
                 last_event_id=attempts.last_event_id,
             )
         except AttemptFailed as exc:
@@ -127,6 +134,7 @@
     def _record_notice(self, notice):
         if notice is None:
             return
+        self._node.crash_watch.record_response(self._attempts.request.service)
         if notice.is_leaving:
             self._node.record_leaving(self.endpoint)
         self._node.limit_exchange.record_response(
@@ -146,11 +154,11 @@
 
     def _watch_for_crash(self, failed):
         """Find out whether the endpoint crashed while it ran the request."""
-        if not failed.has_run or failed.is_moved:
+        if not failed.has_run or not self._connection.is_established:
             return
         self._node.crash_watch.begin(
             self.endpoint,
-            self._attempts.request.id,
+            self._attempts.request,
             self._attempts.traits,
             kind=failed.kind,
             began_at=self._started_at,
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/crash_guard.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/crash_guard.py
@@ -39,12 +39,16 @@
         Traits of the request.
     began_at, crashed_at : float
         Times at which the attempt began and broke off, in seconds.
+    responded_at : float
+        Time of the last sign that the service was running: of a response by any of its
+        servers, of the server's first registration, or of the loss of the connection.
     """
 
     endpoint_id: str
     traits: object
     began_at: float
     crashed_at: float
+    responded_at: float
 
 
 @dataclass(slots=True, kw_only=True)
@@ -71,13 +75,18 @@
 
     def is_to_blame(self):
         """Return whether the crashes are enough to block the group."""
-        count, last_crash_at = 0, float("-inf")
         # Servers that end at one moment may do so for another reason: only attempts
-        # that began after the last crash count.
+        # that began after the last crash count. All servers of a service may also fall
+        # silent together, one attempt after the other without a response: it must have
+        # shown that it runs since the last crash's attempt began.
+        count, last = 0, None
         for crash in sorted(self.crashes, key=lambda crash: crash.crashed_at):
-            if crash.began_at >= last_crash_at:
+            if last is None or (
+                crash.began_at >= last.crashed_at
+                and crash.responded_at >= last.began_at
+            ):
                 count += 1
-                last_crash_at = crash.crashed_at
+                last = crash
         if count < CRASHES_TO_BLOCK:
             return False
         if not self.varies_by:
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/endpoint_registry.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/endpoint_registry.py
@@ -8,8 +8,9 @@
 
 __all__ = ["EndpointRegistry"]
 
-# Limit on the endpoints that are remembered to have announced their end.
-MAX_ANNOUNCED = 1000
+# Limit on the endpoints whose first registration, or whose announcement of their end,
+# is remembered once they have ended.
+MAX_REMEMBERED = 1000
 
 _log = logging.getLogger(__name__)
 
@@ -37,6 +38,7 @@
         "_leaving_born_by_id",
         "_orders",
         "_position_by_id",
+        "_registered_at_by_start",
         "_remove_at_by_id",
         "_service_of",
         "endpoint_by_id",
@@ -49,6 +51,7 @@
         self._leaving_born_by_id = {}
         self._orders = RegistrationOrders()
         self._position_by_id = {}
+        self._registered_at_by_start = {}
         self._remove_at_by_id = {}
         self._service_of = service_of
         self.endpoint_by_id = {}
@@ -71,6 +74,9 @@
         self.endpoint_by_id[endpoint.id] = endpoint
         self._position_by_id[endpoint.id] = position
         self._extend_coldness(endpoint, endpoint.cold_s)
+        start = endpoint.id, endpoint.born_ms
+        self._registered_at_by_start.setdefault(start, self._clock.monotonic())
+        _limit_size(self._registered_at_by_start)
         if endpoint.is_draining:
             self._record_announcement(endpoint)
         if known is None or known.is_draining != endpoint.is_draining:
@@ -136,6 +142,14 @@
         log_event(_log, "site.endpoint.leaving", endpoint=endpoint.id)
         return True
 
+    def registered_at(self, endpoint):
+        """Return when a run of an endpoint first registered, also once it has ended.
+
+        The time is in seconds, minus infinity if it is not known.
+        """
+        start = endpoint.id, endpoint.born_ms
+        return self._registered_at_by_start.get(start, float("-inf"))
+
     def has_announced_end(self, endpoint):
         """Return whether an endpoint has announced its end, also once it has ended."""
         return self._announced_born_by_id.get(endpoint.id) == endpoint.born_ms
@@ -178,8 +192,7 @@
 
     def _record_announcement(self, endpoint):
         self._announced_born_by_id[endpoint.id] = endpoint.born_ms
-        if len(self._announced_born_by_id) > MAX_ANNOUNCED:
-            del self._announced_born_by_id[next(iter(self._announced_born_by_id))]
+        _limit_size(self._announced_born_by_id)
 
     def _is_leaving(self, endpoint):
         return self._leaving_born_by_id.get(endpoint.id) == endpoint.born_ms
@@ -221,3 +234,9 @@
         self._orders.end(endpoint_id)
         if self.endpoint_by_id.pop(endpoint_id, None) is not None:
             log_event(_log, "site.endpoint.gone", endpoint=endpoint_id, reason=reason)
+
+
+def _limit_size(remembered):
+    """Drop the oldest item of a dictionary that has grown too large."""
+    if len(remembered) > MAX_REMEMBERED:
+        del remembered[next(iter(remembered))]
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
@@ -26,7 +26,7 @@
 from magnoliagrade_entry.direct.retry_budget import RetryBudget
 from magnoliagrade_entry.direct.server_crashes import CrashWatch
 from magnoliagrade_entry.direct.site_watch import follow_site
-from magnoliagrade_entry.direct.upstream import EndpointConnector
+from magnoliagrade_entry.direct.upstream import EndpointConnector, trace_connections
 from magnoliagrade_entry.direct.waiting import WaitQueue
 
 __all__ = ["DirectEntry"]
@@ -289,6 +289,7 @@
         )
         self.upstream_session = aiohttp.ClientSession(
             connector=EndpointConnector(source_address=source),
+            trace_configs=[trace_connections()],
             timeout=no_timeout,
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/peers.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/peers.py
@@ -247,6 +247,7 @@
             endpoint=crash.endpoint_id,
             age_seconds=self._node.clock.monotonic() - crash.crashed_at,
             lasted_seconds=crash.crashed_at - crash.began_at,
+            silent_seconds=crash.crashed_at - crash.responded_at,
             **_trait_fields(crash.traits),
         )
 
@@ -258,6 +259,7 @@
                 traits=_traits_of_message(message),
                 began_at=crashed_at - message.lasted_seconds,
                 crashed_at=crashed_at,
+                responded_at=crashed_at - message.silent_seconds,
             )
         )
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/server_crashes.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/server_crashes.py
@@ -44,6 +44,7 @@
     traits: object
     began_at: float
     broken_at: float
+    responded_at: float
     is_connection_lost: bool
 
 
@@ -56,21 +57,26 @@
         The entry.
     """
 
-    __slots__ = ("_checks_by_endpoint_id", "_node")
+    __slots__ = ("_checks_by_endpoint_id", "_node", "_responded_at_by_service")
 
     def __init__(self, *, node):
         self._node = node
         self._checks_by_endpoint_id = {}
+        self._responded_at_by_service = {}
 
-    def begin(self, endpoint, request_id, traits, *, kind, began_at):
+    def record_response(self, service):
+        """Record that a server of a service has responded."""
+        self._responded_at_by_service[service] = self._node.clock.monotonic()
+
+    def begin(self, endpoint, request, traits, *, kind, began_at):
         """Watch a server after a failed attempt, unless the failure tells nothing.
 
         Parameters
         ----------
         endpoint : SiteEndpoint
             The server.
-        request_id : str
-            Id of the request.
+        request : DirectRequest
+            The request.
         traits : RequestTraits
             Its traits.
         kind : ErrorKind
@@ -84,10 +90,14 @@
             return
         node.crash_guard.expect_crash()
         check = _Check(
-            request_id=request_id,
+            request_id=request.id,
             traits=traits,
             began_at=began_at,
             broken_at=node.clock.monotonic(),
+            responded_at=max(
+                self._responded_at_by_service.get(request.service, float("-inf")),
+                registry.registered_at(endpoint),
+            ),
             is_connection_lost=kind is not ErrorKind.DEADLINE,
         )
         if endpoint.id in self._checks_by_endpoint_id:
@@ -131,6 +141,9 @@
             traits=check.traits,
             began_at=check.began_at,
             crashed_at=check.broken_at,
+            responded_at=(
+                check.broken_at if check.is_connection_lost else check.responded_at
+            ),
         )
         log_event(
             _log,
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_crash_guard.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_crash_guard.py
@@ -48,10 +48,29 @@
             traits=_traits("r"),
             began_at=now - 0.1,
             crashed_at=now + 0.01 * number,
+            responded_at=now + 0.01 * number,
         )
         assert not guard.record_crash(crash)
 
 
+def test_servers_that_fall_silent_together_count_once():
+    # Attempts at one after the other, while none of the service responds.
+    guard, clock = _guard()
+    responded_at = clock.monotonic() - 0.2
+    for number in range(3 * CRASHES_TO_BLOCK):
+        assert not _crash(
+            guard,
+            clock,
+            _traits("r"),
+            endpoint=f"i-{number}",
+            responded_at=responded_at,
+        )
+    for _ in range(CRASHES_TO_BLOCK - 1):
+        responded_at = clock.monotonic() + 0.1
+        blocked = _crash(guard, clock, _traits("r"), responded_at=responded_at)
+    assert blocked == ["request-r"]
+
+
 def test_complete_response_clears_a_request_that_a_crash_met_by_chance():
     guard, clock = _guard()
     traits = _traits("r", parts=("a",))
@@ -69,7 +88,11 @@
     guard.record_served(_traits("r"))
     clock._time += 0.1
     crash = ServerCrash(
-        endpoint_id="i-1", traits=_traits("r"), began_at=50.9, crashed_at=51.05
+        endpoint_id="i-1",
+        traits=_traits("r"),
+        began_at=50.9,
+        crashed_at=51.05,
+        responded_at=51.05,
     )
     assert not guard.record_crash(crash)
     assert not guard.is_suspected(_traits("r"))
@@ -176,7 +199,7 @@
     return RequestTraits(request=request, variant=request, caller=caller, parts=parts)
 
 
-def _crash(guard, clock, traits, *, endpoint="i-1", lasted_s=0.5):
+def _crash(guard, clock, traits, *, endpoint="i-1", lasted_s=0.5, responded_at=None):
     """Record a crash under an attempt that begins now; return what it blocks."""
     began_at = clock.monotonic()
     clock._time += lasted_s
@@ -186,6 +209,7 @@
             traits=traits,
             began_at=began_at,
             crashed_at=clock.monotonic(),
+            responded_at=responded_at or clock.monotonic(),
         )
     )
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/upstream.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/upstream.py
@@ -18,7 +18,14 @@
 )
 from yarl import URL
 
-__all__ = ["AttemptFailed", "EndpointConnector", "UpstreamResponse", "open_response"]
+__all__ = [
+    "AttemptFailed",
+    "ConnectionState",
+    "EndpointConnector",
+    "UpstreamResponse",
+    "open_response",
+    "trace_connections",
+]
 
 # Time limit for opening a connection: longer than the two trips between data centres
 # that this takes, a few ms. TCP repeats the first packet to an unreachable machine only
@@ -119,6 +126,28 @@
         super().connection_lost(exc)
 
 
+@dataclass(slots=True, kw_only=True)
+class ConnectionState:
+    """Whether the connection of an attempt has been established."""
+
+    is_established: bool = False
+
+
+def trace_connections():
+    """Return the trace configuration that records established connections.
+
+    A request's context is its `ConnectionState`, or None.
+    """
+
+    async def on_connected(_session, context, _params):
+        if context.trace_request_ctx is not None:
+            context.trace_request_ctx.is_established = True
+
+    configuration = aiohttp.TraceConfig()
+    configuration.on_connection_create_end.append(on_connected)
+    return configuration
+
+
 @dataclass(slots=True, kw_only=True)
 class UpstreamResponse:
     """A response whose headers have been received.
@@ -177,7 +206,9 @@
         self.response.close()
 
 
-async def open_response(session, endpoint, request, *, now, last_event_id=""):
+async def open_response(
+    session, endpoint, request, *, now, connection, last_event_id=""
+):
     """Send a request to an endpoint and return its response.
 
     Parameters
@@ -190,6 +221,8 @@
         The request.
     now : float
         Time in seconds.
+    connection : ConnectionState
+        Updated once the connection has been established.
     last_event_id : str
         Id of the event after which a stream resumes; empty to start a new one.
 
@@ -215,6 +248,7 @@
             data=request.body,
             headers=headers,
             connect_timeout_s=CONNECT_TIMEOUT_S,
+            trace_context=connection,
         )
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
         raise AttemptFailed(
--- a/packages/magnoliagrade/magnoliagrade/http/client.py
+++ b/packages/magnoliagrade/magnoliagrade/http/client.py
@@ -18,6 +18,7 @@
     headers,
     read_timeout_s=None,
     connect_timeout_s=CONNECT_TIMEOUT_S,
+    trace_context=None,
 ):
     """Send a request at most once and return its response, with the body still unread.
 
@@ -37,6 +38,8 @@
         Longest time without a byte of the response; no limit by default.
     connect_timeout_s : float
         Longest time until the connection is established.
+    trace_context : object, optional
+        Context that the session's trace configurations receive.
 
     Returns
     -------
@@ -67,6 +70,7 @@
             total=None, connect=connect_timeout_s, sock_read=read_timeout_s
         ),
         middlewares=(reject_second_send(),),
+        trace_request_ctx=trace_context,
     )
 
 
--- a/packages/magnoliagrade/magnoliagrade/wire/work.capnp
+++ b/packages/magnoliagrade/magnoliagrade/wire/work.capnp
@@ -50,6 +50,7 @@
   variant @4 :Text;          # digest of `request` and all parts of the prompt
   caller @5 :Text;           # digest of the organisation
   lastedSeconds @6 :Float64; # time from the start of the attempt until it broke off
+  silentSeconds @7 :Float64; # time from the service's last response until it broke off
 }
 
 struct RequestServed {       # a request with these traits had a complete response
--- a/packages/magnoliagrade/magnoliagrade/wire/work.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/work.py
@@ -95,6 +95,7 @@
     variant: str = ""
     caller: str = ""
     lasted_seconds: float = 0.0
+    silent_seconds: float = 0.0
 
 
 @message("work", "requestServed")
