Fix the soak's faults that outlast their plan, and tests that measure time

The load now goes on until the fault-free time after the last fault has really ended: the check and its window are the same.

Cause, "drop was injected fewer than 4 times in 30 requests", by reading: both engines with the fault are ejected for 5 s after failures, and 30 requests to the third engine take less. The test pauses 0.2 s after a request that met no fault; 30 requests and 4 faults as before.

--- a/packages/magnoliagrade-standins/magnoliagrade_standins/demo/tests/test_demo.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/demo/tests/test_demo.py
@@ -48,7 +48,8 @@
         assert process.returncode == 0, text + progress.decode()
         assert "0 lost, 0 doubled, 0 run though rejected" in text
         assert "verdict            all kept" in text
-        assert re.search(r"first token +[\d.]+ ms / [\d.]+ ms / [\d.]+ ms", text)
+        first_token = r"first token +[\d.]+ ms / [\d.]+ ms / [\d.]+ ms"
+        assert re.search(first_token, text), text
         assert re.search(r"skew +mean [\d.]+, [\d.]+ at 95 %", text), text
         assert "one map in each step" in text
         assert " s  sent " in progress.decode()
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/soak/callers.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/soak/callers.py
@@ -73,11 +73,11 @@
         self._rng = random.Random(site.plan.seed * 1000 + number)
         self.calls = []
 
-    async def run(self, ends_at):
-        """Send requests until a monotonic time, with random pauses in between."""
+    async def run(self, *, is_over):
+        """Send requests with random pauses until `is_over` returns true."""
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         async with aiohttp.ClientSession(timeout=timeout) as session:
-            while self._site.clock.monotonic() < ends_at:
+            while not is_over():
                 await self._send_request(session)
                 await asyncio.sleep(self._rng.uniform(0, 2 * MEAN_PAUSE_S))
 
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/soak/plan.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/soak/plan.py
@@ -7,7 +7,7 @@
 
 __all__ = ["Fault", "SoakPlan", "draw_faults", "fault_kinds"]
 
-# All faults end this long before the load ends, so that recovery can be checked.
+# All faults end at least this long before the load ends, to check the recovery.
 FAULT_FREE_END_S = 4.0
 # No fault begins this early, so that the entries serve requests first.
 FAULT_FREE_START_S = 1.0
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/soak/processes.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/soak/processes.py
@@ -65,11 +65,20 @@
         Further fields of the template.
     """
 
-    __slots__ = ("_log_path", "_module", "_path", "addresses", "host", "process")
+    __slots__ = (
+        "_log_path",
+        "_module",
+        "_path",
+        "_starting",
+        "addresses",
+        "host",
+        "process",
+    )
 
     def __init__(self, *, module, name, host, folder, template, listeners, **fields):
         self.host = host
         self.process = None
+        self._starting = asyncio.Lock()
         self._module = module
         self._path = os.path.join(folder, f"{name}.ini")
         self._log_path = os.path.join(folder, f"{name}.log")
@@ -88,18 +97,20 @@
 
     async def start(self):
         """Start the process unless it is running."""
-        if not self.has_ended:
-            return
-        with open(self._log_path, "ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                self._module,
-                self._path,
-                stdout=log,
-                stderr=log,
-                start_new_session=True,
-            )
+        # Two faults may start the same process at the same time.
+        async with self._starting:
+            if not self.has_ended:
+                return
+            with open(self._log_path, "ab") as log:
+                self.process = await asyncio.create_subprocess_exec(
+                    sys.executable,
+                    "-m",
+                    self._module,
+                    self._path,
+                    stdout=log,
+                    stderr=log,
+                    start_new_session=True,
+                )
 
     def send(self, signal_number):
         """Send a signal if the process is running."""
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/soak/run.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/soak/run.py
@@ -23,6 +23,8 @@
 # Work that reaches endpoints late is recorded within this time after the callers end.
 SETTLE_S = 0.5
 START_TIMEOUT_S = 30.0
+# Time for which a caller sends requests before it is checked whether one was served.
+FIRST_CALLS_S = 0.2
 
 
 async def run_soak(plan):
@@ -41,15 +43,18 @@
     async with SoakSite(plan=plan) as site:
         first_calls = await _wait_until_served(site)
         began_at = site.clock.monotonic()
-        ends_at = began_at + plan.duration_s
         faults = draw_faults(plan, fault_kinds.names())
         callers = [SoakCaller(site=site, number=n) for n in range(plan.callers)]
         injections = [
             asyncio.create_task(_inject_at(site, f, began_at)) for f in faults
         ]
         injections.append(asyncio.create_task(_lose_store_changes(site)))
-        await asyncio.gather(*(caller.run(ends_at) for caller in callers))
-        await asyncio.gather(*injections)
+        ends_at = await _run_callers(
+            callers,
+            injections,
+            clock=site.clock,
+            min_ends_at=began_at + plan.duration_s,
+        )
         await site.clock.sleep(SETTLE_S)
         calls = [call for caller in callers for call in caller.calls]
         calls += first_calls
@@ -64,6 +69,35 @@
         )
 
 
+async def _run_callers(callers, injections, *, clock, min_ends_at):
+    """Run callers until the faults have ended for long enough; return their end.
+
+    Parameters
+    ----------
+    callers : list of SoakCaller
+        Callers.
+    injections : list of asyncio.Task
+        Injections of the faults.
+    clock : Clock
+        Source of time.
+    min_ends_at : float
+        Earliest time at which the callers end, in seconds.
+
+    Notes
+    -----
+    A fault may end later than planned: an entry that is stopped serves its last
+    requests before it starts again.
+    """
+    over = asyncio.Event()
+    running = [asyncio.create_task(c.run(is_over=over.is_set)) for c in callers]
+    await asyncio.gather(*injections)
+    ends_at = max(min_ends_at, clock.monotonic() + FAULT_FREE_END_S)
+    await clock.sleep(ends_at - clock.monotonic())
+    over.set()
+    await asyncio.gather(*running)
+    return ends_at
+
+
 async def _wait_until_served(site):
     """Run one caller for each entry until each caller is served; return the calls.
 
@@ -76,7 +110,10 @@
     async with asyncio.timeout(START_TIMEOUT_S):
         for caller in callers:
             while not any(call.status == 200 for call in caller.calls):
-                await caller.run(site.clock.monotonic() + 0.2)
+                ends_at = site.clock.monotonic() + FIRST_CALLS_S
+                await caller.run(
+                    is_over=lambda at=ends_at: site.clock.monotonic() >= at
+                )
     return [call for caller in callers for call in caller.calls]
 
 
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -250,5 +250,7 @@
 async def _check_nothing_ran(site):
     record = await site.record("vernon-service-0")
     # `_send` requests /stock to check whether the connection is still open.
-    assert {e["path"] for e in record["executions"]} == {"/stock"}
-    assert (await site.record("vernon-model-0"))["requests"] == []
+    executions = record["executions"]
+    assert {e["path"] for e in executions} == {"/stock"}, executions
+    requests = (await site.record("vernon-model-0"))["requests"]
+    assert requests == [], requests
--- a/tests/test_whole_answers.py
+++ b/tests/test_whole_answers.py
@@ -31,6 +31,9 @@
 HEADERS = {"Authorization": "Bearer key-0"}
 TOKENS = 12
 FAULTS = ("truncate", "drop", "cross", "repeat", "trail")
+# Pause before the next request while the engines with a fault get none: 30 of them are
+# longer than the 5 s for which an engine is ejected after failures.
+PAUSE_WITHOUT_FAULT_S = 0.2
 
 
 def test_each_response_is_complete_and_belongs_to_its_request():
@@ -55,13 +58,16 @@
 
 
 async def _check_until_injected(site, fault, kind, check):
-    before = await _injected_count(site, MODELS)
+    before = seen = await _injected_count(site, MODELS)
     for number in range(30):
         await _set(site, MODELS, fault, 1)
         await check(site, f"{fault}-{kind}-{number}")
-        if await _injected_count(site, MODELS) >= before + 4:
+        last_seen, seen = seen, await _injected_count(site, MODELS)
+        if seen >= before + 4:
             await _set(site, MODELS, fault, 0)
             return
+        if seen == last_seen:
+            await asyncio.sleep(PAUSE_WITHOUT_FAULT_S)
     raise AssertionError(f"{fault} was injected fewer than 4 times in 30 requests")
 
 
