Fix requests that crash servers more often than needed

When a rank is lost, streams break off at all servers, so all are watched.

Change: each group of attempts that break off together has checks of its own. Repetitions with the same prompt are blocked for 60 s after two crashes; the third blocks as before. A server that fell silent is found by its successor every 0.1 s instead of every second.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/crash_guard.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/crash_guard.py
@@ -7,17 +7,31 @@
 
 from dataclasses import dataclass, field
 
+from magnoliagrade_entry.direct.request_traits import GroupKind
+
 __all__ = ["CrashGuard", "ServerCrash"]
 
 # Crashes after which a group of requests is blocked. A sound request may be in flight
 # at a server that crashes; that it meets three crashes, each with an attempt that began
 # after the last one, and is never served in between, is unlikely.
 CRASHES_TO_BLOCK = 3
+# Crashes after which repetitions with the same prompt are blocked for a short time. Each
+# crash may take the whole group of the server out of service for seconds, while a wrong
+# block affects this request alone.
+CRASHES_TO_BLOCK_BRIEFLY = 2
 # Different requests, or callers, among the crashes of requests with a part of a prompt
 # in common, without which the requests, or their caller, are to blame and not the part.
 VARIETY_TO_BLOCK = 2
+# Trait that must differ among the crashes of a group, by the kind of the group.
+VARYING_TRAIT_BY_KIND = {
+    GroupKind.PART_OF_CALLER: "variant",
+    GroupKind.PART: "caller",
+}
 # Time for which a group is blocked, and for which a crash counts.
 BLOCK_S = 600.0
+# Time for which repetitions are blocked after two crashes. Then one is sent again, to
+# be served or to be blocked for longer.
+BRIEF_BLOCK_S = 60.0
 # Time for which responses are remembered after a connection broke off: longer than it
 # takes to find out whether the server crashed.
 SERVED_LIFE_S = 10.0
@@ -55,14 +69,15 @@
 class _Suspect:
     """Crashes under a group of requests.
 
-    `varies_by` names the trait that must differ among them; empty for none.
+    `kind` is the `GroupKind`, and `blocked_s` the length of the last block, in seconds.
     """
 
-    varies_by: str
+    kind: GroupKind
     crashes: list = field(default_factory=list)
+    blocked_s: float = 0.0
 
     def add(self, crash):
-        """Add a crash unless another entry has reported it."""
+        """Add a crash unless it is known; return whether it is new."""
         is_known = any(
             known.endpoint_id == crash.endpoint_id
             and known.traits == crash.traits
@@ -72,26 +87,37 @@
         )
         if not is_known:
             self.crashes = [*self.crashes, crash][-MAX_CRASHES:]
-
-    def is_to_blame(self):
-        """Return whether the crashes are enough to block the group."""
+        return not is_known
+
+    def block_s(self):
+        """Return for how long the crashes block the group, in seconds; 0 for not."""
+        counted = self._counted_crashes()
+        if len(counted) >= CRASHES_TO_BLOCK and self._varies():
+            return BLOCK_S
+        is_same = self.kind is GroupKind.SAME_PROMPT
+        if is_same and len(counted) >= CRASHES_TO_BLOCK_BRIEFLY:
+            return BRIEF_BLOCK_S
+        return 0.0
+
+    def _counted_crashes(self):
         # Servers that end at one moment may do so for another reason: only attempts
         # that began after the last crash count. All servers of a service may also fall
         # silent together, one attempt after the other without a response: it must have
         # shown that it runs since the last crash's attempt began.
-        count, last = 0, None
+        counted = []
         for crash in sorted(self.crashes, key=lambda crash: crash.crashed_at):
-            if last is None or (
-                crash.began_at >= last.crashed_at
-                and crash.responded_at >= last.began_at
+            if not counted or (
+                crash.began_at >= counted[-1].crashed_at
+                and crash.responded_at >= counted[-1].began_at
             ):
-                count += 1
-                last = crash
-        if count < CRASHES_TO_BLOCK:
-            return False
-        if not self.varies_by:
+                counted.append(crash)
+        return counted
+
+    def _varies(self):
+        trait = VARYING_TRAIT_BY_KIND.get(self.kind)
+        if trait is None:
             return True
-        values = {getattr(crash.traits, self.varies_by) for crash in self.crashes}
+        values = {getattr(crash.traits, trait) for crash in self.crashes}
         return len(values) >= VARIETY_TO_BLOCK
 
 
@@ -152,19 +178,23 @@
         Returns
         -------
         blocked : list of str
-            Keys of the groups that are blocked from now on.
+            Keys of the groups that are blocked from now on, or for longer than before.
         """
         now = self._clock.monotonic()
         blocked = []
-        for key, varies_by in crash.traits.groups().items():
+        for key, kind in crash.traits.groups().items():
             if self._served_at_by_key.get(key, float("-inf")) > crash.began_at:
                 continue
             suspect = self._suspect_by_key.get(key)
             if suspect is None:
-                suspect = self._suspect_by_key[key] = _Suspect(varies_by=varies_by)
-            suspect.add(crash)
-            if key not in self._blocked_until_by_key and suspect.is_to_blame():
-                self._blocked_until_by_key[key] = now + BLOCK_S
+                suspect = self._suspect_by_key[key] = _Suspect(kind=kind)
+            if not suspect.add(crash):
+                continue
+            block_s = suspect.block_s()
+            current_s = suspect.blocked_s if self.remaining_s(key) else 0.0
+            if block_s > current_s:
+                suspect.blocked_s = block_s
+                self._blocked_until_by_key[key] = now + block_s
                 blocked.append(key)
         self._drop_old_crashes(now)
         return blocked
@@ -184,13 +214,13 @@
 
     def blocked_for_s(self, traits):
         """Return for how many seconds a request is still blocked; 0 if it is not."""
-        now = self._clock.monotonic()
-        times = [
-            self._blocked_until_by_key.get(key, now + BLOCK_S) - now
-            for key in traits.groups()
-            if key in self._blocked_until_by_key or key in self.published
-        ]
-        return max(0.0, *times) if times else 0.0
+        return max(self.remaining_s(key) for key in traits.groups())
+
+    def remaining_s(self, key):
+        """Return for how many seconds a group is still blocked; 0 if it is not."""
+        if key in self._blocked_until_by_key:
+            return max(0.0, self._blocked_until_by_key[key] - self._clock.monotonic())
+        return BLOCK_S if key in self.published else 0.0
 
     def is_suspected(self, traits):
         """Return whether a server has crashed under a request of the same groups."""
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/request_traits.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/request_traits.py
@@ -1,14 +1,36 @@
 """Traits of a request that others share which may have its effect on a server."""
 
+import enum
 import hashlib
 from dataclasses import dataclass
 
-__all__ = ["RequestTraits", "traits_of"]
+__all__ = ["GroupKind", "RequestTraits", "traits_of"]
 
 REQUEST_DIGEST_BYTES = 16
 CALLER_DIGEST_BYTES = 8
 
 
+class GroupKind(enum.Enum):
+    """What the requests of a group have in common.
+
+    Attributes
+    ----------
+    SAME_PROMPT : str
+        Method, path, caller, body and all parts of the prompt.
+    SAME_BODY : str
+        Method, path, caller and body.
+    PART_OF_CALLER : str
+        The caller, and one part of the prompt.
+    PART : str
+        One part of the prompt.
+    """
+
+    SAME_PROMPT = "same prompt"
+    SAME_BODY = "same body"
+    PART_OF_CALLER = "part of caller"
+    PART = "part"
+
+
 @dataclass(slots=True, frozen=True, kw_only=True)
 class RequestTraits:
     """Traits of a request by which a group of requests can be recognised.
@@ -35,16 +57,17 @@
 
         Returns
         -------
-        varies_by_key : dict of str to str
-            For the key of each group, the trait in which its requests differ, empty for
-            none. The groups are the repetitions of the request, the caller's requests
-            with one part of the prompt, and all callers' requests with that part.
+        kind_by_key : dict of str to GroupKind
+            Kind of each group by the group's key.
         """
-        varies_by_key = {f"request-{self.request}": ""}
+        kind_by_key = {
+            f"repetition-{self.variant}": GroupKind.SAME_PROMPT,
+            f"request-{self.request}": GroupKind.SAME_BODY,
+        }
         for part in self.parts:
-            varies_by_key[f"part-{part}-{self.caller}"] = "variant"
-            varies_by_key[f"part-{part}"] = "caller"
-        return varies_by_key
+            kind_by_key[f"part-{part}-{self.caller}"] = GroupKind.PART_OF_CALLER
+            kind_by_key[f"part-{part}"] = GroupKind.PART
+        return kind_by_key
 
 
 def traits_of(request):
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/server_crashes.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/server_crashes.py
@@ -7,7 +7,6 @@
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
 from magnoliagrade.observability import log_event
 from magnoliagrade.platform import BLOCKED_REQUEST_LIFE_S, blocked_request_key
-from magnoliagrade.store import StoreConflict
 from prometheus_client import Counter
 
 from magnoliagrade_entry.direct.crash_guard import ServerCrash
@@ -20,12 +19,14 @@
     ErrorKind.ANSWER_BROKEN,
     ErrorKind.DEADLINE,
 )
-# Delays between the checks whether a server has ended. Its port may stay open for a
-# moment after its connections were reset. The last checks find a server that fell
-# silent: the next incarnation at its address registers within some seconds.
-CHECK_DELAYS_S = (0.05, 0.2, 0.75, 1.0, 1.0, 1.0, 1.0)
-# Number of checks that open a connection, if one to the server was lost.
-CONNECTION_CHECKS = 2
+# Delays before the checks whether a server refuses connections, if one to it was lost:
+# its port may stay open for a moment after its connections were reset.
+CONNECTION_CHECK_DELAYS_S = (0.05, 0.2)
+# Interval of the checks after them, which find a server that fell silent: the next
+# incarnation at its address registers within some seconds.
+SUCCESSOR_CHECK_INTERVAL_S = 0.1
+# Time after a failure until which the server may turn out to have ended.
+WATCH_S = 5.0
 CONNECT_TIMEOUT_S = 0.35
 # Pauses between attempts to record a block in the store, which may be away.
 PUBLISH_PAUSES_S = (1.0, 2.0, 4.0, 8.0, 16.0)
@@ -37,8 +38,8 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class _Check:
-    """An attempt at a server that may have crashed."""
+class _BrokenAttempt:
+    """An attempt that a server may have ended under."""
 
     request_id: str
     traits: object
@@ -57,11 +58,11 @@
         The entry.
     """
 
-    __slots__ = ("_checks_by_endpoint_id", "_node", "_responded_at_by_service")
+    __slots__ = ("_node", "_responded_at_by_service", "_unchecked_by_endpoint_id")
 
     def __init__(self, *, node):
         self._node = node
-        self._checks_by_endpoint_id = {}
+        self._unchecked_by_endpoint_id = {}
         self._responded_at_by_service = {}
 
     def record_response(self, service):
@@ -89,7 +90,7 @@
         if kind not in SUSPICIOUS_KINDS or registry.has_announced_end(endpoint):
             return
         node.crash_guard.expect_crash()
-        check = _Check(
+        attempt = _BrokenAttempt(
             request_id=request.id,
             traits=traits,
             began_at=began_at,
@@ -100,66 +101,79 @@
             ),
             is_connection_lost=kind is not ErrorKind.DEADLINE,
         )
-        if endpoint.id in self._checks_by_endpoint_id:
-            self._checks_by_endpoint_id[endpoint.id].append(check)
+        if endpoint.id in self._unchecked_by_endpoint_id:
+            self._unchecked_by_endpoint_id[endpoint.id].append(attempt)
             return
-        self._checks_by_endpoint_id[endpoint.id] = [check]
+        self._unchecked_by_endpoint_id[endpoint.id] = [attempt]
         node.tasks.start(self._watch(endpoint), name=f"check of {endpoint.id}")
 
     async def _watch(self, endpoint):
-        checks = self._checks_by_endpoint_id[endpoint.id]
-        try:
-            for number, delay_s in enumerate(CHECK_DELAYS_S):
-                await self._node.clock.sleep(delay_s)
-                is_connected = number < CONNECTION_CHECKS and any(
-                    check.is_connection_lost for check in checks
-                )
-                if await self._has_ended(endpoint, is_connected=is_connected):
-                    break
-            else:
-                return
-            if self._node.site_state.registry.has_announced_end(endpoint):
-                return
-        finally:
-            del self._checks_by_endpoint_id[endpoint.id]
+        clock = self._node.clock
+        ends_at = clock.monotonic() + WATCH_S
+        await clock.sleep(CONNECTION_CHECK_DELAYS_S[0])
+        # An attempt that breaks off later needs all checks of its own.
+        attempts = self._unchecked_by_endpoint_id.pop(endpoint.id)
+        is_lost = any(attempt.is_connection_lost for attempt in attempts)
+        has_ended = is_lost and await self._refuses_connections(endpoint)
+        if not has_ended and not await self._has_successor_by(endpoint, ends_at):
+            return
+        if self._node.site_state.registry.has_announced_end(endpoint):
+            return
         CRASHES.inc()
-        for check in checks:
-            self._record(endpoint, check)
+        for attempt in attempts:
+            self._record(endpoint, attempt)
 
-    async def _has_ended(self, endpoint, *, is_connected):
-        # A registration that lapses says nothing: the server may be cut off.
-        if self._node.site_state.registry.has_successor(endpoint):
+    async def _refuses_connections(self, endpoint):
+        source_address = self._node.settings.source_address
+        if await _refuses_connections(endpoint.address, source_address):
             return True
-        return is_connected and await _refuses_connections(
-            endpoint.address, self._node.settings.source_address
-        )
+        await self._node.clock.sleep(CONNECTION_CHECK_DELAYS_S[1])
+        return await _refuses_connections(endpoint.address, source_address)
+
+    async def _has_successor_by(self, endpoint, ends_at):
+        # A registration that lapses says nothing: the server may be cut off.
+        registry = self._node.site_state.registry
+        while not registry.has_successor(endpoint):
+            if self._node.clock.monotonic() >= ends_at:
+                return False
+            await self._node.clock.sleep(SUCCESSOR_CHECK_INTERVAL_S)
+        return True
 
-    def _record(self, endpoint, check):
+    def _record(self, endpoint, attempt):
         node = self._node
         crash = ServerCrash(
             endpoint_id=endpoint.id,
-            traits=check.traits,
-            began_at=check.began_at,
-            crashed_at=check.broken_at,
+            traits=attempt.traits,
+            began_at=attempt.began_at,
+            crashed_at=attempt.broken_at,
             responded_at=(
-                check.broken_at if check.is_connection_lost else check.responded_at
+                attempt.broken_at
+                if attempt.is_connection_lost
+                else attempt.responded_at
             ),
         )
         log_event(
             _log,
             "request.server_crashed",
             level=logging.WARNING,
-            request_id=check.request_id,
+            request_id=attempt.request_id,
             endpoint=endpoint.id,
-            request_digest=check.traits.request,
-            caller_digest=check.traits.caller,
-            prompt_parts=check.traits.parts,
-            found_after_s=round(node.clock.monotonic() - check.broken_at, 3),
+            request_digest=attempt.traits.request,
+            caller_digest=attempt.traits.caller,
+            prompt_parts=attempt.traits.parts,
+            found_after_s=round(node.clock.monotonic() - attempt.broken_at, 3),
         )
         blocked = node.crash_guard.record_crash(crash)
         node.peers.announce_crash(crash)
         for key in blocked:
-            log_event(_log, "request.blocked", level=logging.WARNING, group=key)
+            block_s = node.crash_guard.remaining_s(key)
+            log_event(
+                _log,
+                "request.blocked",
+                level=logging.WARNING,
+                group=key,
+                for_s=round(block_s, 1),
+            )
             node.tasks.start(_publish_block(node, key), name=f"block of {key}")
 
 
@@ -175,20 +189,19 @@
 async def _publish_block(node, key):
     """Write a blocked group to the store for entries that start later."""
     for pause_s in (*PUBLISH_PAUSES_S, None):
+        life_s = min(BLOCKED_REQUEST_LIFE_S, node.crash_guard.remaining_s(key))
+        if not life_s:
+            return
         try:
-            lease = await node.store.grant_lease(
-                BLOCKED_REQUEST_LIFE_S, purpose="blocks"
-            )
+            lease = await node.store.grant_lease(life_s, purpose="blocks")
             await node.store.put(
                 blocked_request_key(key),
                 b"{}",
-                expected_revision=0,
+                # A longer block replaces a brief one.
+                expected_revision=None,
                 lease=lease,
                 purpose="blocks",
             )
-        except StoreConflict:
-            # Another entry has published it.
-            return
         except MagnoliagradeError as exc:
             log_event(_log, "request.block.not_published", group=key, detail=exc.detail)
             if pause_s is not None:
