Fix requests that wait behind the counters of a large group

Cause: the coordinator read the counters of all ranks every 0.4 s. On the large deployment these are 129 ranks with 4,128 counters each, 1 MB for the first reading, before a link of 3 Mbit/s that the coordinator's machine shares with its model server. Readings timed out after 1 s, links were closed and opened again, so that no reading ever ended, no map was changed, and requests to the server beside the coordinator arrived up to 9.7 s after they had been sent.

Plans and switches are made only with every status. A map whose messages would take the link for more than a second is not sent. Maps travel compressed.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
@@ -11,6 +11,14 @@
 from magnoliagrade.observability import log_event
 from prometheus_client import Counter
 
+from magnoliagrade_agent.direct.expert_map_codec import pack_experts
+from magnoliagrade_agent.direct.group_reader import GroupReader
+from magnoliagrade_agent.direct.link_budget import LinkBudget
+from magnoliagrade_agent.direct.placement_arrays import (
+    expert_lists,
+    placement_array,
+    unassigned_experts,
+)
 from magnoliagrade_agent.direct.ports import (
     LocalRankClient,
     RankUnreachable,
@@ -19,13 +27,14 @@
 from magnoliagrade_agent.direct.rank_directory import RankDirectory, formation_key
 from magnoliagrade_agent.direct.switching import (
     GroupSwitch,
+    SwitchFailed,
     is_next_pass_held,
     is_unsettled,
 )
 
 __all__ = ["Coordinator", "is_coordinator"]
 
-# Interval of plans; the counters of all ranks take about 10 KB each time.
+# Interval of plans. `LinkBudget` bounds what is read each time.
 PLAN_INTERVAL_S = 0.4
 # Longer interval while shorter passes would serve no caller better, so that fewer
 # counters cross data centres.
@@ -111,6 +120,7 @@
         "_placement_version",
         "_progress",
         "_progress_at",
+        "_reader",
         "_recent_pass_s",
         "_slow_ranks",
         "_switch",
@@ -125,6 +135,9 @@
         self._formation = None
         self._last_failure = ""
         self._is_load_low = False
+        self._reader = GroupReader(
+            budget=LinkBudget(link_mbps=node.settings.link_mbps), clock=node.clock
+        )
         self._next_discovery_at = 0.0
         self._switch_deadline = 0.0
         self._slow_ranks = node.slow_ranks
@@ -142,11 +155,7 @@
                 pause_s = _pause_s(status)
                 if self._is_coordinating(status):
                     await self._coordinate_once(status)
-                    pause_s = (
-                        LOW_LOAD_PLAN_INTERVAL_S
-                        if self._is_load_low
-                        else PLAN_INTERVAL_S
-                    )
+                    pause_s = self._plan_interval_s()
                 elif self._is_stalled(status):
                     await self._recover_group(status)
                 elif self._is_recovery_candidate(status):
@@ -229,12 +238,21 @@
             status.rank, seconds_since_call=self._node.seconds_since_call()
         )
 
+    def _plan_interval_s(self):
+        return LOW_LOAD_PLAN_INTERVAL_S if self._is_load_low else PLAN_INTERVAL_S
+
     async def _coordinate_once(self, status):
         await self._adopt_formation(status)
-        states = await asyncio.gather(
-            *(client.counts(status.epoch) for client in self._clients)
+        engine = await self._node.engine()
+        statuses, counts_by_rank = await self._reader.read(
+            self._clients,
+            status.epoch,
+            counters=engine.sets * engine.experts if engine else 0,
+            interval_s=self._plan_interval_s(),
         )
-        statuses = [state for state, _ in states]
+        await self._add_counts(counts_by_rank)
+        if statuses is None:
+            return
         self._slow_ranks.update_paces(
             status.group,
             {
@@ -249,7 +267,7 @@
             await self._switch.settle(experts)
             self._placement_version = None
             return
-        await self._balance(statuses, [counts for _, counts in states])
+        await self._balance(statuses)
 
     def _address_of(self, client):
         return (
@@ -275,23 +293,30 @@
             rng=self._node.rng,
         )
 
-    async def _balance(self, statuses, counts):
+    async def _add_counts(self, counts_by_rank):
+        """Add counters of ranks to the window of recent choices."""
         # Imported late: numpy takes memory, and only the coordinator's agent needs it.
         from magnoliagrade_agent.direct import planning
 
         engine = await self._node.engine()
         if engine is None or not engine.experts:
             return
-        now = self._node.clock.monotonic()
-        pass_s = self._mean_pass_s(statuses[0].step, now)
         if self._window is None:
             self._window = planning.CountWindow(
                 sets=engine.sets, experts=engine.experts
             )
-        self._window.add(dict(enumerate(counts)), now=now)
+        self._window.add(counts_by_rank, now=self._node.clock.monotonic())
+
+    async def _balance(self, statuses):
+        from magnoliagrade_agent.direct import planning
+
+        engine = await self._node.engine()
+        if engine is None or not engine.experts:
+            return
+        pass_s = self._mean_pass_s(statuses[0].step, self._node.clock.monotonic())
         version = statuses[0].map_version
         if version != self._placement_version:
-            self._placement = _placement_array(
+            self._placement = placement_array(
                 await self._experts_in_use(statuses), engine.experts
             )
             self._placement_version = version
@@ -346,9 +371,19 @@
         return (now - last_at) / (step - last_step) if step > last_step else 0.0
 
     async def _switch_to(self, planned, pass_s):
+        experts = expert_lists(planned)
+        map_bytes = len(pack_experts(experts))
+        ranks = len(self._clients)
+        if not self._reader.budget.may_send_map(ranks, map_bytes):
+            SWITCHES.labels("too large").inc()
+            raise SwitchFailed(
+                f"a map of {map_bytes} bytes for each of {ranks} ranks is too large "
+                f"for a link of {self._node.settings.link_mbps:g} Mbit/s: the group "
+                "keeps its map"
+            )
         try:
             version = await self._switch.run(
-                _expert_lists(planned), _expert_lists(self._placement), pass_s=pass_s
+                experts, expert_lists(self._placement), pass_s=pass_s
             )
         except MagnoliagradeError:
             SWITCHES.labels("failed").inc()
@@ -409,7 +444,7 @@
             by_rank.append(None if is_missing else experts)
         if None in by_rank:
             engine = await self._node.engine()
-            by_rank[by_rank.index(None)] = _unassigned_experts(by_rank, engine.experts)
+            by_rank[by_rank.index(None)] = unassigned_experts(by_rank, engine.experts)
         return [list(ranks) for ranks in zip(*by_rank, strict=True)]
 
     def _reset(self):
@@ -418,6 +453,7 @@
         self._switch = None
         self._placement = None
         self._pending_version = None
+        self._reader.budget.reset()
         if self._window is not None:
             self._window.reset_baselines()
         self._placement_version = None
@@ -430,24 +466,3 @@
         is_held = status.held_step is not None
         return HELD_PASS_CHECK_INTERVAL_S if is_held else RECOVERY_CHECK_INTERVAL_S
     return STANDBY_CHECK_INTERVAL_S
-
-
-def _unassigned_experts(by_rank, size):
-    known = [experts for experts in by_rank if experts is not None]
-    return [
-        sorted(set(range(size)).difference(*held)) for held in zip(*known, strict=True)
-    ]
-
-
-def _expert_lists(placement):
-    return [[row.nonzero()[0].tolist() for row in ranks] for ranks in placement]
-
-
-def _placement_array(experts, size):
-    import numpy as np
-
-    placement = np.zeros((len(experts), len(experts[0]), size), dtype=bool)
-    for index, ranks in enumerate(experts):
-        for rank, held in enumerate(ranks):
-            placement[index, rank, held] = True
-    return placement
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/ports.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/ports.py
@@ -79,12 +79,14 @@
     Notes
     -----
     `tries` is the highest number of tries that an order took since it was last reset.
+    `last_counts_bytes` is the size of the last counters as they were sent.
     """
 
-    __slots__ = ("_counter_decoder", "tries")
+    __slots__ = ("_counter_decoder", "last_counts_bytes", "tries")
 
     def __init__(self):
         self._counter_decoder = CounterDecoder()
+        self.last_counts_bytes = 0
         self.tries = 0
 
     async def status(self):
@@ -140,6 +142,7 @@
                 f"{self.name}: counts of epoch {epoch} could not be read: "
                 f"{reply.outcome}"
             )
+        self.last_counts_bytes = len(reply.counts)
         try:
             counters = self._counter_decoder.decode(reply.counts)
         except DeltaBaseUnknown as exc:
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/settings.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/settings.py
@@ -15,3 +15,11 @@
     server_address: str = setting(
         section="platform", doc="address of the model server beside it", address=True
     )
+    link_mbps: float = setting(
+        section="limits",
+        doc="rate of the machine's link, which the agent shares with the model server",
+        unit="Mbit/s",
+        default=1000.0,
+        low=0.1,
+        high=10**6,
+    )
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/test_coordinator.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/test_coordinator.py
@@ -23,7 +23,11 @@
     async def scenario():
         clock = ManualClock()
         node = SimpleNamespace(
-            clock=clock, member=None, slow_ranks=None, seconds_since_call=lambda: 0.0
+            clock=clock,
+            member=None,
+            settings=SimpleNamespace(link_mbps=1000.0),
+            slow_ranks=None,
+            seconds_since_call=lambda: 0.0,
         )
         coordinator = Coordinator(node=node)
         coordinator._local_client = client = MalformedRankClient()
@@ -86,7 +90,11 @@
 
 def _standby(clock):
     node = SimpleNamespace(
-        clock=clock, member=None, slow_ranks=None, seconds_since_call=lambda: 0.0
+        clock=clock,
+        member=None,
+        settings=SimpleNamespace(link_mbps=1000.0),
+        slow_ranks=None,
+        seconds_since_call=lambda: 0.0,
     )
     return Coordinator(node=node)
 
