Fix requests placed on full endpoints by many entries

Cause: each entry sent a request to the endpoint that it believed least loaded. With 99 entries, reports come every 0.39 s, in which 61 requests are placed unseen, most of them on the same few endpoints.

Change: an entry estimates from the reports how many requests have been placed unseen, and compares a sample of endpoints that is smaller the more these are; local and remote ones are sampled separately. With few entries all endpoints are compared as before. `least-loaded` and `random` stay as baselines. The sum over peers of an endpoint's load is kept instead of computed.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/crash_guard.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/crash_guard.py
@@ -15,7 +15,7 @@
 # at a server that crashes; that it meets three crashes, each with an attempt that began
 # after the last one, and is never served in between, is unlikely.
 CRASHES_TO_BLOCK = 3
-# Crashes after which repetitions with the same prompt are blocked for a short time. Each
+# Crashes after which repetitions with the same prompt are blocked briefly. Each
 # crash may take the whole group of the server out of service for seconds, while a wrong
 # block affects this request alone.
 CRASHES_TO_BLOCK_BRIEFLY = 2
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/endpoint_load.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/endpoint_load.py
@@ -20,7 +20,9 @@
     local_in_flight : int
         Requests that this entry has in flight there.
     in_flight_by_peer : dict of str to int
-        Requests that other entries have in flight there.
+        Requests that other entries have in flight there; see `set_peer_in_flight`.
+    peers_in_flight : int
+        Their sum.
     failures : int
         Failures in a row.
     ejected_until : float
@@ -47,6 +49,7 @@
     endpoint: object
     local_in_flight: int = 0
     in_flight_by_peer: dict = field(default_factory=dict)
+    peers_in_flight: int = 0
     failures: int = 0
     ejected_until: float = float("-inf")
     pace: float = 1.0
@@ -95,4 +98,12 @@
     @property
     def in_flight(self):
         """Requests of all entries in flight at the endpoint."""
-        return self.local_in_flight + sum(self.in_flight_by_peer.values())
+        return self.local_in_flight + self.peers_in_flight
+
+    def set_peer_in_flight(self, peer, in_flight):
+        """Set another entry's requests in flight; return by how many they grew."""
+        added = in_flight - self.in_flight_by_peer.pop(peer, 0)
+        if in_flight:
+            self.in_flight_by_peer[peer] = in_flight
+        self.peers_in_flight += added
+        return added
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
@@ -111,6 +111,7 @@
             data_centre=settings.data_centre,
             rng=self.rng,
             is_coldness_unknown=self.site_state.is_coldness_unknown,
+            report_interval_s=lambda: self.peers.report_interval_s(),
         )
         self.peers = PeerLinks(node=self)
         self.limit_exchange = LimitExchange(node=self)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/peers.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/peers.py
@@ -130,13 +130,16 @@
         """Mark an endpoint's work in flight as changed, to be reported."""
         self._changed.add(endpoint_id)
 
+    def report_interval_s(self):
+        """Return the interval of reports in seconds, which is much alike at all."""
+        return max(SEND_INTERVAL_S, SEND_INTERVAL_PER_PEER_S * len(self.link_by_name))
+
     async def report(self):
         """Send changes and, at longer intervals, full reports until cancelled."""
         clock = self._node.clock
         full_report_at = clock.monotonic()
         while True:
-            by_peers_s = SEND_INTERVAL_PER_PEER_S * len(self.link_by_name)
-            await clock.sleep(max(SEND_INTERVAL_S, by_peers_s))
+            await clock.sleep(self.report_interval_s())
             self._pull_newer_configuration()
             if clock.monotonic() >= full_report_at:
                 full_report_at = clock.monotonic() + FULL_REPORT_INTERVAL_S
@@ -265,7 +268,10 @@
 
     def _apply_peer_work(self, name, message):
         self._node.endpoint_table.update_peer_work(
-            name, message.endpoints, is_complete=message.is_complete
+            name,
+            message.endpoints,
+            is_complete=message.is_complete,
+            now=self._node.clock.monotonic(),
         )
         self._node.wake_wait_queues()
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement.py
@@ -3,13 +3,16 @@
 Nothing in this module waits, sends or receives.
 """
 
-from magnoliagrade.registry import Registry
-
 from magnoliagrade_entry.direct.endpoint_load import EndpointLoad
 from magnoliagrade_entry.direct.outages import OutageTracker
 from magnoliagrade_entry.direct.permits import MIN_RATE_PER_S
+from magnoliagrade_entry.direct.placement_policies import (
+    PlacementContext,
+    PlacementRate,
+    placement_policies,
+)
 
-__all__ = ["EJECT_MAX_S", "EndpointTable", "placement_policies"]
+__all__ = ["EJECT_MAX_S", "EndpointTable"]
 
 # Failures in a row after which an endpoint is ejected; more than one, because one
 # request in seven fails at random.
@@ -33,11 +36,6 @@
 # Ranks at this multiple of the best pace get no requests: reading one prompt takes such
 # a rank as long as a normal pass of a full rank, and all ranks wait for it.
 AVOID_PACE = 2.0
-# Cost of sending a request to another data centre, in requests in flight: less than
-# one, so that an even load has precedence over staying in the local data centre.
-REMOTE_PENALTY_REQUESTS = 0.9
-
-placement_policies = Registry(family="placement policy")
 
 
 class EndpointTable:
@@ -53,13 +51,17 @@
         Name of the placement policy.
     is_coldness_unknown : callable
         Returns whether every endpoint has to count as cold.
+    report_interval_s : callable
+        Returns the interval, in seconds, at which other entries report their work.
     """
 
     __slots__ = (
         "_data_centre",
         "_is_coldness_unknown",
         "_outages",
+        "_peer_rate_by_service",
         "_policy",
+        "_report_interval_s",
         "_rng",
         "by_id",
         "ids_by_service",
@@ -70,14 +72,17 @@
         *,
         data_centre,
         rng,
-        policy="least-loaded",
+        policy="sampled",
         is_coldness_unknown=lambda: False,
+        report_interval_s=lambda: 0.0,
     ):
         self._data_centre = data_centre
         self._is_coldness_unknown = is_coldness_unknown
         self._rng = rng
         self._policy = placement_policies.get(policy)
         self._outages = OutageTracker()
+        self._peer_rate_by_service = {}
+        self._report_interval_s = report_interval_s
         self.by_id = {}
         self.ids_by_service = {}
 
@@ -127,7 +132,7 @@
         ]
         if not free:
             return None
-        return self._policy(free, self._data_centre, self._rng, now)
+        return self._policy(free, self._context(service, now))
 
     def select_limited_endpoint(self, service, *, now, excluded, rival):
         """Return the load that would be selected if it did not need a permit, or None.
@@ -150,10 +155,11 @@
         ]
         if not limited:
             return None
-        best = self._policy(limited, self._data_centre, self._rng, now)
+        context = self._context(service, now)
+        best = self._policy(limited, context)
         if rival is None:
             return best
-        selected = self._policy([best, rival], self._data_centre, self._rng, now)
+        selected = min(best, rival, key=context.cost)
         return best if selected is best else None
 
     def update_coldness(self, cold_until, cold_interval_s):
@@ -207,6 +213,16 @@
             address = load.endpoint.address
             load.pace, load.slow_until = pace_and_end.get(address, normal)
 
+    def _context(self, service, now):
+        rate = self._peer_rate_by_service.get(service)
+        per_s = 0.0 if rate is None else rate.per_s(now=now)
+        return PlacementContext(
+            data_centre=self._data_centre,
+            rng=self._rng,
+            now=now,
+            unseen=per_s * self._report_interval_s(),
+        )
+
     def _free_loads(self, service, now, excluded):
         """Return the loads with a free slot that may get a request but for a limit."""
         loads = self.loads_of(service)
@@ -236,7 +252,7 @@
             return None
         return min(times, default=now + EJECT_MAX_S)
 
-    def update_peer_work(self, peer, rows, *, is_complete):
+    def update_peer_work(self, peer, rows, *, is_complete, now):
         """Apply another entry's report of its requests in flight.
 
         Parameters
@@ -247,20 +263,29 @@
             Number of requests in flight by endpoint.
         is_complete : bool
             Whether the entry has no requests at endpoints that are not listed.
+        now : float
+            Time in seconds.
         """
         if is_complete:
-            self.remove_peer(peer)
+            listed = {row.endpoint for row in rows}
+            for endpoint_id, load in self.by_id.items():
+                if endpoint_id not in listed:
+                    load.set_peer_in_flight(peer, 0)
         for row in rows:
             load = self.by_id.get(row.endpoint)
-            if load is not None and row.in_flight:
-                load.in_flight_by_peer[peer] = row.in_flight
-            elif load is not None:
-                load.in_flight_by_peer.pop(peer, None)
+            if load is None:
+                continue
+            added = load.set_peer_in_flight(peer, row.in_flight)
+            if added > 0:
+                rate = self._peer_rate_by_service.setdefault(
+                    load.endpoint.service, PlacementRate()
+                )
+                rate.record(added, now=now)
 
     def remove_peer(self, peer):
         """Discard the requests in flight of an entry that is gone."""
         for load in self.by_id.values():
-            load.in_flight_by_peer.pop(peer, None)
+            load.set_peer_in_flight(peer, 0)
 
     def should_reject(self, service, *, now):
         """Return whether a request must be rejected because its service is unavailable.
@@ -348,27 +373,6 @@
         load.ejected_until = max(load.ejected_until, now + FULL_EJECT_S)
 
 
-@placement_policies.register("least-loaded")
-def _least_loaded(loads, data_centre, rng, now):
-    """Return the least loaded endpoint's load.
-
-    Ranks run their passes in lock-step, so the fullest endpoint slows all of them.
-    """
-
-    def cost(load):
-        is_remote = load.endpoint.data_centre != data_centre
-        work = (load.in_flight + 1) * load.pace_at(now)
-        return work + REMOTE_PENALTY_REQUESTS * is_remote, rng.random()
-
-    return min(loads, key=cost)
-
-
-@placement_policies.register("random")
-def _random(loads, _data_centre, rng, _now):
-    """Return a random endpoint's load; a baseline for comparisons."""
-    return rng.choice(loads)
-
-
 def _usable_slots(load, pace):
     """Return how many requests an endpoint may have in flight.
 
--- /dev/null
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement_policies.py
@@ -0,0 +1,121 @@
+"""Policies that select one of several endpoints with a free slot.
+
+Load pattern: each entry learns of the requests that the others place from reports, and
+the time between two reports grows with the number of entries. With 99 entries and 157
+requests per second, 61 requests are placed before the entry learns of them. If each
+entry selects the least loaded of all endpoints, most of these go to the same few.
+"""
+
+import math
+from dataclasses import dataclass
+
+from magnoliagrade.registry import Registry
+
+__all__ = ["PlacementContext", "PlacementRate", "placement_policies"]
+
+# Cost of sending a request to another data centre, in requests in flight: less than
+# one, so that an even load has precedence over staying in the local data centre.
+REMOTE_PENALTY_REQUESTS = 0.9
+# Half-life of the weight of placements in their rate: shorter than a burst.
+RATE_HALF_LIFE_S = 1.0
+
+placement_policies = Registry(family="placement policy")
+
+
+@dataclass(slots=True, kw_only=True)
+class PlacementContext:
+    """What a policy takes into account besides the loads of the endpoints.
+
+    Parameters
+    ----------
+    data_centre : str
+        Data centre of this entry.
+    rng : random.Random
+        Random number generator.
+    now : float
+        Time in seconds.
+    unseen : float
+        Requests that other entries have placed on endpoints of the service, as
+        estimated, and not reported yet.
+    """
+
+    data_centre: str
+    rng: object
+    now: float
+    unseen: float = 0.0
+
+    def cost(self, load):
+        """Return the cost of sending a request to the endpoint of a load."""
+        is_remote = load.endpoint.data_centre != self.data_centre
+        work = (load.in_flight + 1) * load.pace_at(self.now)
+        return work + REMOTE_PENALTY_REQUESTS * is_remote, self.rng.random()
+
+
+class PlacementRate:
+    """Rate of the requests that other entries place, from their reports.
+
+    Examples
+    --------
+    >>> rate = PlacementRate()
+    >>> for number in range(1000):
+    ...     rate.record(1, now=number * 0.1)
+    >>> round(rate.per_s(now=100.0))
+    10
+    """
+
+    __slots__ = ("_at", "_weighted")
+
+    def __init__(self):
+        self._at = 0.0
+        self._weighted = 0.0
+
+    def record(self, placements, *, now):
+        """Record a number of placements that were reported at a time in seconds."""
+        self._decay(now)
+        self._weighted += placements
+
+    def per_s(self, *, now):
+        """Return the rate in requests per second."""
+        self._decay(now)
+        return self._weighted * math.log(2) / RATE_HALF_LIFE_S
+
+    def _decay(self, now):
+        self._weighted *= 0.5 ** (max(0.0, now - self._at) / RATE_HALF_LIFE_S)
+        self._at = max(self._at, now)
+
+
+@placement_policies.register("sampled")
+def _sampled(loads, context):
+    """Return the least loaded of a sample, which is smaller the less is known.
+
+    With nothing unseen, all endpoints are compared. Local and remote endpoints are
+    sampled separately, so that the sample always has local ones.
+    """
+    size = max(1, round(len(loads) / (1 + context.unseen)))
+    if size >= len(loads):
+        return _least_loaded(loads, context)
+    local, remote = [], []
+    for load in loads:
+        is_local = load.endpoint.data_centre == context.data_centre
+        (local if is_local else remote).append(load)
+    sample = [
+        load
+        for part in (local, remote)
+        for load in context.rng.sample(part, min(size, len(part)))
+    ]
+    return _least_loaded(sample, context)
+
+
+@placement_policies.register("least-loaded")
+def _least_loaded(loads, context):
+    """Return the least loaded endpoint's load.
+
+    Ranks run their passes in lock-step, so the fullest endpoint slows all of them.
+    """
+    return min(loads, key=context.cost)
+
+
+@placement_policies.register("random")
+def _random(loads, context):
+    """Return a random endpoint's load; a baseline for comparisons."""
+    return context.rng.choice(loads)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_placement.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_placement.py
@@ -51,7 +51,7 @@
 def test_requests_of_a_peer_count_until_the_peer_is_removed():
     table = _table(1)
     rows = [EndpointWork(endpoint="i-0", in_flight=6)]
-    table.update_peer_work("peer", rows, is_complete=True)
+    table.update_peer_work("peer", rows, is_complete=True, now=0.0)
     assert table.select_endpoint("s", now=0.0) is None
     table.remove_peer("peer")
     assert table.select_endpoint("s", now=0.0) is not None
