Fix requests answered with 500 if no share of a route is above zero

Cause: `random.choices` raises ValueError if all weights are zero, which the handler turned into 500 with an unknown outcome, though nothing had run.

Change: shares that are not above zero are left out; without any other the request is rejected as not run, with a Retry-After and the name of the route. Tests also cover services without servers, services that the configuration does not list, and a share of zero: the test of zero shares failed before, the others passed.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/arrival.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/arrival.py
@@ -208,7 +208,14 @@
 
 
 def _pick_service(route, rng):
-    shares = route.shares
+    shares = [share for share in route.shares if share.weight > 0]
+    if not shares:
+        raise MagnoliagradeError(
+            ErrorKind.NOT_RUN,
+            f"route {route.name!r} sends no requests to any service: "
+            f"{len(route.shares)} shares, none above 0",
+            retry_after=STORE_RETRY_S,
+        )
     if len(shares) == 1:
         return shares[0].service
     picked = rng.choices(shares, weights=[share.weight for share in shares])
