Move the detection of stalled groups out of the coordinator

No change of behaviour: `stall_detection.py` holds what a rank's agent derives from its status, and the tests of it use it directly.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
@@ -25,10 +25,14 @@
     call_with_short_timeout,
 )
 from magnoliagrade_agent.direct.rank_directory import RankDirectory, formation_key
+from magnoliagrade_agent.direct.stall_detection import (
+    RECOVERY_CANDIDATES,
+    StallDetector,
+    is_recovery_candidate,
+)
 from magnoliagrade_agent.direct.switching import (
     GroupSwitch,
     SwitchFailed,
-    is_next_pass_held,
     is_unsettled,
 )
 
@@ -42,25 +46,10 @@
 # Interval at which the agents of other ranks check whether they have to take over; well
 # below the time without calls (2.5 s, and 2 s more for each rank) after which they do.
 STANDBY_CHECK_INTERVAL_S = 1.0
-# Number of ranks after rank 0 whose agents release a pass that the coordinator has held
-# and not released. They act before the coordinator is replaced, because callers of
-# streams disconnect after two seconds without an event.
-RECOVERY_CANDIDATES = 2
 # Interval at which the agents that may recover a group check whether it has stalled.
 RECOVERY_CHECK_INTERVAL_S = 0.25
 # Interval of the check for a stalled group by the agent whose rank holds a pass.
 HELD_PASS_CHECK_INTERVAL_S = 0.1
-# Stall after which the agent whose rank holds the next pass recovers the group. Its
-# rank's status shows the hold, and a running coordinator releases a held pass within
-# about 50 ms.
-HELD_PASS_TIMEOUT_S = 0.25
-# Stall after which the agent of rank 1 recovers the group if its rank does not hold the
-# next pass, so that only the lack of progress shows; the agent of rank 2 waits twice as
-# long.
-STALL_TIMEOUT_PER_RANK_S = 1.0
-# Shortest stall, in passes of recent length, after which an agent recovers the group if
-# its rank does not hold the next pass. Passes are long while a rank is slow.
-STALL_TIMEOUT_PASSES = 4
 # Interval at which a recovery candidate tries to find the ranks before it needs them.
 DISCOVERY_INTERVAL_S = 2.0
 # The agent of rank r takes over as coordinator if no other agent has called it for
@@ -118,11 +107,9 @@
         "_pending_version",
         "_placement",
         "_placement_version",
-        "_progress",
-        "_progress_at",
         "_reader",
-        "_recent_pass_s",
         "_slow_ranks",
+        "_stall_detector",
         "_switch",
         "_switch_deadline",
         "_window",
@@ -141,9 +128,7 @@
         self._next_discovery_at = 0.0
         self._switch_deadline = 0.0
         self._slow_ranks = node.slow_ranks
-        self._progress = None
-        self._progress_at = 0.0
-        self._recent_pass_s = 0.0
+        self._stall_detector = StallDetector(clock=node.clock)
         self._window = None
         self._reset()
 
@@ -156,9 +141,9 @@
                 if self._is_coordinating(status):
                     await self._coordinate_once(status)
                     pause_s = self._plan_interval_s()
-                elif self._is_stalled(status):
+                elif self._stall_detector.is_stalled(status):
                     await self._recover_group(status)
-                elif self._is_recovery_candidate(status):
+                elif is_recovery_candidate(status):
                     await self._discover_ranks_ahead(status)
                 self._log_new_failure("")
             except MagnoliagradeError as exc:
@@ -177,35 +162,6 @@
             log_event(_log, "group.step.failed", detail=detail)
         self._last_failure = detail
 
-    def _is_recovery_candidate(self, status):
-        return status.is_open and 0 < status.rank <= RECOVERY_CANDIDATES
-
-    def _is_stalled(self, status):
-        """Return whether the group has work and has begun no pass for too long.
-
-        Only a recovery candidate finds a group stalled.
-        """
-        now = self._node.clock.monotonic()
-        progress = (status.epoch, status.step)
-        if progress != self._progress or not status.running or not status.is_open:
-            self._record_progress(progress, now)
-            return False
-        if not self._is_recovery_candidate(status):
-            return False
-        stalled_s = now - self._progress_at
-        if is_next_pass_held(status):
-            return stalled_s > HELD_PASS_TIMEOUT_S
-        min_stall_s = STALL_TIMEOUT_PASSES * self._recent_pass_s
-        return stalled_s > max(STALL_TIMEOUT_PER_RANK_S * status.rank, min_stall_s)
-
-    def _record_progress(self, progress, now):
-        if self._progress and self._progress[0] == progress[0]:
-            passes = progress[1] - self._progress[1]
-            if passes > 0:
-                self._recent_pass_s = (now - self._progress_at) / passes
-        self._progress = progress
-        self._progress_at = now
-
     async def _discover_ranks_ahead(self, status):
         """Find the ranks of a new formation in advance, so that a recovery is quick."""
         now = self._node.clock.monotonic()
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/test_coordinator.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/test_coordinator.py
@@ -6,6 +6,7 @@
 
 from magnoliagrade_agent.direct.coordinator import Coordinator
 from magnoliagrade_agent.direct.rank_directory import formation_key
+from magnoliagrade_agent.direct.stall_detection import StallDetector
 
 
 class MalformedRankClient:
@@ -52,24 +53,25 @@
 
 def test_the_rank_that_holds_the_next_pass_detects_a_stall_within_half_a_second():
     clock = ManualClock(start=10.0)
-    coordinator = _standby(clock)
-    detected_s = _detection_time_s(coordinator, clock, _status(rank=1, held_step=8))
+    detector = StallDetector(clock=clock)
+    detected_s = _detection_time_s(detector, clock, _status(rank=1, held_step=8))
     assert detected_s <= 0.5
 
 
 def test_long_passes_of_a_slow_rank_are_not_detected_as_a_stall():
     clock = ManualClock(start=10.0)
-    coordinator = _standby(clock)
+    detector = StallDetector(clock=clock)
     for step in range(7):
-        assert not coordinator._is_stalled(_status(rank=1, step=step))
+        assert not detector.is_stalled(_status(rank=1, step=step))
         clock._time += 0.65
-    detected_s = _detection_time_s(coordinator, clock, _status(rank=1, step=7))
+    detected_s = _detection_time_s(detector, clock, _status(rank=1, step=7))
     assert detected_s > 4 * 0.65
 
 
 def test_a_stall_is_detected_by_a_rank_that_holds_no_pass():
     clock = ManualClock(start=10.0)
-    detected_s = _detection_time_s(_standby(clock), clock, _status(rank=2))
+    detector = StallDetector(clock=clock)
+    detected_s = _detection_time_s(detector, clock, _status(rank=2))
     assert 1.0 < detected_s < 2.5
 
 
@@ -99,9 +101,9 @@
     return Coordinator(node=node)
 
 
-def _detection_time_s(coordinator, clock, status):
+def _detection_time_s(detector, clock, status):
     began = clock.monotonic()
-    while not coordinator._is_stalled(status):
+    while not detector.is_stalled(status):
         clock._time += 0.05
         assert clock.monotonic() < began + 10.0
     return clock.monotonic() - began
