Fix requests sent on though their caller left as they got a slot

Cause: `asyncio.wait_for` of Python 3.11 drops a cancellation that arrives when its future is done and its task has not gone on yet. A caller who disconnected in that moment had its request sent to an endpoint and run to the end.

Change: `asyncio.timeout`, which never drops one; a slot that is assigned as the time runs out is used. The same in the calls of ranks.

Measured: the new test in test_waiting failed before and passes.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/ports.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/ports.py
@@ -284,7 +284,8 @@
             timeout_s = REPLY_TIMEOUT_S_BY_OPERATION.get(
                 call.operation, ORDER_REPLY_TIMEOUT_S
             )
-            return await asyncio.wait_for(pending_reply, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await pending_reply
         except TimeoutError:
             if self._link is not None:
                 self._link.close()
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_waiting.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_waiting.py
@@ -51,6 +51,24 @@
     asyncio.run(scenario())
 
 
+def test_request_whose_caller_leaves_as_it_gets_a_slot_is_not_sent():
+    async def scenario():
+        queue, endpoint_table, clock = _full_queue()
+        load = endpoint_table.by_id["i-0"]
+        waiting = _start(queue, clock)
+        await asyncio.sleep(0)
+        in_flight = load.local_in_flight
+        queue.release(load, work_s=1.0)
+        # The slot is assigned, and the caller disconnects before the request goes on.
+        waiting.cancel()
+        for _ in range(3):
+            await asyncio.sleep(0)
+        assert waiting.cancelled()
+        assert load.local_in_flight == in_flight - 1
+
+    asyncio.run(scenario())
+
+
 def _start(queue, clock, *, has_started=False, deadline_s=9.0):
     now = clock.monotonic()
     request = Arrival(arrived_at=now, ends_at=now + 8.0)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/waiting.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/waiting.py
@@ -134,8 +134,13 @@
         # An ejection may have ended since the last call: no event marks its end.
         self.wake()
         try:
-            return await asyncio.wait_for(waiter.future, max(0.0, slot_deadline - now))
+            # Unlike `wait_for`, a timeout never drops the cancellation by a caller who
+            # leaves at the moment at which the slot is assigned.
+            async with asyncio.timeout(max(0.0, slot_deadline - now)):
+                return await waiter.future
         except TimeoutError:
+            if waiter.future.done() and not waiter.future.cancelled():
+                return waiter.future.result()
             now = self._clock.monotonic()
             if self._endpoint_table.is_unavailable(self._service):
                 raise self._outage_error(request, now) from None
