Read the store through two entries of each data centre

Cause: every entry watches all keys of the store, and each call has its price.

Change: in a data centre with five entries or more, two of them, the relays, watch the store, and the others pull the changes from the first relay, or from the second while the first fails. A relay confirms a pull only by a call that began after the pull had arrived, so that a key that was taken away ends as soon as before, however late a reply is. A pull that cannot be answered is rejected at once, or ends after 1.5 s, and the entry reads the store itself. Large changes are read from the store. `registration.py` now holds what keeps an entry registered; messages of peers are handled by a table.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
@@ -20,12 +20,14 @@
 from magnoliagrade_entry.direct.door import make_caller_handler, ready_routes
 from magnoliagrade_entry.direct.knowledge import STORE_SETTLE_S, SiteState
 from magnoliagrade_entry.direct.limit_exchange import LimitExchange
-from magnoliagrade_entry.direct.peers import PeerLinks, keep_registered
+from magnoliagrade_entry.direct.peers import PeerLinks
 from magnoliagrade_entry.direct.placement import EndpointTable
 from magnoliagrade_entry.direct.placement_policies import Scope
 from magnoliagrade_entry.direct.recovery import watch_recovery
+from magnoliagrade_entry.direct.registration import keep_registered
 from magnoliagrade_entry.direct.retry_budget import RetryBudget
 from magnoliagrade_entry.direct.server_crashes import CrashWatch
+from magnoliagrade_entry.direct.site_relay import SiteRelays
 from magnoliagrade_entry.direct.site_watch import follow_site
 from magnoliagrade_entry.direct.upstream import EndpointConnector, trace_connections
 from magnoliagrade_entry.direct.waiting import WaitQueue
@@ -85,6 +87,7 @@
         "limit_exchange",
         "peers",
         "rejects_requests",
+        "relays",
         "requests_in_flight",
         "retry_budget",
         "rng",
@@ -114,6 +117,7 @@
             is_coldness_unknown=self.site_state.is_coldness_unknown,
             report_interval_s=lambda scope: self.peers.report_interval_s(scope),
         )
+        self.relays = SiteRelays(node=self)
         self.peers = PeerLinks(node=self)
         self.limit_exchange = LimitExchange(node=self)
         self.crash_guard = CrashGuard(clock=self.clock)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/peers.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/peers.py
@@ -3,10 +3,8 @@
 import asyncio
 import logging
 
-from magnoliagrade.errors import MagnoliagradeError
 from magnoliagrade.observability import log_event
-from magnoliagrade.platform import FormatError, encode_instance, instance_key
-from magnoliagrade.store import StoreConflict
+from magnoliagrade.platform import FormatError
 from magnoliagrade.wire import (
     EndpointLimit,
     EndpointWork,
@@ -17,6 +15,8 @@
     RequestCrash,
     RequestServed,
     ServiceOutage,
+    SiteChanges,
+    SiteChangesPull,
     SiteConfigurationCopy,
     SiteConfigurationPull,
     WorkInFlight,
@@ -29,7 +29,7 @@
 from magnoliagrade_entry.direct.placement_policies import Scope
 from magnoliagrade_entry.direct.request_traits import RequestTraits
 
-__all__ = ["PeerLinks", "keep_registered"]
+__all__ = ["PeerLinks"]
 
 # Changes within this interval, about one pass of a group, are sent in one message.
 SEND_INTERVAL_S = 0.05
@@ -49,12 +49,6 @@
 PULL_DELAY_S = 0.8
 # Interval of checks for a newer configuration of a peer; short compared with the delay.
 PULL_CHECK_INTERVAL_S = 0.1
-# Life of the entry's lease in the store, longer than most outages (4 to 9 s).
-LEASE_S = 10.0
-# Interval of lease renewals; three may fail before the lease expires.
-RENEW_INTERVAL_S = 2.5
-# Pause after a failed call. Calls are billed also while the store rejects them.
-REGISTER_RETRY_INTERVAL_S = 1.0
 
 PEERS = Gauge("magnoliagrade_direct_peers", "Other entries by state", ["result"])
 _log = logging.getLogger(__name__)
@@ -78,6 +72,7 @@
         "_behind_since",
         "_changed_by_scope",
         "_dialling_by_name",
+        "_handler_by_class",
         "_node",
         "_server",
         "address",
@@ -89,6 +84,19 @@
         self._behind_since = None
         self._changed_by_scope = {scope: set() for scope in Scope}
         self._dialling_by_name = {}
+        self._handler_by_class = {
+            WorkInFlight: self._apply_peer_work,
+            ServiceOutage: self._apply_peer_outage,
+            RequestCrash: self._record_peer_crash,
+            RequestServed: self._record_peer_success,
+            EndpointLimit: self._receive_limit,
+            PermitRequest: self._receive_limit,
+            Permit: self._receive_limit,
+            SiteChangesPull: node.relays.receive_pull,
+            SiteChanges: node.relays.receive_reply,
+            SiteConfigurationPull: self._send_configuration,
+            SiteConfigurationCopy: self._apply_peer_configuration,
+        }
         self._server = None
         self.address = node.settings.link_address
         self.link_by_name = {}
@@ -262,25 +270,15 @@
             while True:
                 async with asyncio.timeout(PEER_TIMEOUT_S):
                     message = await link.receive()
-                if isinstance(message, WorkInFlight):
-                    self._apply_peer_work(link, message)
-                elif isinstance(message, ServiceOutage):
-                    self._apply_peer_outage(message)
-                elif isinstance(message, RequestCrash):
-                    self._record_peer_crash(message)
-                elif isinstance(message, RequestServed):
-                    self._node.crash_guard.record_served(_traits_of_message(message))
-                elif isinstance(message, (EndpointLimit, PermitRequest, Permit)):
-                    self._node.limit_exchange.receive(name, message)
-                elif isinstance(message, SiteConfigurationPull):
-                    self._send_configuration(link, message)
-                elif isinstance(message, SiteConfigurationCopy):
-                    self._apply_peer_configuration(name, message)
+                handle = self._handler_by_class.get(type(message))
+                if handle is not None:
+                    handle(link, message)
         finally:
             if self.link_by_name.get(name) is link:
                 del self.link_by_name[name]
                 self._node.endpoint_table.remove_peer(name)
                 self._node.wake_wait_queues()
+            self._node.relays.drop_link(link)
             log_event(_log, "link.down", peer=name)
 
     def _crash_message(self, crash):
@@ -292,7 +290,13 @@
             **_trait_fields(crash.traits),
         )
 
-    def _record_peer_crash(self, message):
+    def _record_peer_success(self, _link, message):
+        self._node.crash_guard.record_served(_traits_of_message(message))
+
+    def _receive_limit(self, link, message):
+        self._node.limit_exchange.receive(link.peer_instance, message)
+
+    def _record_peer_crash(self, _link, message):
         crashed_at = self._node.clock.monotonic() - message.age_seconds
         self._node.crash_guard.record_crash(
             ServerCrash(
@@ -314,7 +318,7 @@
         )
         self._node.wake_wait_queues()
 
-    def _apply_peer_outage(self, message):
+    def _apply_peer_outage(self, _link, message):
         endpoint_table = self._node.endpoint_table
         if message.is_out:
             if endpoint_table.record_outage(
@@ -353,7 +357,7 @@
         if site_state.version > message.version:
             link.send(SiteConfigurationCopy(data=site_state.configuration_data))
 
-    def _apply_peer_configuration(self, name, message):
+    def _apply_peer_configuration(self, link, message):
         try:
             self._node.site_state.apply_peer_configuration(message.data)
         except FormatError as exc:
@@ -361,7 +365,7 @@
                 _log,
                 "site.configuration.refused",
                 level=logging.WARNING,
-                peer=name,
+                peer=link.peer_instance,
                 detail=exc.detail,
             )
             return
@@ -397,50 +401,3 @@
         caller=message.caller,
         parts=tuple(message.parts),
     )
-
-
-async def keep_registered(node):
-    """Keep the entry registered in the store under a lease until cancelled.
-
-    Parameters
-    ----------
-    node : DirectEntry
-        The entry.
-    """
-    while True:
-        try:
-            if node.lease is None:
-                await _register(node)
-            else:
-                await node.store.renew_lease(node.lease, purpose="instances")
-            pause_s = RENEW_INTERVAL_S
-        except StoreConflict:
-            node.lease = None
-            pause_s = 0.0
-        except MagnoliagradeError as exc:
-            log_event(_log, "instance.not_registered", detail=exc.detail)
-            pause_s = REGISTER_RETRY_INTERVAL_S
-        await _sleep_until_new_era(node, pause_s)
-
-
-async def _sleep_until_new_era(node, pause_s):
-    """Wait; return early if the store has returned from a copy."""
-    sleeping = asyncio.ensure_future(node.clock.sleep(pause_s))
-    new_era = asyncio.ensure_future(node.store.wait_for_new_era())
-    try:
-        await asyncio.wait({sleeping, new_era}, return_when=asyncio.FIRST_COMPLETED)
-    finally:
-        sleeping.cancel()
-        new_era.cancel()
-
-
-async def _register(node):
-    lease = await node.store.grant_lease(LEASE_S, purpose="instances")
-    await node.store.put(
-        instance_key(node.settings.name),
-        encode_instance(node.peers.address),
-        expected_revision=None,
-        lease=lease,
-        purpose="instances",
-    )
-    node.lease = lease
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/site_watch.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/site_watch.py
@@ -7,6 +7,8 @@
 from magnoliagrade.platform import HistoryLost, StorePosition
 from prometheus_client import Gauge
 
+from magnoliagrade_entry.direct.site_relay import RELAY_WATCH_WAIT_S
+
 __all__ = ["follow_site"]
 
 # Longest wait of the watch over all keys. Each response also confirms that nothing else
@@ -56,51 +58,93 @@
 class _Follower:
     """Reads and watches the store, with backoff after failed calls."""
 
-    __slots__ = ("_is_store_lost", "_node", "_pause_s", "position")
+    __slots__ = ("_is_relay_lost", "_is_store_lost", "_node", "_pause_s", "position")
 
     def __init__(self, *, node):
         self._node = node
+        self._is_relay_lost = False
         self._is_store_lost = False
         self._pause_s = BACKOFF_MIN_S
         self.position = None
 
     async def step(self):
-        """Make one call and apply the changes that it returns."""
+        """Read changes once, from a relay or from the store, and apply them."""
+        relays = self._node.relays
+        link = relays.pick() if self._may_use_relay() else None
+        if link is None:
+            await self._read_store()
+            return
+        began = self._node.clock.boot_time()
+        events, position, is_confirmed = await relays.pull(link, self.position)
+        if events is None:
+            # The next step reads the store.
+            self._is_relay_lost = True
+            return
+        self._apply(events, position)
+        self._finish_step(began if is_confirmed else None)
+
+    def _may_use_relay(self):
+        is_usable = not (self._is_store_lost or self._is_relay_lost)
+        return is_usable and self.position is not None
+
+    async def _read_store(self):
+        """Make one call to the store and apply the changes that it returns."""
         node = self._node
-        site_state = node.site_state
+        relays = node.relays
+        pulls = relays.take_pulls()
         began = node.clock.boot_time()
         events = []
-        if self.position is None:
-            values, position = await node.store.list(ALL_KEYS, purpose="site")
-            self._record_response()
-            if site_state.replace(values, position):
-                node.schedule_endpoint_expiry()
-        else:
-            events, position = await node.store.watch(
-                ALL_KEYS,
-                after=self.position,
-                wait_s=self._watch_wait_s(),
-                purpose="site",
-            )
-            self._record_response()
-            for event in events:
-                event_position = StorePosition(position.era, event.revision)
-                site_state.apply(event.key, event.value, event_position)
+        try:
+            if self.position is None:
+                values, position = await node.store.list(ALL_KEYS, purpose="site")
+                self._record_response()
+                if node.site_state.replace(values, position):
+                    node.schedule_endpoint_expiry()
+                self.position = position
+                relays.change_log.restart(position)
+            else:
+                events, position = await node.store.watch(
+                    ALL_KEYS,
+                    after=self.position,
+                    wait_s=self._watch_wait_s(),
+                    purpose="site",
+                )
+                self._record_response()
+                self._apply(events, position)
+        except BaseException:
+            relays.reject_pulls(pulls)
+            raise
+        self._is_relay_lost = False
+        self._finish_step(began)
+        relays.confirm_pulls(pulls)
+        if events:
+            await node.clock.sleep(BATCH_DELAY_S)
+
+    def _apply(self, events, position):
+        for event in events:
+            event_position = StorePosition(position.era, event.revision)
+            self._node.site_state.apply(event.key, event.value, event_position)
+        self._node.relays.change_log.extend(events, position)
         self.position = position
-        site_state.apply_due_deletions()
-        if node.peers.newest_version() <= site_state.version:
+
+    def _finish_step(self, as_of):
+        """Make the applied changes effective, confirmed as of a time or not at all."""
+        node = self._node
+        node.site_state.apply_due_deletions()
+        if as_of is not None and node.peers.newest_version() <= node.site_state.version:
             # Otherwise the store lacks a version that a peer has in force.
-            site_state.confirm(began)
+            node.site_state.confirm(as_of)
         node.on_site_changed()
-        if events:
-            await node.clock.sleep(BATCH_DELAY_S)
 
     def _watch_wait_s(self):
-        if self._is_store_lost:
+        if self._is_store_lost or self._is_relay_lost:
             # A response at once confirms the keys, which may be too old to accept.
             return 0.0
         bound_s = self._node.settings.revoke_ms / 1000
-        return min(WATCH_WAIT_S, WATCH_WAIT_FRACTION * bound_s)
+        longest_s = (
+            WATCH_WAIT_S if self._node.relays.is_unused() else RELAY_WATCH_WAIT_S
+        )
+        return min(longest_s, WATCH_WAIT_FRACTION * bound_s)
 
     async def back_off(self, exc):
         """Log the first failure of several in a row and wait before the next call."""
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_site_watch.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_site_watch.py
@@ -13,6 +13,7 @@
 from magnoliagrade.platform import StorePosition
 
 from magnoliagrade_entry.direct.knowledge import SiteState
+from magnoliagrade_entry.direct.site_relay import SiteRelays
 from magnoliagrade_entry.direct.site_watch import BACKOFF_MAX_S, follow_site
 
 # Time limit of a call that waits for nothing.
@@ -88,16 +89,18 @@
 
 
 def _node(clock, store):
-    return SimpleNamespace(
+    node = SimpleNamespace(
         clock=clock,
         store=store,
         site_state=SiteState(clock=clock),
-        settings=SimpleNamespace(revoke_ms=5000.0),
-        peers=SimpleNamespace(newest_version=lambda: 0),
+        settings=SimpleNamespace(name="entry-0", revoke_ms=5000.0),
+        peers=SimpleNamespace(newest_version=lambda: 0, link_by_name={}),
         rng=SimpleNamespace(uniform=lambda _low, high: high),
         on_site_changed=lambda: None,
         schedule_endpoint_expiry=lambda: None,
     )
+    node.relays = SiteRelays(node=node)
+    return node
 
 
 async def _advance(clock, seconds):
--- a/packages/magnoliagrade/magnoliagrade/wire/work.capnp
+++ b/packages/magnoliagrade/magnoliagrade/wire/work.capnp
@@ -74,6 +74,27 @@
   endpoint @0 :Text;         # endpoint that the receiver may send one request to
 }
 
+struct SiteChange {
+  key @0 :Text;
+  value @1 :Data;
+  isDeleted @2 :Bool;
+  revision @3 :UInt64;
+}
+
+struct SiteChangesPull {     # asks for the store's changes after a position
+  call @0 :UInt64;           # number of the pull on its link
+  era @1 :UInt64;
+  revision @2 :UInt64;
+}
+
+struct SiteChanges {
+  call @0 :UInt64;           # of the pull
+  isKnown @1 :Bool;          # false: the sender cannot answer
+  isConfirmed @2 :Bool;      # the store was read after the pull had arrived
+  revision @3 :UInt64;       # position to continue from, in the era of the pull
+  changes @4 :List(SiteChange);
+}
+
 struct WorkMessage {
   union {
     inFlight @0 :WorkInFlight;
@@ -87,5 +108,7 @@
     endpointLimit @8 :EndpointLimit;
     permitRequest @9 :PermitRequest;
     permit @10 :Permit;
+    siteChangesPull @11 :SiteChangesPull;
+    siteChanges @12 :SiteChanges;
   }
 }
--- a/packages/magnoliagrade/magnoliagrade/wire/work.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/work.py
@@ -14,6 +14,9 @@
     "RequestCrash",
     "RequestServed",
     "ServiceOutage",
+    "SiteChange",
+    "SiteChanges",
+    "SiteChangesPull",
     "SiteConfigurationCopy",
     "SiteConfigurationPull",
     "WorkInFlight",
@@ -129,3 +132,37 @@
     """The receiver may send one request to an endpoint."""
 
     endpoint: str = ""
+
+
+@dataclass(slots=True, kw_only=True)
+class SiteChange:
+    """A change of a key of the store."""
+
+    key: str = ""
+    value: bytes = b""
+    is_deleted: bool = False
+    revision: int = 0
+
+
+@message("work", "siteChangesPull")
+class SiteChangesPull:
+    """An entry asks a peer for the store's changes after a position."""
+
+    call: int = 0
+    era: int = 0
+    revision: int = 0
+
+
+@message("work", "siteChanges")
+class SiteChanges:
+    """The changes after the position of a pull.
+
+    The sender cannot answer unless `is_known`. If `is_confirmed`, it has read the store
+    after the pull arrived.
+    """
+
+    call: int = 0
+    is_known: bool = False
+    is_confirmed: bool = False
+    revision: int = 0
+    changes: list = field(default_factory=list, metadata={"of": SiteChange})
