Fix switches of large groups that stall all streams

Cause: a switch is armed for a pass 0.25 s ahead, but the replies of 129 ranks to an order take some 0.2 s of the coordinator's link.

Change: the lead time is at least three times what reading the status of all ranks has just taken.

Measured: test_switching with 16 ranks whose statuses share a link, 20 seeds: the group stalled before, and does not now.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/switching.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/switching.py
@@ -49,6 +49,9 @@
 # Lead time if an order has just had no response: arming may then need several tries of
 # 80 ms.
 LEAD_TIME_LOSSY_S = 0.75
+# Shortest lead time as a multiple of the time that reading the status of all ranks takes.
+# Arming has two such rounds of calls, to all other ranks and to the holding one.
+LEAD_TIME_READS = 3.0
 # Shortest pass of a group: 5 decoding steps of 5.85 ms.
 MIN_PASS_S = 0.03
 # Two, because the pass that is under way may end at once.
@@ -66,7 +69,7 @@
 _log = logging.getLogger(__name__)
 
 
-def lead_passes(pass_s, *, is_lossy=False):
+def lead_passes(pass_s, *, is_lossy=False, read_s=0.0):
     """Return how many passes ahead a switch is armed.
 
     Parameters
@@ -75,19 +78,25 @@
         Recent length of a pass in seconds; 0 if that is not known.
     is_lossy : bool
         Whether an order has just had no response.
+    read_s : float
+        Time that reading the status of all ranks has just taken, in seconds.
 
     Notes
     -----
     Load pattern: one rank becomes several times slower, and passes take half a second.
     A switch that is armed many passes ahead would take place when the rank is no longer
-    slow.
+    slow. In a large group the replies of all ranks take a fraction of a second of the
+    coordinator's link; the group must not reach the held pass before they are in.
 
     Examples
     --------
     >>> lead_passes(0.06), lead_passes(0.6), lead_passes(0.0)
     (6, 2, 10)
+    >>> lead_passes(0.09, read_s=0.2)
+    8
     """
     lead_s = LEAD_TIME_LOSSY_S if is_lossy else LEAD_TIME_S
+    lead_s = max(lead_s, LEAD_TIME_READS * read_s)
     passes = math.ceil(lead_s / max(MIN_PASS_S, pass_s))
     return max(MIN_LEAD_PASSES, passes + 1)
 
@@ -196,8 +205,11 @@
         if not await self._prepare(self.clients, version, experts):
             raise SwitchFailed(f"map {version} was not prepared on all ranks")
         is_lossy = any(client.tries > 1 for client in self.clients)
-        lead = lead_passes(pass_s, is_lossy=is_lossy)
-        step = max(s.step for s in await self.statuses()) + lead
+        began_at = self._clock.monotonic()
+        statuses = await self.statuses()
+        read_s = self._clock.monotonic() - began_at
+        lead = lead_passes(pass_s, is_lossy=is_lossy, read_s=read_s)
+        step = max(status.step for status in statuses) + lead
         step = self._last_held_step = max(step, self._last_held_step + 1)
         holder = self._holding_client()
         outcome, _ = await holder.hold(epoch=self._epoch, step=step)
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/group_fake.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/group_fake.py
@@ -21,6 +21,9 @@
         self.lost_fraction = lost_fraction
         # Operations whose orders may be late; empty means all.
         self.late_operations = ()
+        # Time that reading the status of all ranks takes on a link that they share.
+        self.read_s = 0.0
+        self._link_busy_until = 0.0
         self.epoch = 1
         self.step = 0
         self.mixed_passes = 0
@@ -28,6 +31,14 @@
         self._late_orders = []
         self._order_count = 0
 
+    async def use_link(self):
+        """Wait until the link has carried another status."""
+        now = self.clock.monotonic()
+        took_s = self.read_s / len(self.ranks)
+        self._link_busy_until = max(now, self._link_busy_until) + took_s
+        if took_s:
+            await self.clock.sleep(self._link_busy_until - now)
+
     def delay_order(self, action):
         self._order_count += 1
         at = self.clock.monotonic() + self.rng.uniform(MIN_LATE_S, MAX_LATE_S)
@@ -72,6 +83,7 @@
 
     async def status(self):
         group = self.group
+        await group.use_link()
         if self.is_unresponsive or group.rng.random() < group.lost_fraction / 2:
             raise MagnoliagradeError(ErrorKind.UPSTREAM_FAILED, "no response")
         return RankStatus(
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/test_switching.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/test_switching.py
@@ -30,6 +30,19 @@
     assert group.step >= 2.0 / PASS_S - 2
 
 
+def test_switch_over_a_slow_link_does_not_stall_the_group():
+    # The statuses of all ranks share the coordinator's link and take 0.2 s.
+    for seed in range(20):
+        group, clock = _group(
+            random.Random(seed), late_fraction=0.0, lost_fraction=0.0, size=16
+        )
+        group.read_s = 0.2
+        work = _switch(group, clock, 0).run([["a"]], [["b"]], pass_s=PASS_S)
+        asyncio.run(_simulate(group, clock, work, 4.0))
+        assert {rank.version for rank in group.ranks} != {0}
+        assert group.step >= 4.0 / PASS_S - 2, f"seed {seed}"
+
+
 def test_switch_of_a_group_with_a_slow_rank_completes_within_two_seconds():
     # A rank is twelve times slower for some seconds: passes take 0.6 s.
     group, clock = _group(random.Random(1), late_fraction=0.0, lost_fraction=0.0)
@@ -194,10 +207,10 @@
     group.late_fraction = 0.0
 
 
-def _group(rng, *, late_fraction, lost_fraction):
+def _group(rng, *, late_fraction, lost_fraction, size=4):
     clock = ManualClock()
     return FakeGroup(
-        size=4,
+        size=size,
         rng=rng,
         clock=clock,
         late_fraction=late_fraction,
