--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/switching.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/switching.py
@@ -49,8 +49,8 @@
 # Lead time if an order has just had no response: arming may then need several tries of
 # 80 ms.
 LEAD_TIME_LOSSY_S = 0.75
-# Shortest lead time as a multiple of the time that reading the status of all ranks takes.
-# Arming has two such rounds of calls, to all other ranks and to the holding one.
+# Shortest lead time, as a multiple of the time that reading the status of all ranks
+# takes: arming them takes about as long as that, and the other calls some time more.
 LEAD_TIME_READS = 3.0
 # Shortest pass of a group: 5 decoding steps of 5.85 ms.
 MIN_PASS_S = 0.03
