Fix soak processes that get one port for two listeners

Such a process refuses its settings with exit code 2.

Change: all ports of a process are open while they are drawn. The new test fails on the former code.

--- a/packages/magnoliagrade-standins/magnoliagrade_standins/soak/processes.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/soak/processes.py
@@ -1,6 +1,7 @@
 """Entry and agent processes of a soak, each with its own loopback address."""
 
 import asyncio
+import contextlib
 import os
 import signal
 import socket
@@ -82,8 +83,10 @@
         self._module = module
         self._path = os.path.join(folder, f"{name}.ini")
         self._log_path = os.path.join(folder, f"{name}.log")
+        ports = _free_ports(host, len(listeners))
         self.addresses = {
-            listener: f"{host}:{_free_port(host)}" for listener in listeners
+            listener: f"{host}:{port}"
+            for listener, port in zip(listeners, ports, strict=True)
         }
         with open(self._path, "w", encoding="utf-8") as file:
             file.write(
@@ -187,6 +190,10 @@
         )
 
 
-def _free_port(host):
-    with socket.create_server((host, 0)) as server:
-        return server.getsockname()[1]
+def _free_ports(host, count):
+    """Return different free ports: a port that was just closed may be drawn again."""
+    with contextlib.ExitStack() as stack:
+        servers = [
+            stack.enter_context(socket.create_server((host, 0))) for _ in range(count)
+        ]
+        return [server.getsockname()[1] for server in servers]
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/soak/tests/test_run.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/soak/tests/test_run.py
@@ -8,7 +8,7 @@
 from magnoliagrade.clock import ManualClock
 
 from magnoliagrade_standins.soak.plan import FAULT_FREE_END_S
-from magnoliagrade_standins.soak.processes import EntryProcess
+from magnoliagrade_standins.soak.processes import EntryProcess, _free_ports
 from magnoliagrade_standins.soak.run import _run_callers
 
 
@@ -51,6 +51,30 @@
     assert len(started) == 1
 
 
+def test_listeners_of_a_process_never_share_a_port():
+    drawn = iter([7001, 7001, 7002, 7003, 7004])
+    open_ports = set()
+
+    class Server:
+        def __init__(self, _address):
+            # A port is drawn again only if it is not in use.
+            self._port = next(port for port in drawn if port not in open_ports)
+            open_ports.add(self._port)
+
+        def __enter__(self):
+            return self
+
+        def __exit__(self, *_exc):
+            open_ports.discard(self._port)
+
+        def getsockname(self):
+            return "127.77.0.1", self._port
+
+    with mock.patch("socket.create_server", Server):
+        ports = _free_ports("127.77.0.1", 4)
+    assert len(set(ports)) == 4
+
+
 class _Caller:
     """Caller that sends nothing and records when it ended."""
 
