--- a/packages/magnoliagrade-standins/magnoliagrade_standins/soak/regressions.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/soak/regressions.py
@@ -56,15 +56,30 @@
     Regression(
         plan=SoakPlan(seed=230, duration_s=12.0),
         cause=(
-            "recovers: an entry that is stopped shortly before the fault-free time at "
-            "the end is down during it. Open, see KNOWN-RED.txt"
+            "recovers: an entry that was stopped shortly before the fault-free time at "
+            "the end was down during it, because the load did not wait for its restart"
         ),
     ),
     Regression(
         plan=SoakPlan(seed=240, duration_s=12.0),
+        cause=("goes on: two faults started the same entry at the same time"),
+    ),
+    Regression(
+        plan=SoakPlan(seed=435, duration_s=12.0),
+        cause=(
+            "recovers: after the store was silent, entries asked for its changes with "
+            "a long wait and rejected keys meanwhile"
+        ),
+    ),
+    Regression(
+        plan=SoakPlan(seed=437, duration_s=12.0),
+        cause="recovers: as with seed 230",
+    ),
+    Regression(
+        plan=SoakPlan(seed=502, duration_s=14.0, entries=8),
         cause=(
-            "goes on: two faults start the same entry at the same time. Open, see "
-            "KNOWN-RED.txt"
+            "goes on: an entry ended at its start with the code for invalid settings, "
+            "probably because two of its listeners had been given the same port"
         ),
     ),
 ]
