Fix entries that ask no relay while they have lost the store

Cause, by reading: an entry whose calls to the store fail never asked a relay again, though a relay may reach the store, as when the platform turns some machines away; and one that is a relay itself never asked the other one. So its keys ended after five seconds.

Change: after a failed pull the store is tried once, then the next relay. A relay that has lost the store rejects pulls and asks the other relay, and tries the store every 5 s. A pull may last 2.2 s, because the second relay first has to end a watch of 1.5 s.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/site_relay.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/site_relay.py
@@ -30,9 +30,10 @@
 MIN_ENTRIES = 5
 # Longest wait of a relay's watch. A pull waits for the end of one and for the next one.
 RELAY_WATCH_WAIT_S = 0.6
-# Time-out of a pull: two watches and a slow call of the store.
-PULL_TIMEOUT_S = 1.5
-# Time for which a relay that did not answer is not asked again.
+# Time-out of a pull: the second relay ends a watch of 1.5 s before the one that confirms.
+PULL_TIMEOUT_S = 2.2
+# Time for which a relay that did not answer is not asked again, and for which a relay
+# that has lost the store asks the other one instead.
 RELAY_RETRY_S = 5.0
 # Time after a pull for which an entry goes on with the shorter waits of a relay.
 RELAY_USE_S = 5.0
@@ -72,6 +73,8 @@
     ----------
     change_log : ChangeLog
         Changes that this entry has applied.
+    is_store_lost : bool
+        Whether this entry's last call to the store has failed.
     """
 
     __slots__ = (
@@ -81,7 +84,9 @@
         "_pulled_at",
         "_pulls",
         "_reply_by_call",
+        "_store_retry_at",
         "change_log",
+        "is_store_lost",
     )
 
     def __init__(self, *, node):
@@ -91,23 +96,36 @@
         self._pulled_at = float("-inf")
         self._pulls = []
         self._reply_by_call = {}
+        self._store_retry_at = float("-inf")
         self.change_log = ChangeLog()
+        self.is_store_lost = False
 
     def pick(self):
         """Return the link to a relay; None if this entry has to read the store."""
         links = self._local_links()
         relays = relay_names([*links, self._node.settings.name])
-        if self._node.settings.name in relays:
+        if self._node.settings.name in relays and not self._may_ask_other_relay():
             return None
         now = self._node.clock.monotonic()
-        usable = [n for n in relays if self._failed_until_by_name.get(n, now) <= now]
+        usable = [
+            name
+            for name in relays
+            if name in links and self._failed_until_by_name.get(name, now) <= now
+        ]
         return links[usable[0]] if usable else None
 
     def is_relay(self):
         """Return whether this entry reads the store for others."""
-        return self._node.settings.name in relay_names(
-            [*self._local_links(), self._node.settings.name]
-        )
+        names = [*self._local_links(), self._node.settings.name]
+        return self._node.settings.name in relay_names(names) and not self.is_store_lost
+
+    def _may_ask_other_relay(self):
+        """Return whether a relay that has lost the store need not try it now."""
+        now = self._node.clock.monotonic()
+        if not self.is_store_lost or now >= self._store_retry_at:
+            self._store_retry_at = now + RELAY_RETRY_S
+            return False
+        return True
 
     def is_unused(self):
         """Return whether no peer has pulled from this entry recently."""
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/site_watch.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/site_watch.py
@@ -58,21 +58,25 @@
 class _Follower:
     """Reads and watches the store, with backoff after failed calls."""
 
-    __slots__ = ("_is_relay_lost", "_is_store_lost", "_node", "_pause_s", "position")
+    __slots__ = ("_is_relay_lost", "_node", "_pause_s", "position")
 
     def __init__(self, *, node):
         self._node = node
         self._is_relay_lost = False
-        self._is_store_lost = False
         self._pause_s = BACKOFF_MIN_S
         self.position = None
 
     async def step(self):
         """Read changes once, from a relay or from the store, and apply them."""
         relays = self._node.relays
-        link = relays.pick() if self._may_use_relay() else None
+        link = None
+        if self.position is not None and not self._is_relay_lost:
+            link = relays.pick()
         if link is None:
-            await self._read_store()
+            try:
+                await self._read_store()
+            finally:
+                self._is_relay_lost = False
             return
         began = self._node.clock.boot_time()
         events, position, is_confirmed = await relays.pull(link, self.position)
@@ -83,10 +87,6 @@
         self._apply(events, position)
         self._finish_step(began if is_confirmed else None)
 
-    def _may_use_relay(self):
-        is_usable = not (self._is_store_lost or self._is_relay_lost)
-        return is_usable and self.position is not None
-
     async def _read_store(self):
         """Make one call to the store and apply the changes that it returns."""
         node = self._node
@@ -114,7 +114,6 @@
         except BaseException:
             relays.reject_pulls(pulls)
             raise
-        self._is_relay_lost = False
         self._finish_step(began)
         relays.confirm_pulls(pulls)
         if events:
@@ -137,7 +136,7 @@
         node.on_site_changed()
 
     def _watch_wait_s(self):
-        if self._is_store_lost or self._is_relay_lost:
+        if self._node.relays.is_store_lost or self._is_relay_lost:
             # A response at once confirms the keys, which may be too old to accept.
             return 0.0
         bound_s = self._node.settings.revoke_ms / 1000
@@ -148,8 +147,8 @@
 
     async def back_off(self, exc):
         """Log the first failure of several in a row and wait before the next call."""
-        if not self._is_store_lost:
-            self._is_store_lost = True
+        if not self._node.relays.is_store_lost:
+            self._node.relays.is_store_lost = True
             log_event(
                 _log,
                 "store.lost",
@@ -157,14 +156,15 @@
                 detail=f"{type(exc).__name__}: {exc}",
                 age_s=round(self._node.site_state.age_s(), 3),
             )
+        self._node.relays.reject_pulls(self._node.relays.take_pulls())
         await self._node.clock.sleep(self._pause_s * self._node.rng.uniform(0.7, 1.0))
         self._pause_s = min(BACKOFF_MAX_S, self._pause_s * 2)
 
     def _record_response(self):
         self._pause_s = BACKOFF_MIN_S
-        if not self._is_store_lost:
+        if not self._node.relays.is_store_lost:
             return
-        self._is_store_lost = False
+        self._node.relays.is_store_lost = False
         self._node.site_state.record_store_return()
         self._node.schedule_endpoint_expiry()
         log_event(
--- a/tests/test_relays_of_the_store.py
+++ b/tests/test_relays_of_the_store.py
@@ -65,6 +65,27 @@
     _run(scenario)
 
 
+def test_entries_without_the_store_go_on_with_the_second_relay():
+    async def scenario(site):
+        first, second = _relays(site)
+        others = [entry for entry in site.entries if entry not in (first, second)]
+        for entry in others:
+            entry.store = PlatformStore(
+                address="127.0.0.1:1", session=entry.store_session
+            )
+        await first.close_now()
+        site.entries.remove(first)
+        oldest_s = 0.0
+        for _ in range(80):
+            await asyncio.sleep(0.1)
+            oldest_s = max(oldest_s, *(e.site_state.age_s() for e in others))
+        assert oldest_s < REVOKE_MS / 1000 - 0.1
+        for entry in others:
+            assert (await site.call(entry, "GET", "/look/1"))[0] == 200
+
+    _run(scenario)
+
+
 def test_keys_end_at_all_entries_while_the_store_is_silent():
     async def scenario(site):
         site.store.outage = "silent"
