--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/site_relay.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/site_relay.py
@@ -30,7 +30,8 @@
 MIN_ENTRIES = 5
 # Longest wait of a relay's watch. A pull waits for the end of one and for the next one.
 RELAY_WATCH_WAIT_S = 0.6
-# Time-out of a pull: the second relay first ends a watch of 1.5 s, then one confirms it.
+# Time-out of a pull. The second relay first ends a watch of 1.5 s, and then begins one
+# that confirms it.
 PULL_TIMEOUT_S = 2.2
 # Time for which a relay that did not answer is not asked again, and for which a relay
 # that has lost the store asks the other one instead.
