--- a/tests/test_whole_answers.py
+++ b/tests/test_whole_answers.py
@@ -182,24 +182,24 @@
             body["stream"] = is_stream
             call = site.session.post(url, json=body, headers=HEADERS)
             task = asyncio.create_task(_read(call))
-            await _wait_until_running(site, 1)
+            await _wait_until_running(site, 1, task)
             task.cancel()
-            await _wait_until_running(site, 0)
+            await _wait_until_running(site, 0, task)
 
 
 async def _read(call):
     async with call as response:
-        await response.read()
+        return response.status, await response.read()
 
 
-async def _wait_until_running(site, count):
+async def _wait_until_running(site, count, call):
     names = [n for n in site.back_end_by_name if "model" in n]
     for _ in range(100):
         if await _running(site, names) == count:
             return
         await asyncio.sleep(0.02)
     raise AssertionError(
-        f"{await _running(site, names)} requests are running, not {count}"
+        f"{await _running(site, names)} requests are running, not {count}: {call}"
     )
 
 
