--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/link_budget.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/link_budget.py
@@ -49,7 +49,7 @@
         self._reply_bytes = 0.0
 
     def counted_ranks(self, size, *, counters, interval_s):
-        """Return the ranks to read counters from, the coordinator's own included.
+        """Return the ranks to read counters from, at least one.
 
         Ranks are only added to or removed from the end of one random order, so that
         most replies hold the increments since the last one.
