--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/ports.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/ports.py
@@ -31,7 +31,8 @@
 # copies, which take up to 1.5 s, and repeated orders.
 REPLY_TIMEOUT_S_BY_OPERATION = {
     "status": 0.5,
-    # The first snapshot of 63 ranks is about 250 KB: half a second at 4 Mbit/s.
+    # Replies of several ranks share the link: `LinkBudget` bounds them to a fraction of
+    # it, but whole counters after a new formation are larger than increments.
     "counts": 1.0,
     "experts": 0.5,
     "prepare": 3.0,
