Group the modules of direct entries into packages by topic

Cause: 36 modules lay in one flat folder, and each further part would touch several of them. Change: packages knowledge, placement, admission, serving and exchange, with their tests and re-exports; Scope has a module of its own. placement.py is now placement/endpoint_table.py, knowledge.py is knowledge/site_state.py and peers.py is exchange/peer_links.py. Measured: tests of magnoliagrade_entry, test_direct_path and test_docs pass, formatter and linter are clean.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_overload.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/admission/tests/test_overload.py
@@ -6,7 +6,7 @@
 
 from magnoliagrade.world.site import RouteKind, ServiceRoute
 
-from magnoliagrade_entry.direct.overload import (
+from magnoliagrade_entry.direct.admission.overload import (
     FIRST_EVENT_S,
     completion_rate,
     predicted_wait_s,
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_waiting.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/admission/tests/test_waiting.py
@@ -5,9 +5,9 @@
 from magnoliagrade.clock import ManualClock
 from magnoliagrade.world.site import SiteEndpoint
 
-from magnoliagrade_entry.direct.placement import EndpointTable
-from magnoliagrade_entry.direct.tests.test_overload import STREAM, Arrival
-from magnoliagrade_entry.direct.waiting import WaitQueue
+from magnoliagrade_entry.direct.admission.tests.test_overload import STREAM, Arrival
+from magnoliagrade_entry.direct.admission.waiting import WaitQueue
+from magnoliagrade_entry.direct.placement.endpoint_table import EndpointTable
 
 
 def test_started_streams_get_free_slots_before_new_requests():
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/waiting.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/admission/waiting.py
@@ -6,7 +6,7 @@
 
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
 
-from magnoliagrade_entry.direct.overload import (
+from magnoliagrade_entry.direct.admission.overload import (
     completion_rate,
     limited_wait_s,
     predicted_wait_s,
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/peers.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/exchange/peer_links.py
@@ -25,9 +25,9 @@
 )
 from prometheus_client import Gauge
 
-from magnoliagrade_entry.direct.crash_guard import ServerCrash
-from magnoliagrade_entry.direct.placement_policies import Scope
-from magnoliagrade_entry.direct.request_traits import RequestTraits
+from magnoliagrade_entry.direct.scope import Scope
+from magnoliagrade_entry.direct.serving.crash_guard import ServerCrash
+from magnoliagrade_entry.direct.serving.request_traits import RequestTraits
 
 __all__ = ["PeerLinks"]
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
@@ -15,22 +15,25 @@
 from magnoliagrade.observability import log_event, serve_metrics_text
 from magnoliagrade.platform import PlatformStore
 
-from magnoliagrade_entry.direct.cold_rates import ColdIntervals
-from magnoliagrade_entry.direct.crash_guard import CrashGuard
-from magnoliagrade_entry.direct.door import make_caller_handler, ready_routes
-from magnoliagrade_entry.direct.knowledge import STORE_SETTLE_S, SiteState
-from magnoliagrade_entry.direct.limit_exchange import LimitExchange
-from magnoliagrade_entry.direct.peers import PeerLinks
-from magnoliagrade_entry.direct.placement import EndpointTable
-from magnoliagrade_entry.direct.placement_policies import Scope
-from magnoliagrade_entry.direct.recovery import watch_recovery
-from magnoliagrade_entry.direct.registration import keep_registered
-from magnoliagrade_entry.direct.retry_budget import RetryBudget
-from magnoliagrade_entry.direct.server_crashes import CrashWatch
-from magnoliagrade_entry.direct.site_relay import SiteRelays
-from magnoliagrade_entry.direct.site_watch import follow_site
-from magnoliagrade_entry.direct.upstream import EndpointConnector, trace_connections
-from magnoliagrade_entry.direct.waiting import WaitQueue
+from magnoliagrade_entry.direct.admission.retry_budget import RetryBudget
+from magnoliagrade_entry.direct.admission.waiting import WaitQueue
+from magnoliagrade_entry.direct.exchange.peer_links import PeerLinks
+from magnoliagrade_entry.direct.knowledge.registration import keep_registered
+from magnoliagrade_entry.direct.knowledge.site_relay import SiteRelays
+from magnoliagrade_entry.direct.knowledge.site_state import STORE_SETTLE_S, SiteState
+from magnoliagrade_entry.direct.knowledge.site_watch import follow_site
+from magnoliagrade_entry.direct.placement.cold_rates import ColdIntervals
+from magnoliagrade_entry.direct.placement.endpoint_table import EndpointTable
+from magnoliagrade_entry.direct.placement.limit_exchange import LimitExchange
+from magnoliagrade_entry.direct.placement.recovery import watch_recovery
+from magnoliagrade_entry.direct.scope import Scope
+from magnoliagrade_entry.direct.serving.crash_guard import CrashGuard
+from magnoliagrade_entry.direct.serving.door import make_caller_handler, ready_routes
+from magnoliagrade_entry.direct.serving.server_crashes import CrashWatch
+from magnoliagrade_entry.direct.serving.upstream import (
+    EndpointConnector,
+    trace_connections,
+)
 
 __all__ = ["DirectEntry"]
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/endpoint_registry.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/endpoint_registry.py
@@ -4,7 +4,7 @@
 
 from magnoliagrade.observability import log_event
 
-from magnoliagrade_entry.direct.registration_orders import RegistrationOrders
+from magnoliagrade_entry.direct.knowledge.registration_orders import RegistrationOrders
 
 __all__ = ["EndpointRegistry"]
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/site_relay.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/site_relay.py
@@ -18,8 +18,8 @@
 from magnoliagrade.wire import SiteChange, SiteChanges, SiteChangesPull
 from prometheus_client import Counter
 
-from magnoliagrade_entry.direct.change_log import ChangeLog
-from magnoliagrade_entry.direct.placement_policies import Scope
+from magnoliagrade_entry.direct.knowledge.change_log import ChangeLog
+from magnoliagrade_entry.direct.scope import Scope
 
 __all__ = ["RELAY_WATCH_WAIT_S", "SiteRelays", "relay_names"]
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/site_state.py
@@ -19,8 +19,8 @@
 )
 from prometheus_client import Counter
 
-from magnoliagrade_entry.direct.endpoint_registry import EndpointRegistry
-from magnoliagrade_entry.direct.route_table import RouteTable
+from magnoliagrade_entry.direct.knowledge.endpoint_registry import EndpointRegistry
+from magnoliagrade_entry.direct.knowledge.route_table import RouteTable
 
 __all__ = ["STORE_SETTLE_S", "SiteState"]
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/site_watch.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/site_watch.py
@@ -7,7 +7,7 @@
 from magnoliagrade.platform import HistoryLost, StorePosition
 from prometheus_client import Gauge
 
-from magnoliagrade_entry.direct.site_relay import RELAY_WATCH_WAIT_S
+from magnoliagrade_entry.direct.knowledge.site_relay import RELAY_WATCH_WAIT_S
 
 __all__ = ["follow_site"]
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_site_relay.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/tests/test_site_relay.py
@@ -7,14 +7,14 @@
 from magnoliagrade.platform import StoreEvent, StorePosition
 from magnoliagrade.wire import SiteChanges, SiteChangesPull
 
-from magnoliagrade_entry.direct.change_log import MAX_CHANGES, ChangeLog
-from magnoliagrade_entry.direct.placement_policies import Scope
-from magnoliagrade_entry.direct.site_relay import (
+from magnoliagrade_entry.direct.knowledge.change_log import MAX_CHANGES, ChangeLog
+from magnoliagrade_entry.direct.knowledge.site_relay import (
     MAX_CHANGES_BYTES,
     MIN_ENTRIES,
     SiteRelays,
     relay_names,
 )
+from magnoliagrade_entry.direct.scope import Scope
 
 NAMES = [f"entry-{number}" for number in range(MIN_ENTRIES + 3)]
 RELAY, STANDBY = relay_names(NAMES)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_knowledge.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/tests/test_site_state.py
@@ -11,7 +11,7 @@
 )
 from magnoliagrade.store import StoreValue
 
-from magnoliagrade_entry.direct.knowledge import (
+from magnoliagrade_entry.direct.knowledge.site_state import (
     LOST_KEY_HOLD_S,
     STORE_SETTLE_S,
     SiteState,
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_site_watch.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/tests/test_site_watch.py
@@ -12,9 +12,9 @@
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
 from magnoliagrade.platform import StorePosition
 
-from magnoliagrade_entry.direct.knowledge import SiteState
-from magnoliagrade_entry.direct.site_relay import SiteRelays
-from magnoliagrade_entry.direct.site_watch import BACKOFF_MAX_S, follow_site
+from magnoliagrade_entry.direct.knowledge.site_relay import SiteRelays
+from magnoliagrade_entry.direct.knowledge.site_state import SiteState
+from magnoliagrade_entry.direct.knowledge.site_watch import BACKOFF_MAX_S, follow_site
 
 # Time limit of a call that waits for nothing.
 CALL_TIMEOUT_S = 0.7
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/endpoint_table.py
@@ -3,15 +3,15 @@
 Nothing in this module waits, sends or receives.
 """
 
-from magnoliagrade_entry.direct.endpoint_load import EndpointLoad
-from magnoliagrade_entry.direct.outages import OutageTracker
-from magnoliagrade_entry.direct.permits import MIN_RATE_PER_S
-from magnoliagrade_entry.direct.placement_policies import (
+from magnoliagrade_entry.direct.placement.endpoint_load import EndpointLoad
+from magnoliagrade_entry.direct.placement.outages import OutageTracker
+from magnoliagrade_entry.direct.placement.permits import MIN_RATE_PER_S
+from magnoliagrade_entry.direct.placement.policies import (
     PlacementContext,
     PlacementRate,
-    Scope,
     placement_policies,
 )
+from magnoliagrade_entry.direct.scope import Scope
 
 __all__ = ["EJECT_MAX_S", "EndpointTable"]
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/limit_exchange.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/limit_exchange.py
@@ -4,8 +4,8 @@
 
 from magnoliagrade.wire import EndpointLimit, Permit, PermitRequest
 
-from magnoliagrade_entry.direct.endpoint_limits import EndpointLimits
-from magnoliagrade_entry.direct.permits import (
+from magnoliagrade_entry.direct.placement.endpoint_limits import EndpointLimits
+from magnoliagrade_entry.direct.placement.permits import (
     PERMIT_LIFE_S,
     PermitIssuer,
     PermitRequests,
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement_policies.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/policies.py
@@ -6,13 +6,14 @@
 entry selects the least loaded of all endpoints, most of these go to the same few.
 """
 
-import enum
 import math
 from dataclasses import dataclass, field
 
 from magnoliagrade.registry import Registry
 
-__all__ = ["PlacementContext", "PlacementRate", "Scope", "placement_policies"]
+from magnoliagrade_entry.direct.scope import Scope
+
+__all__ = ["PlacementContext", "PlacementRate", "placement_policies"]
 
 # Cost of sending a request to another data centre, in requests in flight: less than
 # one, so that an even load has precedence over staying in the local data centre.
@@ -23,13 +24,6 @@
 placement_policies = Registry(family="placement policy")
 
 
-class Scope(enum.Enum):
-    """Whether an entry or endpoint is in this entry's data centre or in another."""
-
-    LOCAL = "local"
-    REMOTE = "remote"
-
-
 @dataclass(slots=True, kw_only=True)
 class PlacementContext:
     """What a policy takes into account besides the loads of the endpoints.
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_cold_rates.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/tests/test_cold_rates.py
@@ -1,5 +1,8 @@
-from magnoliagrade_entry.direct.cold_rates import ColdIntervals, cold_send_interval_s
-from magnoliagrade_entry.direct.endpoint_load import EndpointLoad
+from magnoliagrade_entry.direct.placement.cold_rates import (
+    ColdIntervals,
+    cold_send_interval_s,
+)
+from magnoliagrade_entry.direct.placement.endpoint_load import EndpointLoad
 
 
 def test_all_entries_together_stay_within_the_rate():
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_placement.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/tests/test_endpoint_table.py
@@ -3,11 +3,11 @@
 from magnoliagrade.wire import EndpointWork
 from magnoliagrade.world.site import SiteEndpoint
 
-from magnoliagrade_entry.direct.knowledge import SlowRanks
-from magnoliagrade_entry.direct.outages import PROBE_INTERVAL_S
-from magnoliagrade_entry.direct.placement import EndpointTable
-from magnoliagrade_entry.direct.retry_budget import RetryBudget
-from magnoliagrade_entry.direct.route_table import RouteTable
+from magnoliagrade_entry.direct.admission.retry_budget import RetryBudget
+from magnoliagrade_entry.direct.knowledge.route_table import RouteTable
+from magnoliagrade_entry.direct.knowledge.site_state import SlowRanks
+from magnoliagrade_entry.direct.placement.endpoint_table import EndpointTable
+from magnoliagrade_entry.direct.placement.outages import PROBE_INTERVAL_S
 
 
 def test_least_loaded_policy_has_a_lower_peak_load_than_random():
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_limit_exchange.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/tests/test_limit_exchange.py
@@ -7,9 +7,9 @@
 from magnoliagrade.wire import EndpointLimit, Permit, PermitRequest
 from magnoliagrade.world.site import SiteEndpoint
 
-from magnoliagrade_entry.direct.limit_exchange import LimitExchange
-from magnoliagrade_entry.direct.permits import issuer_of
-from magnoliagrade_entry.direct.placement import EndpointTable
+from magnoliagrade_entry.direct.placement.endpoint_table import EndpointTable
+from magnoliagrade_entry.direct.placement.limit_exchange import LimitExchange
+from magnoliagrade_entry.direct.placement.permits import issuer_of
 
 NAMES = ("entry-0", "entry-1", "entry-2")
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_permits.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/tests/test_permits.py
@@ -4,13 +4,14 @@
 from magnoliagrade.clock import ManualClock
 from magnoliagrade.world.site import SiteEndpoint
 
-from magnoliagrade_entry.direct.endpoint_limits import (
+from magnoliagrade_entry.direct.admission.overload import limited_wait_s
+from magnoliagrade_entry.direct.placement.endpoint_limits import (
     IGNORED_CHANGE,
     UNREGISTERED_LIFE_S,
     EndpointLimits,
 )
-from magnoliagrade_entry.direct.overload import limited_wait_s
-from magnoliagrade_entry.direct.permits import (
+from magnoliagrade_entry.direct.placement.endpoint_table import EndpointTable
+from magnoliagrade_entry.direct.placement.permits import (
     MIN_RATE_PER_S,
     PERMIT_LIFE_S,
     REPEAT_S,
@@ -20,7 +21,6 @@
     issue_rate,
     issuer_of,
 )
-from magnoliagrade_entry.direct.placement import EndpointTable
 
 # The platform's bound: in any window of this length, this multiple of what the limit
 # allows, and some more.
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_placement_replay.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/tests/test_placement_replay.py
@@ -11,8 +11,9 @@
 from magnoliagrade.wire import EndpointWork
 from magnoliagrade.world.site import SiteEndpoint
 
-from magnoliagrade_entry.direct.placement import EndpointTable
-from magnoliagrade_entry.direct.placement_policies import PlacementRate, Scope
+from magnoliagrade_entry.direct.placement.endpoint_table import EndpointTable
+from magnoliagrade_entry.direct.placement.policies import PlacementRate
+from magnoliagrade_entry.direct.scope import Scope
 
 MEAN_STREAM_S = 1.5
 DURATION_S = 8.0
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/attempts.py
@@ -6,9 +6,9 @@
 from magnoliagrade.observability import log_event
 from prometheus_client import Counter
 
-from magnoliagrade_entry.direct.placement import EJECT_MAX_S
-from magnoliagrade_entry.direct.server_crashes import withdraw_blocks
-from magnoliagrade_entry.direct.upstream import (
+from magnoliagrade_entry.direct.placement.endpoint_table import EJECT_MAX_S
+from magnoliagrade_entry.direct.serving.server_crashes import withdraw_blocks
+from magnoliagrade_entry.direct.serving.upstream import (
     AttemptFailed,
     ConnectionState,
     open_response,
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/crash_guard.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/crash_guard.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass, field
 
-from magnoliagrade_entry.direct.request_traits import GroupKind
+from magnoliagrade_entry.direct.serving.request_traits import GroupKind
 
 __all__ = ["CrashGuard", "ServerCrash"]
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/door.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/door.py
@@ -9,8 +9,8 @@
 from magnoliagrade.platform import request_id_of
 from prometheus_client import Counter, Histogram
 
-from magnoliagrade_entry.direct.arrival import read_request
-from magnoliagrade_entry.direct.serving import serve_request
+from magnoliagrade_entry.direct.serving.arrival import read_request
+from magnoliagrade_entry.direct.serving.serving import serve_request
 
 __all__ = ["make_caller_handler", "ready_routes"]
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/request_attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/request_attempts.py
@@ -4,10 +4,10 @@
 
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
 
-from magnoliagrade_entry.direct.attempts import Attempt
-from magnoliagrade_entry.direct.overload import retry_after_s, slot_deadline
-from magnoliagrade_entry.direct.request_traits import traits_of
-from magnoliagrade_entry.direct.upstream import AttemptFailed
+from magnoliagrade_entry.direct.admission.overload import retry_after_s, slot_deadline
+from magnoliagrade_entry.direct.serving.attempts import Attempt
+from magnoliagrade_entry.direct.serving.request_traits import traits_of
+from magnoliagrade_entry.direct.serving.upstream import AttemptFailed
 
 __all__ = ["Attempts"]
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/server_crashes.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/server_crashes.py
@@ -9,7 +9,7 @@
 from magnoliagrade.platform import BLOCKED_REQUEST_LIFE_S, blocked_request_key
 from prometheus_client import Counter
 
-from magnoliagrade_entry.direct.crash_guard import ServerCrash
+from magnoliagrade_entry.direct.serving.crash_guard import ServerCrash
 
 __all__ = ["CrashWatch", "withdraw_blocks"]
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/serving.py
@@ -9,9 +9,9 @@
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
 from magnoliagrade.platform import response_headers
 
-from magnoliagrade_entry.direct.request_attempts import Attempts
-from magnoliagrade_entry.direct.streams import relay_stream
-from magnoliagrade_entry.direct.upstream import AttemptFailed
+from magnoliagrade_entry.direct.serving.request_attempts import Attempts
+from magnoliagrade_entry.direct.serving.streams import relay_stream
+from magnoliagrade_entry.direct.serving.upstream import AttemptFailed
 
 __all__ = ["serve_request"]
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/streams.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/streams.py
@@ -11,7 +11,7 @@
 from magnoliagrade.platform import response_headers
 from prometheus_client import Counter, Histogram
 
-from magnoliagrade_entry.direct.upstream import AttemptFailed
+from magnoliagrade_entry.direct.serving.upstream import AttemptFailed
 
 __all__ = ["EventReader", "StreamEvent", "relay_stream"]
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_crash_guard.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/tests/test_crash_guard.py
@@ -3,7 +3,7 @@
 from magnoliagrade.clock import ManualClock
 from magnoliagrade.platform import prompt_parts_of
 
-from magnoliagrade_entry.direct.crash_guard import (
+from magnoliagrade_entry.direct.serving.crash_guard import (
     BLOCK_S,
     BRIEF_BLOCK_S,
     CRASHES_TO_BLOCK,
@@ -13,7 +13,7 @@
     CrashGuard,
     ServerCrash,
 )
-from magnoliagrade_entry.direct.request_traits import RequestTraits, traits_of
+from magnoliagrade_entry.direct.serving.request_traits import RequestTraits, traits_of
 
 
 def test_request_is_blocked_after_crashes_one_after_the_other():
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/tests/test_server_crashes.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/tests/test_server_crashes.py
@@ -11,10 +11,10 @@
 from magnoliagrade.clock import ManualClock
 from magnoliagrade.errors import ErrorKind
 
-from magnoliagrade_entry.direct import server_crashes
-from magnoliagrade_entry.direct.crash_guard import CrashGuard
-from magnoliagrade_entry.direct.request_traits import RequestTraits
-from magnoliagrade_entry.direct.server_crashes import CrashWatch
+from magnoliagrade_entry.direct.serving import server_crashes
+from magnoliagrade_entry.direct.serving.crash_guard import CrashGuard
+from magnoliagrade_entry.direct.serving.request_traits import RequestTraits
+from magnoliagrade_entry.direct.serving.server_crashes import CrashWatch
 
 ENDPOINT = SimpleNamespace(id="i-1", address="127.0.0.1:1")
 
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -4,7 +4,7 @@
 
 import aiohttp
 from magnoliagrade.platform import slow_ranks_key
-from magnoliagrade_entry.direct.arrival import CONFIGURATION_WAIT_S
+from magnoliagrade_entry.direct.serving.arrival import CONFIGURATION_WAIT_S
 from magnoliagrade_standins.operators import (
     OperatorsSite,
     configuration_document,
--- a/tests/test_relays_of_the_store.py
+++ b/tests/test_relays_of_the_store.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from magnoliagrade.platform import PlatformStore
-from magnoliagrade_entry.direct.site_relay import relay_names
+from magnoliagrade_entry.direct.knowledge.site_relay import relay_names
 from magnoliagrade_standins.operators import (
     OperatorsSite,
     configuration_document,
