Treat each group of a service as a fault domain

Cause: outages were kept by service. Two ranks of one broken group in a row made the whole service unavailable to an entry, although the endpoints of another group had free slots, and any response of that other group ended the outage for both and lifted all ejections. Nothing told entries which endpoints form a group. Change: the agents of the lowest ranks publish the ranks and the state of their group in the store, where several groups serve one service; entries keep outages, recovery polls and ejections by group (ServiceOutages), and a request that one group rejected as broken is sent to another. A service is unavailable once all its groups are. Without notices a service is one fault domain, as before; a single group publishes nothing.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
@@ -241,6 +241,10 @@
         self._clients = await self._directory.find(
             status, suspect_address=suspect_address
         )
+        has_others = self._directory.has_other_groups
+        self._node.group_notices.set_ranks(
+            map(self._address_of, self._clients) if has_others else ()
+        )
         self._switch = GroupSwitch(
             clients=self._clients,
             local_client=self._local_client,
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/instance.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/instance.py
@@ -14,6 +14,7 @@
 from magnoliagrade.wire import Hello, Link, RankCall, serve_links
 
 from magnoliagrade_agent.direct.coordinator import Coordinator
+from magnoliagrade_agent.direct.group_notices import GroupNoticePublisher
 from magnoliagrade_agent.direct.member import RankMember
 from magnoliagrade_agent.direct.slow_ranks import SlowRankPublisher
 
@@ -55,6 +56,7 @@
         "_server",
         "clock",
         "coordinator",
+        "group_notices",
         "gap_objective_s",
         "identity",
         "last_coordinator",
@@ -103,6 +105,9 @@
         )
         self.member = RankMember(server=server, clock=self.clock)
         self.slow_ranks = SlowRankPublisher(store=self.store, clock=self.clock)
+        self.group_notices = GroupNoticePublisher(
+            member=self.member, store=self.store, clock=self.clock
+        )
         self.coordinator = Coordinator(node=self)
         app = aiohttp.web.Application()
         app.add_routes([aiohttp.web.get("/metrics", serve_metrics_text)])
@@ -117,6 +122,7 @@
         )
         self.tasks.start(self.coordinator.run(), name="coordinator")
         self.tasks.start(self.slow_ranks.run(), name="slow ranks")
+        self.tasks.start(self.group_notices.run(), name="group notices")
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._log_reload)
         log_event(_log, "agent.started", incarnation=self.identity.incarnation)
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/member.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/member.py
@@ -57,6 +57,16 @@
         # snapshot that its former process sent.
         self._counter_encoder = CounterEncoder(first_snapshot_id=new_incarnation())
 
+    async def read_status(self):
+        """Return the `RankStatus` of the rank.
+
+        Raises
+        ------
+        MagnoliagradeError
+            If the server does not respond or its response is malformed.
+        """
+        return await self._server.status()
+
     async def execute(self, call):
         """Execute a `RankCall` and return its `RankReply`, also if the call fails."""
         try:
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/rank_directory.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/rank_directory.py
@@ -46,6 +46,7 @@
         "_listed_addresses",
         "_local_client",
         "_node",
+        "_ranks",
         "_service",
     )
 
@@ -54,6 +55,7 @@
         self._local_client = local_client
         self._listed_at = float("-inf")
         self._listed_addresses = set()
+        self._ranks = 0
         self._service = None
         self._client_by_address = {}
         self._dial_task_by_address = {}
@@ -73,6 +75,7 @@
         RankUnreachable
             If any other rank is not found.
         """
+        self._ranks = status.size
         await self._link_agents()
         client_by_rank = {status.rank: self._local_client}
         clients = list(self._client_by_address.values())
@@ -105,6 +108,11 @@
         )
         return [client_by_rank[rank] for rank in range(status.size)]
 
+    @property
+    def has_other_groups(self):
+        """Whether the service has more endpoints than the group has had ranks."""
+        return len(self._listed_addresses) + 1 > self._ranks
+
     async def _link_agents(self):
         now = self._node.clock.monotonic()
         if now - self._listed_at < ENDPOINT_LIST_INTERVAL_S:
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/admission/waiting.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/admission/waiting.py
@@ -112,10 +112,12 @@
             `OVERLOADED` as soon as no slot can be expected in time.
         """
         now = self._clock.monotonic()
-        if self._endpoint_table.should_reject(self._service, now=now):
+        if self._endpoint_table.outages.should_reject(self._service, now=now):
             raise self._outage_error(request, now)
         # During an outage a request let through as a probe does not wait behind others.
-        if not self.waiters or self._endpoint_table.is_unavailable(self._service):
+        if not self.waiters or self._endpoint_table.outages.is_unavailable(
+            self._service
+        ):
             load = self._acquire_free_slot(excluded, now)
             if load is not None:
                 return load
@@ -142,7 +144,7 @@
             if waiter.future.done() and not waiter.future.cancelled():
                 return waiter.future.result()
             now = self._clock.monotonic()
-            if self._endpoint_table.is_unavailable(self._service):
+            if self._endpoint_table.outages.is_unavailable(self._service):
                 raise self._outage_error(request, now) from None
             raise self._overloaded_error(
                 "no endpoint had a free slot in time", request
@@ -178,7 +180,9 @@
 
     def wake(self):
         """Assign free slots to waiting requests in their order."""
-        if not self.waiters or self._endpoint_table.is_unavailable(self._service):
+        if not self.waiters or self._endpoint_table.outages.is_unavailable(
+            self._service
+        ):
             return
         now = self._clock.monotonic()
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/exchange/peer_links.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/exchange/peer_links.py
@@ -25,6 +25,7 @@
 )
 from prometheus_client import Gauge
 
+from magnoliagrade_entry.direct.placement.fault_domains import FaultDomain
 from magnoliagrade_entry.direct.scope import Scope
 from magnoliagrade_entry.direct.serving.crash_guard import ServerCrash
 from magnoliagrade_entry.direct.serving.request_traits import RequestTraits
@@ -191,9 +192,11 @@
         for link in list(self.link_by_name.values()):
             link.send(message)
 
-    def announce_outage(self, service, *, is_out):
-        """Announce to all peers that an outage of a service begins or ends."""
-        self.broadcast(ServiceOutage(service=service, is_out=is_out))
+    def announce_outage(self, domain, *, is_out):
+        """Announce to all peers that an outage of a fault domain begins or ends."""
+        self.broadcast(
+            ServiceOutage(service=domain.service, group=domain.group, is_out=is_out)
+        )
 
     def announce_crash(self, crash):
         """Announce to all peers that a server ended while it ran a request."""
@@ -319,13 +322,12 @@
         self._node.wake_wait_queues()
 
     def _apply_peer_outage(self, _link, message):
-        endpoint_table = self._node.endpoint_table
+        outages = self._node.endpoint_table.outages
+        domain = FaultDomain(service=message.service, group=message.group)
         if message.is_out:
-            if endpoint_table.record_outage(
-                message.service, now=self._node.clock.monotonic()
-            ):
-                self._node.start_recovery_watch(message.service)
-        elif endpoint_table.record_response(message.service):
+            if outages.begin(domain, now=self._node.clock.monotonic()):
+                self._node.start_recovery_watch(domain)
+        elif outages.end(domain):
             self._node.wake_wait_queues()
 
     def _pull_newer_configuration(self):
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
@@ -24,6 +24,7 @@
 from magnoliagrade_entry.direct.knowledge.site_watch import follow_site
 from magnoliagrade_entry.direct.placement.cold_rates import ColdIntervals
 from magnoliagrade_entry.direct.placement.endpoint_table import EndpointTable
+from magnoliagrade_entry.direct.placement.group_notices import GroupNotices
 from magnoliagrade_entry.direct.placement.limit_exchange import LimitExchange
 from magnoliagrade_entry.direct.placement.recovery import watch_recovery
 from magnoliagrade_entry.direct.scope import Scope
@@ -73,8 +74,9 @@
 
     __slots__ = (
         "_cold_intervals",
+        "_group_notices",
         "_listener",
-        "_recovery_by_service",
+        "_recovery_by_domain",
         "_runners",
         "_wait_queue_by_service",
         "caller_address",
@@ -132,6 +134,7 @@
             count_entries=lambda: len(self.site_state.link_address_by_name),
         )
         self._cold_intervals = ColdIntervals(name=settings.name)
+        self._group_notices = GroupNotices(node=self)
         self.lease = None
         self.is_leaving = False
         self.rejects_requests = False
@@ -140,7 +143,7 @@
         self._listener = listener
         self.configured = asyncio.Event()
         self.started_at = self.clock.monotonic()
-        self._recovery_by_service = {}
+        self._recovery_by_domain = {}
         self._wait_queue_by_service = {}
         self._runners = []
 
@@ -208,6 +211,8 @@
         ]
         self.endpoint_table.update(endpoints)
         self.endpoint_table.update_slow_ranks(site_state.slow_ranks_by_group.values())
+        self.endpoint_table.update_groups(site_state.rank_groups_by_name.values())
+        self._group_notices.apply(site_state.rank_groups_by_name.values())
         self._update_coldness(configuration)
         self.limit_exchange.on_site_changed()
         self.crash_guard.published = set(site_state.blocked_requests)
@@ -215,17 +220,26 @@
         self.peers.update()
         self.wake_wait_queues()
 
-    def on_outage(self, service, *, is_unavailable):
-        """Log and announce to the other entries the start or end of an outage."""
+    def on_outage(self, domain, *, is_unavailable):
+        """Log and announce to the other entries the start or end of an outage.
+
+        Parameters
+        ----------
+        domain : FaultDomain
+            Endpoints that are out together.
+        is_unavailable : bool
+            Whether the outage begins.
+        """
         log_event(
             _log,
             "service.out" if is_unavailable else "service.back",
             level=logging.WARNING if is_unavailable else logging.INFO,
-            service=service,
+            service=domain.service,
+            group=domain.group,
         )
-        self.peers.announce_outage(service, is_out=is_unavailable)
+        self.peers.announce_outage(domain, is_out=is_unavailable)
         if is_unavailable:
-            self.start_recovery_watch(service)
+            self.start_recovery_watch(domain)
         self.wake_wait_queues()
 
     def record_leaving(self, endpoint):
@@ -233,12 +247,13 @@
         if self.site_state.registry.record_leaving(endpoint):
             self.on_site_changed()
 
-    def start_recovery_watch(self, service):
-        """Start polling the status of an unavailable service, unless a task does so."""
-        running = self._recovery_by_service.get(service)
+    def start_recovery_watch(self, domain):
+        """Start polling an unavailable fault domain, unless a task does so."""
+        running = self._recovery_by_domain.get(domain)
         if running is None or running.done():
-            self._recovery_by_service[service] = self.tasks.start(
-                watch_recovery(self, service), name=f"recovery of {service}"
+            self._recovery_by_domain[domain] = self.tasks.start(
+                watch_recovery(self, domain),
+                name=f"recovery of {domain.service} {domain.group}",
             )
 
     def on_load_changed(self, endpoint_id):
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/site_state.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/site_state.py
@@ -12,6 +12,7 @@
     EvacuationItem,
     FormatError,
     InstanceItem,
+    RankGroupItem,
     SlowRanksItem,
     StorePosition,
     decode_configuration,
@@ -69,6 +70,8 @@
         The encoded configuration in force; empty without one.
     era : int or None
         Era of the store in the last listing that was applied; None before the first.
+    rank_groups_by_name : dict of str to RankGroup
+        Groups of ranks that serve a service together with others.
     registry : EndpointRegistry
         Endpoints, also those that get no requests.
     """
@@ -84,6 +87,7 @@
         "era",
         "evacuated",
         "link_address_by_name",
+        "rank_groups_by_name",
         "registry",
         "route_table",
         "slow_ranks_by_group",
@@ -101,6 +105,7 @@
         self.era = None
         self.evacuated = set()
         self.link_address_by_name = {}
+        self.rank_groups_by_name = {}
         self.registry = EndpointRegistry(clock=clock, service_of=self._service_of)
         self.route_table = RouteTable(routes=[])
         self.slow_ranks_by_group = {}
@@ -364,6 +369,10 @@
             (groups.add if item.is_blocked else groups.discard)(item.group)
         elif isinstance(item, SlowRanksItem):
             self._apply_slow_ranks(item, revision)
+        elif isinstance(item, RankGroupItem) and item.group is not None:
+            self.rank_groups_by_name[item.name] = item.group
+        elif isinstance(item, RankGroupItem):
+            self.rank_groups_by_name.pop(item.name, None)
         elif isinstance(item, InstanceItem) and item.address:
             self.link_address_by_name[item.name] = item.address
         elif isinstance(item, InstanceItem):
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/__init__.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/__init__.py
@@ -10,6 +10,8 @@
     EJECT_MAX_S,
     EndpointTable,
 )
+from magnoliagrade_entry.direct.placement.fault_domains import FaultDomain
+from magnoliagrade_entry.direct.placement.group_notices import GroupNotices
 from magnoliagrade_entry.direct.placement.limit_exchange import LimitExchange
 from magnoliagrade_entry.direct.placement.outages import OutageTracker
 from magnoliagrade_entry.direct.placement.permits import PermitIssuer, PermitRequests
@@ -19,6 +21,7 @@
     placement_policies,
 )
 from magnoliagrade_entry.direct.placement.recovery import watch_recovery
+from magnoliagrade_entry.direct.placement.service_outages import ServiceOutages
 
 __all__ = [
     "ColdIntervals",
@@ -26,12 +29,15 @@
     "EndpointLimits",
     "EndpointLoad",
     "EndpointTable",
+    "FaultDomain",
+    "GroupNotices",
     "LimitExchange",
     "OutageTracker",
     "PermitIssuer",
     "PermitRequests",
     "PlacementContext",
     "PlacementRate",
+    "ServiceOutages",
     "cold_send_interval_s",
     "placement_policies",
     "watch_recovery",
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/endpoint_load.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/endpoint_load.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from magnoliagrade_entry.direct.placement.fault_domains import FaultDomain
+
 __all__ = ["EndpointLoad"]
 
 # Time after which an entry that must not use a cold endpoint looks at it again at the
@@ -23,6 +25,8 @@
         Requests that other entries have in flight there; see `set_peer_in_flight`.
     peers_in_flight : int
         Their sum.
+    group : str
+        Group whose rank the endpoint is; empty if that is not known.
     failures : int
         Failures in a row.
     ejected_until : float
@@ -50,6 +54,7 @@
     local_in_flight: int = 0
     in_flight_by_peer: dict = field(default_factory=dict)
     peers_in_flight: int = 0
+    group: str = ""
     failures: int = 0
     ejected_until: float = float("-inf")
     pace: float = 1.0
@@ -61,6 +66,11 @@
     limit_per_s: float = float("inf")
     permitted_until: float = float("-inf")
 
+    @property
+    def fault_domain(self):
+        """`FaultDomain` of the endpoint."""
+        return FaultDomain(service=self.endpoint.service, group=self.group)
+
     def pace_at(self, now):
         """Return the pace that is valid at a time; 1.0 is normal."""
         return self.pace if now < self.slow_until else 1.0
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/endpoint_table.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/endpoint_table.py
@@ -4,13 +4,13 @@
 """
 
 from magnoliagrade_entry.direct.placement.endpoint_load import EndpointLoad
-from magnoliagrade_entry.direct.placement.outages import OutageTracker
 from magnoliagrade_entry.direct.placement.permits import MIN_RATE_PER_S
 from magnoliagrade_entry.direct.placement.policies import (
     PlacementContext,
     PlacementRate,
     placement_policies,
 )
+from magnoliagrade_entry.direct.placement.service_outages import ServiceOutages
 from magnoliagrade_entry.direct.scope import Scope
 
 __all__ = ["EJECT_MAX_S", "EndpointTable"]
@@ -29,8 +29,6 @@
 EJECT_MAX_S = 4.0
 # Ejection time of a full endpoint, which accepts requests once one of its own ends.
 FULL_EJECT_S = 0.15
-# Ejection time of an endpoint whose group has lost a rank; a group forms in 0.6 s.
-BROKEN_GROUP_EJECT_S = 0.4
 # Ejection time of an endpoint that is another incarnation than the registered one: the
 # outdated registration expires after three heartbeats of 1.2 s.
 REPLACED_EJECT_S = 4.0
@@ -55,18 +53,25 @@
     report_interval_s : callable
         Returns the interval, in seconds, at which the entries of a `Scope` report their
         work.
+
+    Attributes
+    ----------
+    by_id : dict of str to EndpointLoad
+        Loads, also of endpoints that get no new requests, by the endpoint's id.
+    outages : ServiceOutages
+        Outages of services and of the groups that serve them.
     """
 
     __slots__ = (
         "_data_centre",
         "_is_coldness_unknown",
-        "_outages",
         "_peer_rates_by_service",
         "_policy",
         "_report_interval_s",
         "_rng",
         "by_id",
         "ids_by_service",
+        "outages",
     )
 
     def __init__(
@@ -82,11 +87,11 @@
         self._is_coldness_unknown = is_coldness_unknown
         self._rng = rng
         self._policy = placement_policies.get(policy)
-        self._outages = OutageTracker()
         self._peer_rates_by_service = {}
         self._report_interval_s = report_interval_s
         self.by_id = {}
         self.ids_by_service = {}
+        self.outages = ServiceOutages(loads_of=self.loads_of)
 
     def update(self, endpoints):
         """Replace the set of endpoints that may receive new requests.
@@ -215,6 +220,20 @@
             address = load.endpoint.address
             load.pace, load.slow_until = pace_and_end.get(address, normal)
 
+    def update_groups(self, groups):
+        """Apply the groups that the endpoints are ranks of.
+
+        Parameters
+        ----------
+        groups : iterable of RankGroup
+            The groups that are known.
+        """
+        name_by_address = {
+            address: group.name for group in groups for address in group.addresses
+        }
+        for load in self.by_id.values():
+            load.group = name_by_address.get(load.endpoint.address, "")
+
     def _record_placements(self, load, peer_scope, placements, now):
         is_local = load.endpoint.data_centre == self._data_centre
         scope = Scope.LOCAL if is_local else Scope.REMOTE
@@ -237,7 +256,7 @@
 
     def _free_loads(self, service, now, excluded):
         """Return the loads with a free slot that may get a request but for a limit."""
-        loads = self.loads_of(service)
+        loads = self.outages.without_unavailable(service, self.loads_of(service))
         best_pace = min((load.pace_at(now) for load in loads), default=1.0)
         is_unknown = self._is_coldness_unknown()
         return [
@@ -258,7 +277,9 @@
         is_unknown = self._is_coldness_unknown()
         times = [
             load.available_at(now, is_coldness_unknown=is_unknown)
-            for load in self.loads_of(service)
+            for load in self.outages.without_unavailable(
+                service, self.loads_of(service)
+            )
         ]
         if any(time <= now for time in times):
             return None
@@ -298,58 +319,6 @@
         for load in self.by_id.values():
             load.set_peer_in_flight(peer, 0)
 
-    def should_reject(self, service, *, now):
-        """Return whether a request must be rejected because its service is unavailable.
-
-        Notes
-        -----
-        During an outage, one request at intervals is let through as a probe.
-        """
-        if not self._outages.is_unavailable(service):
-            return False
-        if not self._outages.acquire_probe(service, now=now):
-            return True
-        for load in self.loads_of(service):
-            load.ejected_until = min(load.ejected_until, now)
-        return False
-
-    def is_unavailable(self, service):
-        """Return whether a service counts as unavailable."""
-        return self._outages.is_unavailable(service)
-
-    def record_broken_report(self, service, *, now):
-        """Record an endpoint's report that its group is still broken."""
-        self._outages.record_broken_report(service, now=now)
-
-    def record_broken_group(self, load, *, now):
-        """Eject an endpoint whose group has lost a rank.
-
-        Returns
-        -------
-        has_begun : bool
-            Whether an outage of the service begins.
-        """
-        service = load.endpoint.service
-        load.ejected_until = max(load.ejected_until, now + BROKEN_GROUP_EJECT_S)
-        return self._outages.record_broken(
-            service,
-            load.endpoint.id,
-            endpoints=len(self.loads_of(service)),
-            now=now,
-        )
-
-    def record_outage(self, service, *, now):
-        """Begin an outage of a service; return whether none was in progress."""
-        return self._outages.begin(service, now=now)
-
-    def record_response(self, service):
-        """End the outage of a service; return whether one was in progress."""
-        if not self._outages.end(service):
-            return False
-        for load in self.loads_of(service):
-            load.ejected_until = float("-inf")
-        return True
-
     def record_success(self, load):
         """Reset the count of failures of an endpoint that responded."""
         load.failures = 0
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/recovery.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/recovery.py
@@ -1,4 +1,4 @@
-"""Polling the status of an unavailable service's endpoints until its recovery.
+"""Polling the status of unavailable endpoints until they have recovered.
 
 No request of a caller is used for it, unlike for the probes of `outages`.
 """
@@ -34,15 +34,15 @@
 _log = logging.getLogger(__name__)
 
 
-async def watch_recovery(node, service):
-    """Poll a service until it is available, so that no request is used as a probe.
+async def watch_recovery(node, domain):
+    """Poll a fault domain until it is available, so that no request is a probe.
 
     Parameters
     ----------
     node : DirectEntry
         The entry.
-    service : str
-        Unavailable service.
+    domain : FaultDomain
+        Unavailable fault domain.
     """
     pause_s = FIRST_STATUS_DELAY_S
     while True:
@@ -50,9 +50,14 @@
             pause_s * node.rng.uniform(1 - STATUS_JITTER, 1 + STATUS_JITTER)
         )
         pause_s = STATUS_INTERVAL_S
-        if not node.endpoint_table.is_unavailable(service):
+        outages = node.endpoint_table.outages
+        if not outages.is_domain_unavailable(domain):
             return
-        load = _pick_load(node, service)
+        if not outages.loads_in(domain) and outages.has_others(domain):
+            # Its endpoints belong to other groups by now, or are gone for good.
+            outages.end(domain)
+            return
+        load = _pick_load(node, domain)
         if load is None:
             continue
         status = await _request_status(node, load.endpoint)
@@ -60,23 +65,23 @@
             continue
         now = node.clock.monotonic()
         if not status.is_open:
-            node.endpoint_table.record_broken_report(service, now=now)
-        elif node.endpoint_table.record_response(service):
+            outages.record_broken_report(domain, now=now)
+        elif outages.end(domain):
             log_event(
                 _log,
                 "service.reported_back",
-                service=service,
+                service=domain.service,
                 endpoint=load.endpoint.id,
                 group=status.group,
                 epoch=status.epoch,
             )
-            node.on_outage(service, is_unavailable=False)
+            node.on_outage(domain, is_unavailable=False)
             return
 
 
-def _pick_load(node, service):
+def _pick_load(node, domain):
     """Return a random endpoint's load, preferably of the local data centre, or None."""
-    loads = node.endpoint_table.loads_of(service)
+    loads = node.endpoint_table.outages.loads_in(domain)
     local_data_centre = node.settings.data_centre
     local = [load for load in loads if load.endpoint.data_centre == local_data_centre]
     return node.rng.choice(local or loads) if loads else None
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/tests/test_endpoint_table.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/tests/test_endpoint_table.py
@@ -7,8 +7,11 @@
 from magnoliagrade_entry.direct.knowledge.route_table import RouteTable
 from magnoliagrade_entry.direct.knowledge.site_state import SlowRanks
 from magnoliagrade_entry.direct.placement.endpoint_table import EndpointTable
+from magnoliagrade_entry.direct.placement.fault_domains import FaultDomain
 from magnoliagrade_entry.direct.placement.outages import PROBE_INTERVAL_S
 
+WHOLE_SERVICE = FaultDomain(service="s")
+
 
 def test_least_loaded_policy_has_a_lower_peak_load_than_random():
     # Forty requests in flight over twelve endpoints.
@@ -104,24 +107,25 @@
 
 def test_one_broken_endpoint_is_ejected_and_two_begin_an_outage():
     table = _table(4)
-    assert not table.record_broken_group(table.by_id["i-0"], now=0.0)
-    assert not table.is_unavailable("s")
+    outages = table.outages
+    assert not outages.record_broken_group(table.by_id["i-0"], now=0.0)
+    assert not outages.is_unavailable("s")
     assert table.select_endpoint("s", now=0.0).endpoint.id != "i-0"
-    assert table.record_broken_group(table.by_id["i-1"], now=0.0)
-    assert not table.record_broken_group(table.by_id["i-2"], now=0.0)
-    assert table.record_response("s")
-    assert not table.is_unavailable("s")
-    assert not table.record_response("s")
+    assert outages.record_broken_group(table.by_id["i-1"], now=0.0)
+    assert not outages.record_broken_group(table.by_id["i-2"], now=0.0)
+    assert outages.end(WHOLE_SERVICE)
+    assert not outages.is_unavailable("s")
+    assert not outages.end(WHOLE_SERVICE)
 
 
 def test_one_request_per_interval_probes_an_unavailable_service():
-    table = _table(2)
-    table.record_outage("s", now=0.0)
-    assert table.should_reject("s", now=PROBE_INTERVAL_S / 2)
-    assert not table.should_reject("s", now=PROBE_INTERVAL_S)
-    assert table.should_reject("s", now=PROBE_INTERVAL_S)
-    table.record_response("s")
-    assert not table.should_reject("s", now=PROBE_INTERVAL_S)
+    outages = _table(2).outages
+    outages.begin(WHOLE_SERVICE, now=0.0)
+    assert outages.should_reject("s", now=PROBE_INTERVAL_S / 2)
+    assert not outages.should_reject("s", now=PROBE_INTERVAL_S)
+    assert outages.should_reject("s", now=PROBE_INTERVAL_S)
+    outages.end(WHOLE_SERVICE)
+    assert not outages.should_reject("s", now=PROBE_INTERVAL_S)
 
 
 def test_retries_of_all_entries_stay_within_the_shared_budget():
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/attempts.py
@@ -108,19 +108,21 @@
         if self._load.pace_at(now) < MOVE_PACE or not attempts.may_retry():
             return False
         service = attempts.request.service
-        if node.endpoint_table.is_unavailable(service):
+        outages = node.endpoint_table.outages
+        if outages.is_domain_unavailable(self._load.fault_domain):
             return False
+        loads = node.endpoint_table.loads_of(service)
         has_faster = any(
             load.pace_at(now) < MOVE_PACE and load.endpoint.id not in attempts.tried
-            for load in node.endpoint_table.loads_of(service)
+            for load in outages.without_unavailable(service, loads)
         )
         return has_faster and node.retry_budget.acquire(service, now=now)
 
     def record_response(self):
-        """Record that the service responds, which ends an outage."""
-        service = self._attempts.request.service
-        if self._node.endpoint_table.record_response(service):
-            self._node.on_outage(service, is_unavailable=False)
+        """Record that the endpoint responds, which ends an outage of its group."""
+        domain = self._load.fault_domain
+        if self._node.endpoint_table.outages.end(domain):
+            self._node.on_outage(domain, is_unavailable=False)
 
     def record_success(self):
         """Record that the endpoint sent a complete and valid response."""
@@ -134,7 +136,7 @@
     def _record_notice(self, notice):
         if notice is None:
             return
-        self._node.crash_watch.record_response(self._attempts.request.service)
+        self._node.crash_watch.record_response(self._load.fault_domain)
         if notice.is_leaving:
             self._node.record_leaving(self.endpoint)
         self._node.limit_exchange.record_response(
@@ -157,7 +159,7 @@
         if not failed.has_run or not self._connection.is_established:
             return
         self._node.crash_watch.begin(
-            self.endpoint,
+            self._load,
             self._attempts.request,
             self._attempts.traits,
             kind=failed.kind,
@@ -173,10 +175,11 @@
         if failed.is_moved:
             pass
         elif failed.is_group_broken:
-            if self._node.endpoint_table.record_broken_group(self._load, now=now):
-                self._node.on_outage(
-                    self._attempts.request.service, is_unavailable=True
-                )
+            self._attempts.broken_domains.add(self._load.fault_domain)
+            if self._node.endpoint_table.outages.record_broken_group(
+                self._load, now=now
+            ):
+                self._node.on_outage(self._load.fault_domain, is_unavailable=True)
         elif failed.is_replaced:
             self._node.endpoint_table.eject_replaced(self._load, now=now)
             is_ejected = True
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/request_attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/request_attempts.py
@@ -31,15 +31,18 @@
     Notes
     -----
     `tried` holds the ids of the endpoints selected so far, and `sent` counts those that
-    the request was sent to. `has_run` is set once an attempt that may have run the
-    request has failed. `last_event_id` and `last_event_at` (seconds; None before the
-    first event) describe the last event sent to the caller of a stream.
+    the request was sent to. Endpoints in one of the fault domains `broken_domains` are
+    not selected either, as long as the service has others. `has_run` is set once an
+    attempt that may have run the request has failed. `last_event_id` and
+    `last_event_at` (seconds; None before the first event) describe the last event sent
+    to the caller of a stream.
     """
 
     __slots__ = (
         "_load",
         "_node",
         "_traits",
+        "broken_domains",
         "has_run",
         "last_event_at",
         "last_event_id",
@@ -53,6 +56,7 @@
         self._load = None
         self._traits = None
         self.request = request
+        self.broken_domains = set()
         self.has_run = False
         self.sent = 0
         self.tried = set()
@@ -91,7 +95,7 @@
         try:
             self._load = await queue.acquire_slot(
                 self.request,
-                excluded=self.tried,
+                excluded=self._excluded(),
                 slot_deadline=self._slot_deadline(),
                 has_started=self.last_event_at is not None,
             )
@@ -161,6 +165,15 @@
         )
         raise _upstream_failed(error) if self.has_run else error
 
+    def _excluded(self):
+        """Return the ids of the endpoints that must not be selected."""
+        outages = self._node.endpoint_table.outages
+        excluded = set(self.tried)
+        for domain in self.broken_domains:
+            if outages.has_others(domain):
+                excluded.update(load.endpoint.id for load in outages.loads_in(domain))
+        return excluded
+
     def _slot_deadline(self):
         return slot_deadline(self.request, last_event_at=self.last_event_at)
 
@@ -172,7 +185,7 @@
             return False
         if failed.has_run and node.crash_guard.is_suspected(self.traits):
             return False
-        if failed.is_group_broken and node.endpoint_table.is_unavailable(
+        if failed.is_group_broken and node.endpoint_table.outages.is_unavailable(
             self.request.service
         ):
             return False
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/server_crashes.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/server_crashes.py
@@ -58,24 +58,24 @@
         The entry.
     """
 
-    __slots__ = ("_node", "_responded_at_by_service", "_unchecked_by_endpoint_id")
+    __slots__ = ("_node", "_responded_at_by_domain", "_unchecked_by_endpoint_id")
 
     def __init__(self, *, node):
         self._node = node
         self._unchecked_by_endpoint_id = {}
-        self._responded_at_by_service = {}
+        self._responded_at_by_domain = {}
 
-    def record_response(self, service):
-        """Record that a server of a service has responded."""
-        self._responded_at_by_service[service] = self._node.clock.monotonic()
+    def record_response(self, domain):
+        """Record that a server of a fault domain has responded."""
+        self._responded_at_by_domain[domain] = self._node.clock.monotonic()
 
-    def begin(self, endpoint, request, traits, *, kind, began_at):
+    def begin(self, load, request, traits, *, kind, began_at):
         """Watch a server after a failed attempt, unless the failure tells nothing.
 
         Parameters
         ----------
-        endpoint : SiteEndpoint
-            The server.
+        load : EndpointLoad
+            Load of the server.
         request : DirectRequest
             The request.
         traits : RequestTraits
@@ -86,6 +86,7 @@
             Time at which the attempt began, in seconds.
         """
         node = self._node
+        endpoint = load.endpoint
         registry = node.site_state.registry
         if kind not in SUSPICIOUS_KINDS or registry.has_announced_end(endpoint):
             return
@@ -96,7 +97,7 @@
             began_at=began_at,
             broken_at=node.clock.monotonic(),
             responded_at=max(
-                self._responded_at_by_service.get(request.service, float("-inf")),
+                self._responded_at_by_domain.get(load.fault_domain, float("-inf")),
                 registry.registered_at(endpoint),
             ),
             is_connection_lost=kind is not ErrorKind.DEADLINE,
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/tests/test_server_crashes.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/tests/test_server_crashes.py
@@ -11,12 +11,14 @@
 from magnoliagrade.clock import ManualClock
 from magnoliagrade.errors import ErrorKind
 
+from magnoliagrade_entry.direct.placement.fault_domains import FaultDomain
 from magnoliagrade_entry.direct.serving import server_crashes
 from magnoliagrade_entry.direct.serving.crash_guard import CrashGuard
 from magnoliagrade_entry.direct.serving.request_traits import RequestTraits
 from magnoliagrade_entry.direct.serving.server_crashes import CrashWatch
 
 ENDPOINT = SimpleNamespace(id="i-1", address="127.0.0.1:1")
+LOAD = SimpleNamespace(endpoint=ENDPOINT, fault_domain=FaultDomain(service="model"))
 
 
 def test_crash_is_found_while_an_earlier_failure_at_the_server_is_looked_into():
@@ -64,7 +66,7 @@
 
 def _begin(node, name):
     node.crash_watch.begin(
-        ENDPOINT,
+        LOAD,
         SimpleNamespace(id=name, service="model"),
         RequestTraits(request=name, variant=name, caller="org"),
         kind=ErrorKind.OUTCOME_UNKNOWN,
--- a/packages/magnoliagrade/magnoliagrade/algorithms/balance/placement_changes.py
+++ b/packages/magnoliagrade/magnoliagrade/algorithms/balance/placement_changes.py
@@ -96,7 +96,7 @@
         candidates += _moves_and_swaps(placement, shares, times, slowest, rank, slots)
     if not may_load[slowest]:
         candidates = [c for c in candidates if all(r != slowest for r, _ in c[0])]
-    return _choose(placement, rates, speeds, candidates)
+    return _choose(placement, rates, replicas, times, speeds, candidates)
 
 
 def _replications(placement, shares, experts, rank, slots):
@@ -138,12 +138,14 @@
     ]
 
 
-def _choose(placement, rates, speeds, candidates):
-    before = _power_mean(_rank_times_after(placement, rates, speeds, ((), ())))
+def _choose(placement, rates, replicas, times, speeds, candidates):
+    before = _power_mean(times)
     best = None
     for added, dropped in candidates:
         after = _power_mean(
-            _rank_times_after(placement, rates, speeds, (added, dropped))
+            _rank_times_after(
+                placement, rates, replicas, times, speeds, (added, dropped)
+            )
         )
         change = PlacementChange(added=added, dropped=dropped, gain=before - after)
         if change.gain <= 0:
@@ -153,16 +155,21 @@
     return best
 
 
-def _rank_times_after(placement, rates, speeds, change):
+def _rank_times_after(placement, rates, replicas, times, speeds, change):
+    """Return the ranks' times after a change, computed from its experts only."""
     added, dropped = change
-    changed = placement
-    if added:
-        changed = placement.copy()
-        for rank, expert in dropped:
-            changed[rank, expert] = False
-        for rank, expert in added:
-            changed[rank, expert] = True
-    return changed @ (rates / changed.sum(axis=0)) / speeds
+    delta_by_expert = {}
+    for pairs, delta in ((added, 1), (dropped, -1)):
+        for rank, expert in pairs:
+            delta_by_expert.setdefault(expert, []).append((rank, delta))
+    loads = np.zeros(len(times))
+    for expert, deltas in delta_by_expert.items():
+        holders = placement[:, expert].astype(float)
+        loads -= holders * (rates[expert] / replicas[expert])
+        for rank, delta in deltas:
+            holders[rank] += delta
+        loads += holders * (rates[expert] / holders.sum())
+    return times + loads / speeds
 
 
 def _power_mean(times):
--- a/packages/magnoliagrade/magnoliagrade/platform/items.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/items.py
@@ -9,12 +9,13 @@
 from magnoliagrade.platform.endpoints import decode_endpoint
 from magnoliagrade.platform.fields import (
     FormatError,
+    boolean_field,
     load_object,
     number_field,
     optional_object,
     string_field,
 )
-from magnoliagrade.world.site import SiteConfiguration, SiteEndpoint
+from magnoliagrade.world.site import RankGroup, SiteConfiguration, SiteEndpoint
 
 __all__ = [
     "BLOCKED_REQUEST_LIFE_S",
@@ -24,14 +25,17 @@
     "EndpointItem",
     "EvacuationItem",
     "InstanceItem",
+    "RankGroupItem",
     "SlowRanksItem",
     "blocked_request_key",
     "decode_item",
     "encode_instance",
+    "encode_rank_group",
     "encode_slow_ranks",
     "fetch_configuration",
     "instance_key",
     "list_endpoints",
+    "rank_group_key",
     "slow_ranks_key",
 ]
 
@@ -41,6 +45,7 @@
 _EVACUATION_PREFIX = "op/evacuate/"
 _ENDPOINT_PREFIX = "servers/"
 _INSTANCE_PREFIX = "magnoliagrade/instances/"
+_RANK_GROUP_PREFIX = "magnoliagrade/rank-groups/"
 _SLOW_RANKS_PREFIX = "magnoliagrade/slow-ranks/"
 _BLOCKED_REQUEST_PREFIX = "magnoliagrade/blocked-requests/"
 # Life of the record of blocked requests; the longest that the platform allows.
@@ -89,6 +94,14 @@
     pace_by_address: dict
 
 
+@dataclass(slots=True, kw_only=True)
+class RankGroupItem:
+    """A group and its ranks; `group` is None if the key was deleted."""
+
+    name: str
+    group: RankGroup | None
+
+
 @dataclass(slots=True, kw_only=True)
 class BlockedRequestItem:
     """A group of requests under which servers crash; it may be blocked no longer."""
@@ -139,6 +152,10 @@
             group=key.removeprefix(_SLOW_RANKS_PREFIX),
             pace_by_address={} if value is None else _paces(load_object(value)),
         )
+    if key.startswith(_RANK_GROUP_PREFIX):
+        name = key.removeprefix(_RANK_GROUP_PREFIX)
+        group = None if value is None else _rank_group(name, load_object(value))
+        return RankGroupItem(name=name, group=group)
     if key.startswith(_BLOCKED_REQUEST_PREFIX):
         group = key.removeprefix(_BLOCKED_REQUEST_PREFIX)
         return BlockedRequestItem(group=group, is_blocked=value is not None)
@@ -189,16 +206,45 @@
     return _SLOW_RANKS_PREFIX + group
 
 
+def rank_group_key(name):
+    """Return the key that describes a group and its ranks."""
+    return _RANK_GROUP_PREFIX + name
+
+
 def blocked_request_key(group):
     """Return the key that records that a group of requests is blocked."""
     return _BLOCKED_REQUEST_PREFIX + group
 
 
+def encode_rank_group(group):
+    """Return the encoded value that describes a `RankGroup`."""
+    document = {
+        "epoch": group.epoch,
+        "is_open": group.is_open,
+        "addresses": list(group.addresses),
+    }
+    return json.dumps(document).encode()
+
+
 def encode_slow_ranks(pace_by_address):
     """Return the encoded value that lists slow ranks and their pace."""
     return json.dumps({"pace_by_address": pace_by_address}).encode()
 
 
+def _rank_group(name, document):
+    addresses = document.get("addresses")
+    if not isinstance(addresses, list) or not all(
+        isinstance(address, str) for address in addresses
+    ):
+        raise FormatError(f"addresses: expected a list of texts, got {addresses!r}")
+    return RankGroup(
+        name=name,
+        epoch=int(number_field(document, "epoch")),
+        is_open=boolean_field(document, "is_open"),
+        addresses=tuple(addresses),
+    )
+
+
 def _paces(document):
     paces = optional_object(document, "pace_by_address") or {}
     return {address: number_field(paces, address, minimum=0.1) for address in paces}
--- a/packages/magnoliagrade/magnoliagrade/wire/work.capnp
+++ b/packages/magnoliagrade/magnoliagrade/wire/work.capnp
@@ -32,6 +32,7 @@
 struct ServiceOutage {
   service @0 :Text;
   isOut @1 :Bool;            # false: the service has responded again
+  group @2 :Text;            # group that is out; empty: the whole service
 }
 
 struct SiteConfigurationPull {
--- a/packages/magnoliagrade/magnoliagrade/wire/work.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/work.py
@@ -67,10 +67,15 @@
 
 @message("work", "serviceOutage")
 class ServiceOutage:
-    """An entry reports that a service's group is unavailable, or available again."""
+    """An entry reports that a group of a service is unavailable, or available again.
+
+    Without a group, the entry does not know which group an endpoint belongs to, and the
+    whole service is meant.
+    """
 
     service: str = ""
     is_out: bool = False
+    group: str = ""
 
 
 @message("work", "siteConfigurationPull")
--- a/packages/magnoliagrade/magnoliagrade/world/site.py
+++ b/packages/magnoliagrade/magnoliagrade/world/site.py
@@ -6,6 +6,7 @@
 __all__ = [
     "BackEndService",
     "EngineProfile",
+    "RankGroup",
     "RankStatus",
     "RouteKind",
     "ServiceRoute",
@@ -246,6 +247,28 @@
         return self.born_ms, self.sequence
 
 
+@dataclass(slots=True, kw_only=True)
+class RankGroup:
+    """A group of servers that run their passes together, as its ranks' agents report.
+
+    Parameters
+    ----------
+    name : str
+        Name of the group.
+    epoch : int
+        Number of its formation.
+    is_open : bool
+        Whether it runs passes; it does not while it has lost a rank.
+    addresses : tuple of str
+        Server addresses of its ranks, ordered by rank.
+    """
+
+    name: str
+    epoch: int
+    is_open: bool
+    addresses: tuple
+
+
 @dataclass(slots=True, kw_only=True)
 class RankStatus:
     """Status that a rank of an expert-parallel group reports.
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -228,11 +228,11 @@
         endpoint = site.endpoint_by_id["model-1"]
         endpoint.behaviour.fault = "broken-group"
         assert (await site.call(entry, "POST", "/stream/1", data="p"))[0] == 503
-        assert entry.endpoint_table.is_unavailable("model")
+        assert entry.endpoint_table.outages.is_unavailable("model")
         seen = len(endpoint.headers_seen)
         endpoint.behaviour.fault = ""
         async with asyncio.timeout(5):
-            while entry.endpoint_table.is_unavailable("model"):
+            while entry.endpoint_table.outages.is_unavailable("model"):
                 await asyncio.sleep(0.02)
         assert endpoint.reports
         assert len(endpoint.headers_seen) == seen
