Plan expert maps by the time of passes; wait for recovery; tell priorities

Cause: a copy of an expert was weighed by its price, so that a plan made 16 to 33 copies and the fullest rank kept twice the mean while all streams were late; after a switch the coordinator paused another 0.4 s. Callers that came back during an outage of all groups were rejected and lost. Endpoints that queue requests of different urgency were not told it. Returning callers wait for the end of an outage within half of the entry's share of the slots. The priority is sent where a service's requests differ in it.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
@@ -43,6 +43,9 @@
 # Longer interval while shorter passes would serve no caller better, so that fewer
 # counters cross data centres.
 LOW_LOAD_PLAN_INTERVAL_S = 0.7
+# Shortest pause between two plans, if a plan and its switch take longer than the
+# interval: the ranks' servers and the agent's machine have other work.
+MIN_PAUSE_S = 0.05
 # Interval at which the agents of other ranks check whether they have to take over; well
 # below the time without calls (2.5 s, and 2 s more for each rank) after which they do.
 STANDBY_CHECK_INTERVAL_S = 1.0
@@ -135,12 +138,14 @@
     async def run(self):
         """Coordinate, recover or stand by, by the rank's status, until cancelled."""
         while True:
+            began_at = self._node.clock.monotonic()
             try:
                 status = await self._local_client.status()
                 pause_s = _pause_s(status)
                 if self._is_coordinating(status):
                     await self._coordinate_once(status)
-                    pause_s = self._plan_interval_s()
+                    took_s = self._node.clock.monotonic() - began_at
+                    pause_s = max(MIN_PAUSE_S, self._plan_interval_s() - took_s)
                 elif self._stall_detector.is_stalled(status):
                     await self._recover_group(status)
                 elif is_recovery_candidate(status):
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/planning.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/planning.py
@@ -30,26 +30,28 @@
     "round_robin_placement",
 ]
 
-# Half-life of the weight of counts: a third of the 3 s between shifts of the load.
-COUNT_HALF_LIFE_S = 1.0
+# Half-life of the weight of counts: a fraction of the 3 s between shifts of the load. A
+# rank counts thousands of choices of its hottest experts in that time.
+COUNT_HALF_LIFE_S = 0.4
 # Fraction of the pass length that a switch has to save: copies make passes 15 % longer
 # for about 0.4 s of the 3 s until the next shift of the load.
 MIN_SAVING_FRACTION = 0.04
 # Pass length, as a fraction of the objective for gaps between events, above which
-# shorter passes serve callers better. Below it events are in time.
-URGENT_FROM_GAP_FRACTION = 0.6
+# shorter passes serve callers better. Below it events are in time even if the next
+# shift of the load makes passes twice as long.
+URGENT_FROM_GAP_FRACTION = 0.35
 # Pass length, as a fraction of the objective for gaps between events, from which the
 # urgency of a new map is 1: each reduction of the pass length counts.
-FULLY_URGENT_GAP_FRACTION = 0.85
+FULLY_URGENT_GAP_FRACTION = 0.6
 # Fraction of the slots in use above which shorter passes serve callers better. Close to
 # full, shorter passes add capacity.
 URGENT_FROM_SLOT_FRACTION = 0.55
 # Fraction of the slots in use from which the urgency of a new map is 1.
 FULLY_URGENT_SLOT_FRACTION = 0.85
-# Fraction of a pass that one copied expert has to save at urgency 1. It is the price of
-# a copy divided by the gain to callers, per saved fraction of a pass, in the 3 s until
-# the next shift of the load.
-MIN_GAIN_PER_COPY_FRACTION = 0.0015
+# Fraction of a pass that one copied expert has to save at urgency 1. Copies on
+# different ranks run at the same time, so that one more takes little time of the group;
+# below this fraction the gain is less than the error of the counts.
+MIN_GAIN_PER_COPY_FRACTION = 0.0002
 # Largest number of changes that a plan makes to one set, to bound the planning time;
 # larger than the number of experts of a set that one switch may replace.
 MAX_MOVES_PER_SET = 64
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/admission/waiting.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/admission/waiting.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
+from prometheus_client import Counter
 
 from magnoliagrade_entry.direct.admission.overload import (
     completion_rate,
@@ -13,9 +14,15 @@
     retry_after_s,
     wait_order,
 )
+from magnoliagrade_entry.direct.admission.recovery_room import has_room_to_wait
 
 __all__ = ["Waiter", "WaitQueue"]
 
+AWAITED_RECOVERIES = Counter(
+    "magnoliagrade_direct_awaited_recoveries_total",
+    "Requests that waited for the end of an outage",
+)
+
 # Window in which completions are counted to get the rate at which slots become free;
 # longer than a usual stream, so that each slot contributes.
 RATE_WINDOW_S = 2.0
@@ -112,19 +119,22 @@
             `OVERLOADED` as soon as no slot can be expected in time.
         """
         now = self._clock.monotonic()
-        if self._endpoint_table.outages.should_reject(self._service, now=now):
-            raise self._outage_error(request, now)
-        # During an outage a request let through as a probe does not wait behind others.
-        if not self.waiters or self._endpoint_table.outages.is_unavailable(
-            self._service
-        ):
-            load = self._acquire_free_slot(excluded, now)
-            if load is not None:
-                return load
-        ahead = [w for w in self.waiters if w.has_started or not has_started]
-        self._reject_if_too_late(
-            request, excluded, slot_deadline, now, ahead=len(ahead)
-        )
+        outages = self._endpoint_table.outages
+        if outages.should_reject(self._service, now=now):
+            if not self._may_await_recovery(request, now, slot_deadline):
+                raise self._outage_error(request, now)
+            AWAITED_RECOVERIES.inc()
+        else:
+            # During an outage a request let through as a probe does not wait behind
+            # others.
+            if not self.waiters or outages.is_unavailable(self._service):
+                load = self._acquire_free_slot(excluded, now)
+                if load is not None:
+                    return load
+            ahead = [w for w in self.waiters if w.has_started or not has_started]
+            self._reject_if_too_late(
+                request, excluded, slot_deadline, now, ahead=len(ahead)
+            )
         waiter = Waiter(
             request=request,
             excluded=excluded,
@@ -216,6 +226,16 @@
             self._in_flight += 1
         return load
 
+    def _may_await_recovery(self, request, now, slot_deadline):
+        """Return whether a request may wait for the end of the service's outage."""
+        loads = self._endpoint_table.loads_of(self._service)
+        return slot_deadline > now and has_room_to_wait(
+            request,
+            len(self.waiters),
+            slots=sum(load.endpoint.slots for load in loads),
+            entries=self._limit_exchange.count_entries(),
+        )
+
     def _reject_if_too_late(self, request, excluded, slot_deadline, now, *, ahead):
         candidates = [
             load
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/site_state.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/site_state.py
@@ -22,6 +22,7 @@
 
 from magnoliagrade_entry.direct.knowledge.endpoint_registry import EndpointRegistry
 from magnoliagrade_entry.direct.knowledge.route_table import RouteTable
+from magnoliagrade_entry.direct.knowledge.urgency import ranked_services
 
 __all__ = ["STORE_SETTLE_S", "SiteState"]
 
@@ -70,6 +71,8 @@
         The encoded configuration in force; empty without one.
     era : int or None
         Era of the store in the last listing that was applied; None before the first.
+    ranked_services : frozenset of str
+        Services whose requests differ in priority.
     rank_groups_by_name : dict of str to RankGroup
         Groups of ranks that serve a service together with others.
     registry : EndpointRegistry
@@ -87,6 +90,7 @@
         "era",
         "evacuated",
         "link_address_by_name",
+        "ranked_services",
         "rank_groups_by_name",
         "registry",
         "route_table",
@@ -105,6 +109,7 @@
         self.era = None
         self.evacuated = set()
         self.link_address_by_name = {}
+        self.ranked_services = frozenset()
         self.rank_groups_by_name = {}
         self.registry = EndpointRegistry(clock=clock, service_of=self._service_of)
         self.route_table = RouteTable(routes=[])
@@ -399,6 +404,7 @@
             # The version never decreases during the life of a process.
             return
         self.configuration = configuration
+        self.ranked_services = ranked_services(configuration)
         self.route_table = RouteTable(routes=configuration.routes)
         log_event(
             _log,
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/attempts.py
@@ -84,6 +84,8 @@
                 now=self._started_at,
                 connection=self._connection,
                 last_event_id=attempts.last_event_id,
+                is_ranked=self.endpoint.service
+                in self._node.site_state.ranked_services,
             )
         except AttemptFailed as exc:
             # A replaced endpoint is gone and never received the request.
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/upstream.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/upstream.py
@@ -207,7 +207,7 @@
 
 
 async def open_response(
-    session, endpoint, request, *, now, connection, last_event_id=""
+    session, endpoint, request, *, now, connection, last_event_id="", is_ranked=False
 ):
     """Send a request to an endpoint and return its response.
 
@@ -225,6 +225,8 @@
         Updated once the connection has been established.
     last_event_id : str
         Id of the event after which a stream resumes; empty to start a new one.
+    is_ranked : bool
+        Whether the endpoint shall admit waiting requests by their priority.
 
     Raises
     ------
@@ -238,6 +240,7 @@
         organisation=request.organisation.name if request.organisation else "",
         deadline_s=request.ends_at - now,
         last_event_id=last_event_id,
+        priority=request.priority if is_ranked else None,
     )
     url = URL(f"http://{endpoint.address}{request.target}", encoded=True)
     try:
--- a/packages/magnoliagrade/magnoliagrade/platform/headers.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/headers.py
@@ -39,6 +39,8 @@
 SERVER_LEAVING = "Server-Leaving"
 SERVER_LIMIT = "Server-Limit"
 LAST_EVENT_ID = "Last-Event-Id"
+# Priority that endpoints admit last.
+LEAST_URGENT = 9
 _BEARER = "bearer "
 _PART_ID = re.compile(r"[0-9a-fA-F]{1,64}")
 # Headers of a caller that are not forwarded: they belong to one connection, identify
@@ -121,7 +123,9 @@
     return headers.get(PROMPT_PREFIX, "")
 
 
-def endpoint_headers(headers, *, endpoint_id, organisation, deadline_s, last_event_id):
+def endpoint_headers(
+    headers, *, endpoint_id, organisation, deadline_s, last_event_id, priority=None
+):
     """Return the headers of a caller's request as it is forwarded to an endpoint.
 
     Parameters
@@ -136,6 +140,9 @@
         Seconds until the deadline.
     last_event_id : str
         Event after which a stream resumes; empty to start it at the beginning.
+    priority : int, optional
+        Priority by which the endpoint admits waiting requests, 0 first; the endpoint's
+        default by default.
     """
     connection_options = _connection_options(headers)
     forwarded = CIMultiDict(
@@ -149,6 +156,8 @@
         forwarded[TENANT] = organisation
     if last_event_id:
         forwarded[LAST_EVENT_ID] = last_event_id
+    if priority is not None:
+        forwarded[REQUEST_PRIORITY] = str(min(max(0, priority), LEAST_URGENT))
     return forwarded
 
 
