Gather counters of large groups through agents

Cause: the link of the coordinator's machine let it count 6 to 20 of 63 ranks and read all statuses twice a second, so that plans followed few requests, and late. Change: one agent of each block of ranks sums their rounded increments and returns them with all statuses (docs/design/gathering.md), where the counters of all ranks exceed the link's budget.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
@@ -11,6 +11,7 @@
 from magnoliagrade.observability import log_event
 from prometheus_client import Counter
 
+from magnoliagrade_agent.direct.expert_demand import ExpertDemand
 from magnoliagrade_agent.direct.expert_map_codec import pack_experts
 from magnoliagrade_agent.direct.group_reader import GroupReader
 from magnoliagrade_agent.direct.link_budget import LinkBudget
@@ -99,6 +100,7 @@
 
     __slots__ = (
         "_clients",
+        "_demand",
         "_directory",
         "_formation",
         "_is_load_low",
@@ -115,7 +117,6 @@
         "_stall_detector",
         "_switch",
         "_switch_deadline",
-        "_window",
     )
 
     def __init__(self, *, node):
@@ -132,7 +133,9 @@
         self._switch_deadline = 0.0
         self._slow_ranks = node.slow_ranks
         self._stall_detector = StallDetector(clock=node.clock)
-        self._window = None
+        self._demand = ExpertDemand(
+            node=node, reader=self._reader, directory=self._directory
+        )
         self._reset()
 
     async def run(self):
@@ -204,14 +207,9 @@
 
     async def _coordinate_once(self, status):
         await self._adopt_formation(status)
-        engine = await self._node.engine()
-        statuses, counts_by_rank = await self._reader.read(
-            self._clients,
-            status.epoch,
-            counters=engine.sets * engine.experts if engine else 0,
-            interval_s=self._plan_interval_s(),
+        statuses = await self._demand.read(
+            self._clients, status.epoch, interval_s=self._plan_interval_s()
         )
-        await self._add_counts(counts_by_rank)
         if statuses is None:
             return
         self._slow_ranks.update_paces(
@@ -258,20 +256,6 @@
             rng=self._node.rng,
         )
 
-    async def _add_counts(self, counts_by_rank):
-        """Add counters of ranks to the window of recent choices."""
-        # Imported late: numpy takes memory, and only the coordinator's agent needs it.
-        from magnoliagrade_agent.direct import planning
-
-        engine = await self._node.engine()
-        if engine is None or not engine.experts:
-            return
-        if self._window is None:
-            self._window = planning.CountWindow(
-                sets=engine.sets, experts=engine.experts
-            )
-        self._window.add(counts_by_rank, now=self._node.clock.monotonic())
-
     async def _balance(self, statuses):
         from magnoliagrade_agent.direct import planning
 
@@ -285,7 +269,7 @@
                 await self._experts_in_use(statuses), engine.experts
             )
             self._placement_version = version
-        if not self._window.has_enough_choices:
+        if not self._demand.has_enough_choices:
             return
         urgency = planning.rebalance_urgency(
             statuses,
@@ -296,7 +280,7 @@
         self._is_load_low = not urgency
         if self._is_load_low:
             return
-        choices = self._window.choices
+        choices = self._demand.window.choices
         speeds = planning.rank_speeds(statuses)
         planned = planning.plan_placement(
             self._placement,
@@ -418,9 +402,7 @@
         self._switch = None
         self._placement = None
         self._pending_version = None
-        self._reader.budget.reset()
-        if self._window is not None:
-            self._window.reset_baselines()
+        self._demand.reset()
         self._placement_version = None
 
 
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/instance.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/instance.py
@@ -1,6 +1,7 @@
 """The direct agent: the process that runs beside a model server."""
 
 import asyncio
+import functools
 import logging
 import random
 import signal
@@ -14,8 +15,11 @@
 from magnoliagrade.wire import Hello, Link, RankCall, serve_links
 
 from magnoliagrade_agent.direct.coordinator import Coordinator
+from magnoliagrade_agent.direct.gathering import Gatherer
 from magnoliagrade_agent.direct.group_notices import GroupNoticePublisher
 from magnoliagrade_agent.direct.member import RankMember
+from magnoliagrade_agent.direct.ports import LocalRankClient
+from magnoliagrade_agent.direct.rank_directory import dial_rank
 from magnoliagrade_agent.direct.slow_ranks import SlowRankPublisher
 
 __all__ = ["DirectAgent"]
@@ -56,6 +60,7 @@
         "_server",
         "clock",
         "coordinator",
+        "gatherer",
         "group_notices",
         "gap_objective_s",
         "identity",
@@ -109,6 +114,11 @@
             member=self.member, store=self.store, clock=self.clock
         )
         self.coordinator = Coordinator(node=self)
+        self.gatherer = Gatherer(
+            local_client=LocalRankClient(member=self.member),
+            own_address=settings.server_address,
+            dial=functools.partial(dial_rank, self),
+        )
         app = aiohttp.web.Application()
         app.add_routes([aiohttp.web.get("/metrics", serve_metrics_text)])
         self._runner, _ = await start_site(app, settings.metrics_address)
@@ -196,9 +206,12 @@
                 message = await link.receive()
                 if isinstance(message, RankCall):
                     self._last_call_at = self.clock.monotonic()
-                    if message.operation in ("counts", "arm"):
-                        # Agents that only check whether to take over call neither.
+                    if message.operation in ("counts", "gather", "arm"):
+                        # Agents that only check whether to take over call none of them.
                         self.last_coordinator = link.hello.data_address
+                    elif message.operation == "increments":
+                        # Another agent calls it for the coordinator.
+                        self.last_coordinator = message.placement.decode()
                     self.tasks.start(
                         self._reply_to_call(link, message), name="rank call"
                     )
@@ -206,4 +219,9 @@
             self._links.discard(link)
 
     async def _reply_to_call(self, link, call):
-        link.send(await self.member.execute(call))
+        if call.operation == "gather":
+            coordinator = link.hello.data_address
+            reply = await self.gatherer.execute(call, coordinator=coordinator)
+        else:
+            reply = await self.member.execute(call)
+        link.send(reply)
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/link_budget.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/link_budget.py
@@ -12,6 +12,8 @@
 # Fraction of the link that the replies to reads of counters, and those to reads of the
 # status of all ranks, may each use.
 LINK_FRACTION = 0.15
+# Fraction of the link that gathered counters and statuses may use together.
+GATHERING_FRACTION = 2 * LINK_FRACTION
 # Size of a reply with the status of a rank, with the headers of its packet.
 STATUS_BYTES = 500
 # Size of the first reply with counters, which holds their values instead of increments.
@@ -40,11 +42,18 @@
     12
     """
 
-    __slots__ = ("_bytes_per_s", "_next_full_read_at", "_order", "_reply_bytes")
+    __slots__ = (
+        "_bytes_per_s",
+        "_next_full_read_at",
+        "_next_gathering_at",
+        "_order",
+        "_reply_bytes",
+    )
 
     def __init__(self, *, link_mbps):
         self._bytes_per_s = link_mbps * 1e6 / 8
         self._next_full_read_at = float("-inf")
+        self._next_gathering_at = float("-inf")
         self._order = []
         self._reply_bytes = 0.0
 
@@ -92,9 +101,41 @@
         self._next_full_read_at = now + size * STATUS_BYTES / rate
         return True
 
+    def needs_gathering(self, size, *, counters, interval_s):
+        """Return whether the counters of all ranks are too many for the link.
+
+        Parameters
+        ----------
+        size : int
+            Number of ranks.
+        counters : int
+            Number of counters of a rank.
+        interval_s : float
+            Time between two readings, in seconds.
+
+        Examples
+        --------
+        >>> LinkBudget(link_mbps=4.0).needs_gathering(63, counters=2016, interval_s=0.4)
+        True
+        >>> LinkBudget(link_mbps=10.0).needs_gathering(12, counters=288, interval_s=0.4)
+        False
+        """
+        read_bytes = size * FIRST_BYTES_PER_COUNTER * counters
+        return read_bytes > LINK_FRACTION * self._bytes_per_s * interval_s
+
+    def may_gather(self, *, now):
+        """Return whether the link allows another gathering at a time in seconds."""
+        return now >= self._next_gathering_at
+
+    def record_gathering(self, size_bytes, *, now):
+        """Record the size of the replies of a gathering, in bytes."""
+        rate = GATHERING_FRACTION * self._bytes_per_s
+        self._next_gathering_at = now + size_bytes / rate
+
     def reset(self):
         """Allow a full read at once, because the group has a new formation."""
         self._next_full_read_at = float("-inf")
+        self._next_gathering_at = float("-inf")
 
     def may_send_map(self, size, map_bytes):
         """Return whether a map may be sent to all ranks.
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/member.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/member.py
@@ -12,6 +12,7 @@
 
 from magnoliagrade_agent.direct.counter_codec import CounterEncoder
 from magnoliagrade_agent.direct.expert_map_codec import pack_experts, unpack_experts
+from magnoliagrade_agent.direct.increment_codec import IncrementTracker, pack_increments
 
 __all__ = ["CONFIRMED", "FAILED", "REFUSED", "RankMember"]
 
@@ -21,6 +22,8 @@
 CONFIRMED = "confirmed"
 REFUSED = "refused"
 FAILED = "failed"
+# Operations that change nothing.
+READ_OPERATIONS = frozenset({"status", "counts", "increments", "experts"})
 # An order without a response is sent again. With four in ten lost, one order in a
 # thousand remains unconfirmed after eight tries.
 MAX_ORDER_TRIES = 8
@@ -47,7 +50,13 @@
         is read only after this time. 0 on the server's machine.
     """
 
-    __slots__ = ("_clock", "_counter_encoder", "_server", "_status_lag_s")
+    __slots__ = (
+        "_clock",
+        "_counter_encoder",
+        "_increments",
+        "_server",
+        "_status_lag_s",
+    )
 
     def __init__(self, *, server, clock, status_lag_s=0.0):
         self._clock = clock
@@ -56,6 +65,7 @@
         # Starts at a random id, so that a restarted agent never sends increments to a
         # snapshot that its former process sent.
         self._counter_encoder = CounterEncoder(first_snapshot_id=new_incarnation())
+        self._increments = IncrementTracker(first_snapshot_id=new_incarnation())
 
     async def read_status(self):
         """Return the `RankStatus` of the rank.
@@ -76,7 +86,7 @@
                 _log, "rank.call.failed", operation=call.operation, detail=exc.detail
             )
             return RankReply(call=call.call, outcome=FAILED)
-        if call.operation not in ("status", "counts", "experts"):
+        if call.operation not in READ_OPERATIONS:
             log_event(
                 _log,
                 "rank.order",
@@ -104,6 +114,12 @@
             status = await self._server.status()
             packed = self._counter_encoder.encode(counts, base_id=call.version)
             return outcome, status, packed, 1
+        if call.operation == "increments":
+            epoch, counts = await self._server.counts()
+            outcome = CONFIRMED if epoch == call.epoch else REFUSED
+            status = await self._server.status()
+            increments = self._increments.read(counts, base_id=call.version)
+            return outcome, status, pack_increments(increments), 1
         if call.operation == "experts":
             _, version, experts = await self._server.experts()
             outcome = CONFIRMED if version == call.version else REFUSED
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/planning.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/planning.py
@@ -37,21 +37,24 @@
 # for about 0.4 s of the 3 s until the next shift of the load.
 MIN_SAVING_FRACTION = 0.04
 # Pass length, as a fraction of the objective for gaps between events, above which
-# shorter passes serve callers better. Below it events are in time even if the next
-# shift of the load makes passes twice as long.
-URGENT_FROM_GAP_FRACTION = 0.35
+# shorter passes serve callers better. Below it events are in time, also in the passes
+# before the next shift of the load is answered, which may last twice as long.
+URGENT_FROM_GAP_FRACTION = 0.5
 # Pass length, as a fraction of the objective for gaps between events, from which the
 # urgency of a new map is 1: each reduction of the pass length counts.
-FULLY_URGENT_GAP_FRACTION = 0.6
+FULLY_URGENT_GAP_FRACTION = 0.75
 # Fraction of the slots in use above which shorter passes serve callers better. Close to
 # full, shorter passes add capacity.
 URGENT_FROM_SLOT_FRACTION = 0.55
 # Fraction of the slots in use from which the urgency of a new map is 1.
 FULLY_URGENT_SLOT_FRACTION = 0.85
+# Fraction of a pass that one copied expert has to save at an urgency near 0, where few
+# events would be late without it.
+CALM_GAIN_PER_COPY_FRACTION = 0.0015
 # Fraction of a pass that one copied expert has to save at urgency 1. Copies on
 # different ranks run at the same time, so that one more takes little time of the group;
 # below this fraction the gain is less than the error of the counts.
-MIN_GAIN_PER_COPY_FRACTION = 0.0002
+URGENT_GAIN_PER_COPY_FRACTION = 0.0002
 # Largest number of changes that a plan makes to one set, to bound the planning time;
 # larger than the number of experts of a set that one switch may replace.
 MAX_MOVES_PER_SET = 64
@@ -87,9 +90,7 @@
         now : float
             Time in seconds.
         """
-        if self._updated_at is not None:
-            self.choices *= 0.5 ** ((now - self._updated_at) / COUNT_HALF_LIFE_S)
-        self._updated_at = now
+        self._decay(now)
         for rank, data in counts_by_rank.items():
             counts = np.frombuffer(data, dtype="<i8").reshape(self._shape)
             last = self._last_counters_by_rank.get(rank)
@@ -97,6 +98,25 @@
             if last is not None and (counts >= last).all():
                 self.choices += counts - last
 
+    def add_increments(self, values, *, now):
+        """Add what the counters of all ranks have gained together.
+
+        Parameters
+        ----------
+        values : list of int
+            Sum of the increments, in the order of sets; empty if none are known.
+        now : float
+            Time in seconds.
+        """
+        self._decay(now)
+        if values:
+            self.choices += np.array(values, dtype=float).reshape(self._shape)
+
+    def _decay(self, now):
+        if self._updated_at is not None:
+            self.choices *= 0.5 ** ((now - self._updated_at) / COUNT_HALF_LIFE_S)
+        self._updated_at = now
+
     def reset_baselines(self):
         """Forget the last counters, because the group has a new formation.
 
@@ -156,8 +176,19 @@
 
 
 def required_gain_per_copy(urgency):
-    """Return the fraction of a pass that one copied expert has to save."""
-    return MIN_GAIN_PER_COPY_FRACTION / urgency if urgency > 0 else float("inf")
+    """Return the fraction of a pass that one copied expert has to save.
+
+    Examples
+    --------
+    >>> required_gain_per_copy(1.0)
+    0.0002
+    >>> round(required_gain_per_copy(0.5), 4)
+    0.0011
+    """
+    if urgency <= 0:
+        return float("inf")
+    ratio = URGENT_GAIN_PER_COPY_FRACTION / CALM_GAIN_PER_COPY_FRACTION
+    return CALM_GAIN_PER_COPY_FRACTION * ratio**urgency / urgency
 
 
 def plan_placement(placement, rates, speeds, *, places, spare, min_gain_per_copy=0.0):
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/ports.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/ports.py
@@ -12,6 +12,8 @@
 
 from magnoliagrade_agent.direct.counter_codec import CounterDecoder, DeltaBaseUnknown
 from magnoliagrade_agent.direct.expert_map_codec import unpack_experts
+from magnoliagrade_agent.direct.gathering import GatheredRanks, unpack_statuses
+from magnoliagrade_agent.direct.increment_codec import unpack_increments
 from magnoliagrade_agent.direct.member import (
     CONFIRMED,
     FAILED,
@@ -27,16 +29,21 @@
 ]
 
 # Time-outs for replies of an agent. When one expires, the link is closed and the rank's
-# server is called directly, except for `counts`. The time-out of `prepare` covers the
-# copies, which take up to 1.5 s, and repeated orders.
+# server is called directly, except for reads of counters. The time-out of `prepare`
+# covers the copies, which take up to 1.5 s, and repeated orders.
 REPLY_TIMEOUT_S_BY_OPERATION = {
     "status": 0.5,
     # Replies of several ranks share the link: `LinkBudget` bounds them to a fraction of
     # it, but whole counters after a new formation are larger than increments.
     "counts": 1.0,
+    # An agent that gathers waits for its ranks, and its reply shares the link too.
+    "increments": 0.4,
+    "gather": 0.8,
     "experts": 0.5,
     "prepare": 3.0,
 }
+# Operations that read counters.
+COUNTING_OPERATIONS = frozenset({"counts", "increments", "gather"})
 # An agent tries an order up to eight times, each up to 80 ms and a read of the status.
 ORDER_REPLY_TIMEOUT_S = 1.5
 
@@ -83,10 +90,11 @@
     `last_counts_bytes` is the size of the last counters as they were sent.
     """
 
-    __slots__ = ("_counter_decoder", "last_counts_bytes", "tries")
+    __slots__ = ("_counter_decoder", "_snapshot_id", "last_counts_bytes", "tries")
 
     def __init__(self):
         self._counter_decoder = CounterDecoder()
+        self._snapshot_id = 0
         self.last_counts_bytes = 0
         self.tries = 0
 
@@ -150,6 +158,76 @@
             raise RankUnreachable(f"{self.name}: {exc}") from exc
         return RankStatus(**json.loads(reply.status)), counters.tobytes()
 
+    async def increments(self, epoch, coordinator):
+        """Return the rank's status and what its counters have gained since last time.
+
+        Parameters
+        ----------
+        epoch : int
+            Epoch of the group.
+        coordinator : str
+            Server address of the agent that coordinates the group.
+
+        Returns
+        -------
+        status : RankStatus
+            Status of the rank.
+        values : list of int
+            Increments in the order of sets; empty the first time.
+
+        Raises
+        ------
+        RankUnreachable
+            If they cannot be read, or belong to another epoch.
+        """
+        reply = await self.call(
+            RankCall(
+                operation="increments",
+                epoch=epoch,
+                version=self._snapshot_id,
+                placement=coordinator.encode(),
+            )
+        )
+        if reply.outcome != CONFIRMED:
+            raise RankUnreachable(
+                f"{self.name}: increments of epoch {epoch} could not be read: "
+                f"{reply.outcome}"
+            )
+        increments = unpack_increments(reply.counts)
+        self._snapshot_id = increments.snapshot_id
+        return RankStatus(**json.loads(reply.status)), increments.values
+
+    async def gather(self, epoch, addresses):
+        """Return the `GatheredRanks` that the rank's agent reads from several ranks.
+
+        Parameters
+        ----------
+        epoch : int
+            Epoch of the group.
+        addresses : list of str
+            Server addresses of the ranks.
+
+        Raises
+        ------
+        RankUnreachable
+            If the agent does not reply.
+        """
+        reply = await self.call(
+            RankCall(
+                operation="gather",
+                epoch=epoch,
+                placement=json.dumps(addresses).encode(),
+            )
+        )
+        if reply.outcome != CONFIRMED:
+            raise RankUnreachable(f"{self.name}: ranks were not gathered")
+        return GatheredRanks(
+            status_by_address=unpack_statuses(reply.status),
+            values=unpack_increments(reply.counts).values,
+            counted=reply.tries,
+            reply_bytes=len(reply.status) + len(reply.counts),
+        )
+
     async def experts(self, version):
         """Return the experts of the rank by set.
 
@@ -268,7 +346,7 @@
         try:
             return await self._call_over_link(call)
         except RankUnreachable:
-            if call.operation == "counts":
+            if call.operation in COUNTING_OPERATIONS:
                 # Reading counts from another machine pauses the group.
                 raise
         return await self._remote.execute(call)
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/rank_directory.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/rank_directory.py
@@ -11,7 +11,7 @@
 from magnoliagrade_agent.direct.member import RankMember
 from magnoliagrade_agent.direct.ports import RankUnreachable, RemoteRankClient
 
-__all__ = ["RankDirectory", "formation_key"]
+__all__ = ["RankDirectory", "dial_rank", "formation_key"]
 
 # Age of a status that is read from another machine: a few hundred ms.
 REMOTE_STATUS_LAG_S = 0.4
@@ -41,6 +41,7 @@
 
     __slots__ = (
         "_client_by_address",
+        "_data_centre_by_address",
         "_dial_task_by_address",
         "_listed_at",
         "_listed_addresses",
@@ -58,6 +59,7 @@
         self._ranks = 0
         self._service = None
         self._client_by_address = {}
+        self._data_centre_by_address = {}
         self._dial_task_by_address = {}
 
     async def find(self, status, *, suspect_address=""):
@@ -124,6 +126,7 @@
         self._service = next(
             (e.service for e in endpoints if e.address == own_address), self._service
         )
+        self._data_centre_by_address |= {e.address: e.data_centre for e in endpoints}
         wanted = {
             e.address
             for e in endpoints
@@ -142,29 +145,44 @@
         # between data centres.
         await self._node.clock.sleep(0.1)
 
-    def _dial(self, server_address):
-        node = self._node
-        host = server_address.rpartition(":")[0]
-        link_port = node.settings.link_address.rpartition(":")[2]
-        server = RankServer(
-            address=server_address,
-            session=node.session,
-            timeout_s=REMOTE_SERVER_TIMEOUT_S,
-        )
-        remote = RankMember(
-            server=server, clock=node.clock, status_lag_s=REMOTE_STATUS_LAG_S
-        )
-        client = RemoteRankClient(name=server_address, remote=remote, server=server)
-        dialling = maintain_link(
-            address=f"{host}:{link_port}",
-            make_link=node.make_link,
-            hello=node.hello,
-            handle=client.run,
-            clock=node.clock,
-            rng=node.rng,
-            source=node.settings.source_address,
-        )
-        self._dial_task_by_address[server_address] = node.tasks.start(
-            dialling, name=f"link to agent at {host}"
-        )
+    def _dial(self, address):
+        client, task = dial_rank(self._node, address)
+        self._dial_task_by_address[address] = task
         return client
+
+    def data_centre_of(self, address):
+        """Return the data centre of the server with an address; empty if unknown."""
+        return self._data_centre_by_address.get(address, "")
+
+
+def dial_rank(node, server_address):
+    """Return a client of a rank and the task that keeps its link.
+
+    Parameters
+    ----------
+    node : DirectAgent
+        The agent.
+    server_address : str
+        Address of the rank's server.
+    """
+    host = server_address.rpartition(":")[0]
+    link_port = node.settings.link_address.rpartition(":")[2]
+    server = RankServer(
+        address=server_address,
+        session=node.session,
+        timeout_s=REMOTE_SERVER_TIMEOUT_S,
+    )
+    remote = RankMember(
+        server=server, clock=node.clock, status_lag_s=REMOTE_STATUS_LAG_S
+    )
+    client = RemoteRankClient(name=server_address, remote=remote, server=server)
+    dialling = maintain_link(
+        address=f"{host}:{link_port}",
+        make_link=node.make_link,
+        hello=node.hello,
+        handle=client.run,
+        clock=node.clock,
+        rng=node.rng,
+        source=node.settings.source_address,
+    )
+    return client, node.tasks.start(dialling, name=f"link to agent at {host}")
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/test_planning.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/test_planning.py
@@ -6,6 +6,7 @@
 
 from magnoliagrade_agent.direct.coordinator import is_coordinator
 from magnoliagrade_agent.direct.planning import (
+    COUNT_HALF_LIFE_S,
     CountWindow,
     plan_placement,
     rebalance_urgency,
@@ -60,10 +61,11 @@
     window.add({0: _counters([9000, 3000])}, now=0.4)
     window.reset_baselines()
     # In a new formation counters start at 0, and another server may have the rank.
-    window.add({0: _counters([50, 10])}, now=1.4)
+    later = 0.4 + COUNT_HALF_LIFE_S
+    window.add({0: _counters([50, 10])}, now=later)
     assert window.has_enough_choices
     assert window.choices[0, 0] == 3 * window.choices[0, 1]
-    window.add({0: _counters([60, 30])}, now=1.4)
+    window.add({0: _counters([60, 30])}, now=later)
     assert (window.choices == [[4510.0, 1520.0]]).all()
 
 
