Fix a check of the relays' calls that began before they had settled

An entry that was pulled before all links were up goes on with the short waits of a relay for RELAY_USE_S, 5 s, so that two entries called the store each 0.6 s for the first seconds of the 4 s that the test counts; how many depends on how fast the links come up. Change: the test waits for that time first. The bound is unchanged.

--- a/tests/test_relays_of_the_store.py
+++ b/tests/test_relays_of_the_store.py
@@ -3,7 +3,10 @@
 import asyncio
 
 from magnoliagrade.platform import PlatformStore
-from magnoliagrade_entry.direct.knowledge.site_relay import relay_names
+from magnoliagrade_entry.direct.knowledge.site_relay import (
+    RELAY_USE_S,
+    relay_names,
+)
 from magnoliagrade_standins.operators import (
     OperatorsSite,
     configuration_document,
@@ -20,6 +23,9 @@
 
 def test_entries_call_the_store_less_often_than_each_by_itself():
     async def scenario(site):
+        # An entry that was asked as a relay before all links were up goes on with the
+        # shorter waits of a relay for this time.
+        await asyncio.sleep(RELAY_USE_S)
         site.store.calls.clear()
         await asyncio.sleep(4.0)
         watches = site.store.calls.count("/kv-watch")
