Switch expert maps rarely in calm load

Change: urgency begins at 0.6 of the accepted pause again; a switch has to save a part of a pass that grows as the urgency falls, and a copy 0.15 % of a pass in calm load.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
@@ -298,7 +298,7 @@
             speeds,
             expert_share=engine.expert_share,
         )
-        if saving < planning.MIN_SAVING_FRACTION:
+        if saving < planning.required_saving(urgency):
             return
         log_event(
             _log,
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/planning.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/planning.py
@@ -19,7 +19,6 @@
 from magnoliagrade_agent.direct.slow_ranks import SLOW_PACE
 
 __all__ = [
-    "MIN_SAVING_FRACTION",
     "CountWindow",
     "load_skew",
     "pass_time_saving",
@@ -27,22 +26,22 @@
     "rank_speeds",
     "rebalance_urgency",
     "required_gain_per_copy",
+    "required_saving",
     "round_robin_placement",
 ]
 
 # Half-life of the weight of counts: a fraction of the 3 s between shifts of the load. A
 # rank counts thousands of choices of its hottest experts in that time.
 COUNT_HALF_LIFE_S = 0.4
-# Fraction of the pass length that a switch has to save: copies make passes 15 % longer
-# for about 0.4 s of the 3 s until the next shift of the load.
+# Fraction of the pass length that a switch has to save at urgency 1: copies make passes
+# 15 % longer for about 0.4 s of the 3 s until the next shift of the load.
 MIN_SAVING_FRACTION = 0.04
 # Pass length, as a fraction of the objective for gaps between events, above which
-# shorter passes serve callers better. Below it events are in time, also in the passes
-# before the next shift of the load is answered, which may last twice as long.
-URGENT_FROM_GAP_FRACTION = 0.5
+# shorter passes serve callers better. Below it events are in time.
+URGENT_FROM_GAP_FRACTION = 0.6
 # Pass length, as a fraction of the objective for gaps between events, from which the
 # urgency of a new map is 1: each reduction of the pass length counts.
-FULLY_URGENT_GAP_FRACTION = 0.75
+FULLY_URGENT_GAP_FRACTION = 0.85
 # Fraction of the slots in use above which shorter passes serve callers better. Close to
 # full, shorter passes add capacity.
 URGENT_FROM_SLOT_FRACTION = 0.55
@@ -51,10 +50,12 @@
 # Fraction of a pass that one copied expert has to save at an urgency near 0, where few
 # events would be late without it.
 CALM_GAIN_PER_COPY_FRACTION = 0.0015
-# Fraction of a pass that one copied expert has to save at urgency 1. Copies on
+# Fraction of a pass that one copied expert has to save at high urgency. Copies on
 # different ranks run at the same time, so that one more takes little time of the group;
 # below this fraction the gain is less than the error of the counts.
 URGENT_GAIN_PER_COPY_FRACTION = 0.0002
+# Urgency from which all copies that help are worth their time.
+ALL_COPIES_URGENCY = 0.5
 # Largest number of changes that a plan makes to one set, to bound the planning time;
 # larger than the number of experts of a set that one switch may replace.
 MAX_MOVES_PER_SET = 64
@@ -182,13 +183,26 @@
     --------
     >>> required_gain_per_copy(1.0)
     0.0002
-    >>> round(required_gain_per_copy(0.5), 4)
-    0.0011
+    >>> round(required_gain_per_copy(0.25), 5)
+    0.00055
     """
     if urgency <= 0:
         return float("inf")
     ratio = URGENT_GAIN_PER_COPY_FRACTION / CALM_GAIN_PER_COPY_FRACTION
-    return CALM_GAIN_PER_COPY_FRACTION * ratio**urgency / urgency
+    return CALM_GAIN_PER_COPY_FRACTION * ratio ** min(1, urgency / ALL_COPIES_URGENCY)
+
+
+def required_saving(urgency):
+    """Return the fraction of a pass that a switch has to save.
+
+    Each switch delays some events, so that a calm group makes fewer of them.
+
+    Examples
+    --------
+    >>> required_saving(1.0), required_saving(0.25)
+    (0.04, 0.16)
+    """
+    return MIN_SAVING_FRACTION / urgency if urgency > 0 else float("inf")
 
 
 def plan_placement(placement, rates, speeds, *, places, spare, min_gain_per_copy=0.0):
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/tests/test_urgency.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/tests/test_urgency.py
@@ -21,10 +21,22 @@
     assert ranked_services(_configuration(routes)) == frozenset()
 
 
-def test_organisation_with_a_priority_ranks_all_services():
-    organisation = SiteOrganisation(name="a", priority=0)
-    configuration = _configuration([_route("model", 1)], {"key": organisation})
-    assert ranked_services(configuration) == {"model", "plain"}
+def test_priorities_of_organisations_override_those_of_routes():
+    routes = [_route("model", 0), _route("model", 2), _route("plain", 2)]
+    urgent = SiteOrganisation(name="a", priority=0)
+    alike = SiteOrganisation(name="b", priority=0)
+    other = SiteOrganisation(name="c")
+    assert not ranked_services(_configuration(routes, {"1": urgent, "2": alike}))
+    ranked = ranked_services(_configuration(routes, {"1": urgent, "3": other}))
+    assert ranked == {"model", "plain"}
+
+
+def test_public_routes_keep_their_priority():
+    urgent = SiteOrganisation(name="a", priority=0)
+    public = _route("plain", 2)
+    public.is_public = True
+    routes = [_route("model", 1), public]
+    assert ranked_services(_configuration(routes, {"1": urgent})) == {"plain"}
 
 
 def test_share_without_weight_does_not_count():
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/urgency.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/urgency.py
@@ -18,17 +18,21 @@
     Returns
     -------
     services : frozenset of str
-        Services of routes with different priorities, and all services if an
-        organisation overrides the priority of the routes.
+        Services of which requests with different priorities are possible. The priority
+        of an organisation overrides that of the route.
     """
     organisations = (configuration.organisation_by_key or {}).values()
-    if any(organisation.priority is not None for organisation in organisations):
-        return frozenset(configuration.service_by_name)
+    overriding = {o.priority for o in organisations if o.priority is not None}
+    has_others = not overriding or any(o.priority is None for o in organisations)
     priorities_by_service = {}
     for route in configuration.routes:
         for share in route.shares:
-            if share.weight > 0:
-                priorities = priorities_by_service.setdefault(share.service, set())
+            if share.weight <= 0:
+                continue
+            priorities = priorities_by_service.setdefault(
+                share.service, set(overriding)
+            )
+            if has_others or route.is_public:
                 priorities.add(route.priority)
     return frozenset(
         service
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -54,6 +54,28 @@
     _run(scenario)
 
 
+def test_endpoints_are_told_the_priority_only_where_requests_differ_in_it():
+    async def scenario(site, entry):
+        header = "X-Magnoliagrade-Request-Priority"
+        endpoint = site.endpoint_by_id["model-1"]
+        forged = {header: "0"}
+        await site.call(entry, "POST", "/stream/1", data="p", headers=forged)
+        assert header not in endpoint.headers_seen[-1]
+        urgent = route_document("/urgent/", "model", kind="streaming", Priority=0)
+        bulk = route_document("/bulk/", "model", kind="streaming", Priority=12)
+        document = configuration_document(5, [*ROUTES, urgent, bulk])
+        del document["Tenants"][0]["Priority"]
+        site.configure(document)
+        async with asyncio.timeout(5):
+            while entry.site_state.version != 5:
+                await asyncio.sleep(0.02)
+        for path, priority in (("/urgent/stream", "0"), ("/bulk/stream", "9")):
+            await site.call(entry, "POST", path, data="p", headers=forged)
+            assert endpoint.headers_seen[-1][header] == priority
+
+    _run(scenario)
+
+
 def test_unknown_key_gets_401_and_unknown_path_404():
     async def scenario(site, entry):
         assert (await site.call(entry, "GET", "/look/1", key="no"))[0] == 401
