Let the counts of experts follow a shift within one reading

Cause: a plan after a shift of the load was made from a mixture of old and new counts, so that only the second plan, a second later, fitted.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/planning.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/planning.py
@@ -30,9 +30,9 @@
     "round_robin_placement",
 ]
 
-# Half-life of the weight of counts: half of the time between two readings, so that a
-# plan after a shift of the load follows it. The requests that run now also run for the
-# next second or two, and a reading counts thousands of choices of their hottest experts.
+# Half-life of the weight of counts: half of the time between two readings, so that the
+# first plan after a shift of the load follows it. A reading counts thousands of choices
+# of the hottest experts, and most requests that made them run on for a second or two.
 COUNT_HALF_LIFE_S = 0.2
 # Fraction of the pass length that a switch has to save at urgency 1: copies make passes
 # 15 % longer for about 0.4 s of the 3 s until the next shift of the load.
