Place requests by claims while slots are scarce

Cause: while nearly all slots are in use, each slot that becomes free is reported to all entries, and several send a request there; others find slots idle. Change: policy `claimed`, the default: own releases first, and a probability of trying that leaves about one entry for each free slot (docs/design/even-load.md). First callers no longer wait for a recovery.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/admission/recovery_room.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/admission/recovery_room.py
@@ -6,20 +6,12 @@
 back during the outage.
 """
 
-__all__ = [
-    "FIRST_ROOM_FRACTION",
-    "RETURNING_ROOM_FRACTION",
-    "has_room_to_wait",
-    "is_returning",
-]
-
-# Fraction of an entry's share of the slots that may be waited for. All slots are free
-# as the service recovers. Those that waiting requests take are held for the length of a
-# stream; new requests arrive one by one meanwhile.
-RETURNING_ROOM_FRACTION = 0.75
-# The same for callers that come for the first time, who leave half of it to those that
-# would otherwise lose their request.
-FIRST_ROOM_FRACTION = 0.375
+__all__ = ["RECOVERY_ROOM_FRACTION", "has_room_to_wait", "is_returning"]
+
+# Fraction of an entry's share of the slots for which requests wait. The slots that they
+# take as the service recovers are held for the length of a stream; new requests arrive
+# one by one meanwhile and need the other half only at its end.
+RECOVERY_ROOM_FRACTION = 0.5
 # A request whose caller waits for less than this fraction of the route's time limit has
 # been sent before: callers first send a request with all of the time that they have.
 RETURNING_FRACTION = 0.9
@@ -53,10 +45,10 @@
 
     Notes
     -----
-    The end of the outage is not known. A caller that waits is served as soon as it
-    ends, and one that has waited in vain may still come back, so that waiting bridges
-    longer outages than a rejection at once. Beyond the slots that will be free it
-    cannot help, and the caller is rejected at once.
+    A caller that comes for the first time is rejected at once and told to come back.
+    One that has come back would lose its request. More waiting requests than that would
+    delay the callers that arrive once the service has recovered.
     """
-    fraction = RETURNING_ROOM_FRACTION if is_returning(request) else FIRST_ROOM_FRACTION
-    return waiting < max(1, int(fraction * slots / entries))
+    if not is_returning(request):
+        return False
+    return waiting < max(1, int(RECOVERY_ROOM_FRACTION * slots / entries))
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/admission/waiting.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/admission/waiting.py
@@ -177,7 +177,7 @@
         work_s : float, optional
             Duration of a request that was completed, in seconds.
         """
-        load.local_in_flight -= 1
+        load.release_slot()
         self._in_flight -= 1
         if work_s is not None:
             weight = WORK_SMOOTHING if self._work_s else 1.0
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/exchange/peer_links.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/exchange/peer_links.py
@@ -180,6 +180,8 @@
             changed.clear()
             for link in self._links_of(scope):
                 link.send(message)
+            if scope is Scope.LOCAL:
+                self._node.endpoint_table.record_report()
 
     async def pull_newer_configurations(self):
         """Ask peers for configurations that the store does not deliver in time."""
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
@@ -121,6 +121,7 @@
             rng=self.rng,
             is_coldness_unknown=self.site_state.is_coldness_unknown,
             report_interval_s=lambda scope: self.peers.report_interval_s(scope),
+            count_entries=self.count_entries,
         )
         self.relays = SiteRelays(node=self)
         self.peers = PeerLinks(node=self)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/endpoint_load.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/endpoint_load.py
@@ -25,6 +25,9 @@
         Requests that other entries have in flight there; see `set_peer_in_flight`.
     peers_in_flight : int
         Their sum.
+    unreported_releases : int
+        Slots that this entry has released there since its last report, so that no other
+        entry knows that they are free.
     group : str
         Group whose rank the endpoint is; empty if that is not known.
     failures : int
@@ -54,6 +57,7 @@
     local_in_flight: int = 0
     in_flight_by_peer: dict = field(default_factory=dict)
     peers_in_flight: int = 0
+    unreported_releases: int = 0
     group: str = ""
     failures: int = 0
     ejected_until: float = float("-inf")
@@ -102,9 +106,15 @@
     def acquire_slot(self, now):
         """Count a request that is about to be sent."""
         self.local_in_flight += 1
+        self.unreported_releases = max(0, self.unreported_releases - 1)
         self.sent_at = now
         self.permitted_until = float("-inf")
 
+    def release_slot(self):
+        """Count a request that has ended."""
+        self.local_in_flight -= 1
+        self.unreported_releases += 1
+
     @property
     def in_flight(self):
         """Requests of all entries in flight at the endpoint."""
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/endpoint_table.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/endpoint_table.py
@@ -53,6 +53,8 @@
     report_interval_s : callable
         Returns the interval, in seconds, at which the entries of a `Scope` report their
         work.
+    count_entries : callable
+        Returns the number of entries that use the endpoints.
 
     Attributes
     ----------
@@ -63,6 +65,7 @@
     """
 
     __slots__ = (
+        "_count_entries",
         "_data_centre",
         "_is_coldness_unknown",
         "_peer_rates_by_service",
@@ -79,10 +82,12 @@
         *,
         data_centre,
         rng,
-        policy="sampled",
+        policy="claimed",
         is_coldness_unknown=lambda: False,
         report_interval_s=lambda _scope: 0.0,
+        count_entries=lambda: 1,
     ):
+        self._count_entries = count_entries
         self._data_centre = data_centre
         self._is_coldness_unknown = is_coldness_unknown
         self._rng = rng
@@ -164,7 +169,7 @@
             return None
         context = self._context(service, now)
         best = self._policy(limited, context)
-        if rival is None:
+        if best is None or rival is None:
             return best
         selected = min(best, rival, key=context.cost)
         return best if selected is best else None
@@ -234,6 +239,11 @@
         for load in self.by_id.values():
             load.group = name_by_address.get(load.endpoint.address, "")
 
+    def record_report(self):
+        """Record that the entries of this data centre know of all released slots."""
+        for load in self.by_id.values():
+            load.unreported_releases = 0
+
     def _record_placements(self, load, peer_scope, placements, now):
         is_local = load.endpoint.data_centre == self._data_centre
         scope = Scope.LOCAL if is_local else Scope.REMOTE
@@ -242,6 +252,7 @@
         rate.record(placements, now=now)
 
     def _context(self, service, now):
+        loads = self.loads_of(service)
         unseen_by_scope = dict.fromkeys(Scope, 0.0)
         rates = self._peer_rates_by_service.get(service, {})
         for (scope, peer_scope), rate in rates.items():
@@ -252,6 +263,9 @@
             rng=self._rng,
             now=now,
             unseen_by_scope=unseen_by_scope,
+            own_in_flight=sum(load.local_in_flight for load in loads),
+            fair_share=sum(load.endpoint.slots for load in loads)
+            / self._count_entries(),
         )
 
     def _free_loads(self, service, now, excluded):
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/policies.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/policies.py
@@ -18,6 +18,11 @@
 # Cost of sending a request to another data centre, in requests in flight: less than
 # one, so that an even load has precedence over staying in the local data centre.
 REMOTE_PENALTY_REQUESTS = 0.9
+# Free slots for each endpoint that has one, below which slots count as scarce.
+SCARCE_SLOTS_PER_ENDPOINT = 1.5
+# Part of the slots that an entry may hold before it leaves those that it releases to
+# others, as a multiple of its share: channels of callers fall unevenly on entries.
+SHARE_SLACK = 1.25
 # Half-life of the weight of placements in their rate: shorter than a burst.
 RATE_HALF_LIFE_S = 1.0
 
@@ -39,12 +44,18 @@
     unseen_by_scope : dict of Scope to float
         Requests that other entries have placed on the service's endpoints of a scope,
         as estimated, and not reported yet.
+    own_in_flight : int
+        Requests of this entry at the service's endpoints.
+    fair_share : float
+        Slots of the service, divided by the number of entries.
     """
 
     data_centre: str
     rng: object
     now: float
     unseen_by_scope: dict = field(default_factory=dict)
+    own_in_flight: int = 0
+    fair_share: float = 0.0
 
     def scope_of(self, load):
         """Return the `Scope` of the endpoint of a load."""
@@ -91,6 +102,33 @@
         self._at = max(self._at, now)
 
 
+@placement_policies.register("claimed")
+def _claimed(loads, context):
+    """Return the least loaded of a sample, or None if it is probably taken already.
+
+    Load pattern: nearly all slots are in use. Each slot that becomes free is reported
+    to all entries, whose requests wait, and several of them send one there.
+
+    While few slots are free, an entry first uses those that it has released itself and
+    not reported, which no other entry knows of, unless it holds more than its share. It
+    tries for another slot with a probability that leaves about one entry for each slot.
+    """
+    loads_by_scope = {scope: [] for scope in Scope}
+    for load in loads:
+        loads_by_scope[context.scope_of(load)].append(load)
+    if _are_slots_scarce(loads_by_scope[Scope.LOCAL]):
+        own = [load for load in loads if load.unreported_releases]
+        if own and context.own_in_flight < SHARE_SLACK * context.fair_share:
+            return _least_loaded(own, context)
+    sample = []
+    for scope, part in loads_by_scope.items():
+        unseen = context.unseen_by_scope.get(scope, 0.0)
+        free_slots = sum(load.endpoint.slots - load.in_flight for load in part)
+        if context.rng.random() < free_slots / (1 + unseen):
+            sample += _sample_of(part, unseen, context)
+    return _least_loaded(sample, context) if sample else None
+
+
 @placement_policies.register("sampled")
 def _sampled(loads, context):
     """Return the least loaded of a sample, which is smaller the less is known.
@@ -104,11 +142,21 @@
     sample = []
     for scope, part in loads_by_scope.items():
         unseen = context.unseen_by_scope.get(scope, 0.0)
-        size = max(1, round(len(part) / (1 + unseen)))
-        sample += context.rng.sample(part, size) if size < len(part) else part
+        sample += _sample_of(part, unseen, context)
     return _least_loaded(sample, context)
 
 
+def _sample_of(part, unseen, context):
+    size = max(1, round(len(part) / (1 + unseen)))
+    return context.rng.sample(part, size) if size < len(part) else part
+
+
+def _are_slots_scarce(loads):
+    """Return whether few slots are free at the endpoints that have any."""
+    free_slots = sum(load.endpoint.slots - load.in_flight for load in loads)
+    return free_slots < max(1, len(loads)) * SCARCE_SLOTS_PER_ENDPOINT
+
+
 @placement_policies.register("least-loaded")
 def _least_loaded(loads, context):
     """Return the least loaded endpoint's load.
