Fix streams that stall but send a byte now and then

Cause: any data restarted the time limit of 1.9 s on a silent stream, so that an event that goes on byte by byte held its caller until the deadline, and the stream was then cut instead of resumed. Change: only a complete event restarts the limit.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/streams.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/streams.py
@@ -17,8 +17,8 @@
 
 # Limit on the bytes of one event, which is held in memory until it is complete.
 EVENT_LIMIT_BYTES = 1024 * 1024
-# A stream without data for this long is resumed elsewhere: longer than a stall of a
-# group, and shorter than the two seconds after which callers time out.
+# A stream without a complete event for this long is resumed elsewhere: longer than a
+# stall of a group, and shorter than the two seconds after which callers time out.
 STREAM_SILENCE_TIMEOUT_S = 1.9
 
 _BOUNDARY = re.compile(rb"\r?\n\r?\n")
@@ -195,17 +195,20 @@
         return self._response
 
     async def _relay_events(self, attempt):
-        upstream = await self._within_silence_timeout(attempt.open())
+        clock = self._node.clock
+        silent_since = clock.monotonic()
+        upstream = await self._within_silence_timeout(attempt.open(), silent_since)
         if upstream.status != 200:
             return await self._handle_error_status(attempt, upstream)
         reader = EventReader()
         chunks = aiter(upstream.chunks())
         while True:
-            data = await self._within_silence_timeout(anext(chunks, None))
+            data = await self._within_silence_timeout(anext(chunks, None), silent_since)
             if data is None:
                 break
             events = [e for e in reader.feed(data) if not self._is_duplicate(e)]
             if events:
+                silent_since = clock.monotonic()
                 attempt.record_response()
                 await self._write(upstream, events)
                 if not reader.has_partial_event and attempt.try_move():
@@ -233,14 +236,19 @@
         await self._response.write_eof()
         return self._response
 
-    async def _within_silence_timeout(self, step):
+    async def _within_silence_timeout(self, step, silent_since):
+        """Return the result of a step, unless no event has ended for too long.
+
+        An event that goes on byte by byte is as useless to the caller as none.
+        """
+        silent_s = self._node.clock.monotonic() - silent_since
         try:
-            async with asyncio.timeout(STREAM_SILENCE_TIMEOUT_S):
+            async with asyncio.timeout(max(0.0, STREAM_SILENCE_TIMEOUT_S - silent_s)):
                 return await step
         except TimeoutError:
             raise AttemptFailed(
                 ErrorKind.DEADLINE,
-                f"no data received for {STREAM_SILENCE_TIMEOUT_S} s",
+                f"no complete event received for {STREAM_SILENCE_TIMEOUT_S} s",
                 has_run=True,
             ) from None
 
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/operators/endpoint.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/operators/endpoint.py
@@ -12,6 +12,8 @@
 
 STAMP_HEADER = "X-Magnoliagrade-Response-Stamp"
 REQUEST_ID_HEADER = "X-Magnoliagrade-Request-Id"
+# Interval between the bytes of an event that never ends.
+TRICKLE_INTERVAL_S = 0.2
 # Time for which an endpoint runs a request under which it ends.
 CRASH_DELAY_S = 0.05
 
@@ -27,15 +29,16 @@
         (503, not executed, names another rank as the cause), `error` (500), `reset`
         (connection reset without a response), `cut-body` (connection reset within a
         response that has no content length), `other-answer` (response with the id of
-        another request), `hang` (no response) and `cut-stream` (connection reset
-        within an event).
+        another request), `hang` (no response), `cut-stream` (connection reset
+        within an event) or `trickle` (an event that goes on byte by byte and never
+        ends).
     delay_s : float
         Processing time of a plain request and interval between the events of a
         stream, in seconds.
     events : int
         Number of events of a stream.
     cut_after : int
-        Number of complete events that `cut-stream` sends on a connection.
+        Number of complete events that `cut-stream` and `trickle` send on a connection.
     crashing_part : str
         Part of a prompt under which the endpoint ends as it begins to write the
         response; empty for none.
@@ -205,10 +208,13 @@
         first_id = int(request.headers.get("Last-Event-Id") or 0) + 1
         for event_id in range(first_id, self.behaviour.events + 1):
             await asyncio.sleep(self.behaviour.delay_s)
-            if (
-                fault == "cut-stream"
-                and event_id - first_id >= self.behaviour.cut_after
-            ):
+            is_at_fault = event_id - first_id >= self.behaviour.cut_after
+            if fault == "trickle" and is_at_fault:
+                await response.write(f"id: {event_id}\ndata: ".encode())
+                while True:
+                    await asyncio.sleep(TRICKLE_INTERVAL_S)
+                    await response.write(b"x")
+            if fault == "cut-stream" and is_at_fault:
                 await response.write(f"id: {event_id}\nda".encode())
                 await asyncio.sleep(0.02)
                 request.transport.abort()
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -172,6 +172,37 @@
     _run(scenario, model=2, retry_extra=1000.0)
 
 
+def test_stream_that_stalls_but_sends_a_byte_now_and_then_resumes_elsewhere():
+    async def scenario(site, entry):
+        stalled = site.endpoint_by_id["model-1"]
+        stalled.behaviour.fault = "trickle"
+        entry.endpoint_table.by_id["model-2"].local_in_flight += 1
+        began_at = asyncio.get_running_loop().time()
+        status, _, text = await site.call(entry, "POST", "/stream/1", data="p")
+        took_s = asyncio.get_running_loop().time() - began_at
+        assert status == 200
+        assert text == "".join(f"id: {n}\ndata: {n}\n\n" for n in range(1, 6))
+        assert stalled.runs and stalled.cancelled
+        # Well before the deadline of 3 s, by which the stream used to be cut.
+        assert took_s < 2.6
+
+    _run(scenario, model=2, retry_extra=1000.0)
+
+
+def test_slow_but_sound_stream_is_not_cut():
+    async def scenario(site, entry):
+        endpoint = site.endpoint_by_id["model-1"]
+        endpoint.behaviour.delay_s = 0.7
+        status, _, text = await site.call(
+            entry, "POST", "/stream/1", data="p", deadline_ms=5000
+        )
+        assert status == 200
+        assert text == "".join(f"id: {n}\ndata: {n}\n\n" for n in range(1, 6))
+        assert len(endpoint.runs) == 1
+
+    _run(scenario, model=2, only="model-1")
+
+
 def test_stream_moves_away_from_a_rank_that_turns_slow():
     async def scenario(site, entry):
         slow, other = (site.endpoint_by_id[f"model-{n}"] for n in (1, 2))
