Name the label of the gauge of groups as the other gauges do

Cause: test_metric_names_end_in_units_and_labels_are_bounded failed: the label `state` is not among the bounded ones. Change: the label is `result`, as of magnoliagrade_direct_peers. Measured: tests.test_docs pass.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/group_notices.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/group_notices.py
@@ -12,7 +12,7 @@
 __all__ = ["GroupNotices"]
 
 GROUPS = Gauge(
-    "magnoliagrade_direct_rank_groups", "Groups of ranks known, by state", ["state"]
+    "magnoliagrade_direct_rank_groups", "Groups of ranks known, by state", ["result"]
 )
 _log = logging.getLogger(__name__)
 
