--- a/packages/magnoliagrade-entry/magnoliagrade_entry/cli.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/cli.py
@@ -115,6 +115,30 @@
             commands.run_command(commands.check_configuration(file))
         check_settings(EntrySettings, file)
 
+    def explain(self, address, host, target, organisation=""):
+        """Show where a direct entry would send a request now, and why; nothing is sent.
+
+        Parameters
+        ----------
+        address : str
+            `host:port` at which the entry serves its metrics.
+        host : str
+            Host of the request.
+        target : str
+            Path of the request.
+        organisation : str
+            Organisation that would send it.
+        """
+        commands.run_command(
+            commands.show_explanation(
+                str(address),
+                host=str(host),
+                target=str(target),
+                organisation=str(organisation),
+                is_json=self._is_json,
+            )
+        )
+
     def apply(self, file):
         """Replace the configuration with the content of a file."""
         commands.run_command(commands.apply_file(self._addresses, file, self._options))
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/commands/__init__.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/commands/__init__.py
@@ -6,6 +6,7 @@
     show_difference,
 )
 from magnoliagrade_entry.commands.exits import Exit, run_command
+from magnoliagrade_entry.commands.explaining import show_explanation
 from magnoliagrade_entry.commands.reading import (
     check_configuration,
     show_configuration,
@@ -23,6 +24,7 @@
     "run_command",
     "show_configuration",
     "show_difference",
+    "show_explanation",
     "show_history",
     "show_status",
 ]
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
@@ -18,6 +18,7 @@
 from magnoliagrade_entry.direct.admission.retry_budget import RetryBudget
 from magnoliagrade_entry.direct.admission.waiting import WaitQueue
 from magnoliagrade_entry.direct.exchange.peer_links import PeerLinks
+from magnoliagrade_entry.direct.explanation import explain_routes
 from magnoliagrade_entry.direct.knowledge.registration import keep_registered
 from magnoliagrade_entry.direct.knowledge.site_relay import SiteRelays
 from magnoliagrade_entry.direct.knowledge.site_state import STORE_SETTLE_S, SiteState
@@ -79,6 +80,7 @@
         "_recovery_by_domain",
         "_runners",
         "_wait_queue_by_service",
+        "admin_address",
         "caller_address",
         "caller_listener",
         "clock",
@@ -158,17 +160,14 @@
             limits=ListenerLimits(),
             listener=self._listener,
         )
-        for routes, address in (
-            (ready_routes(self), settings.ready_address),
-            (
-                [aiohttp.web.get("/metrics", serve_metrics_text)],
-                settings.metrics_address,
-            ),
-        ):
-            app = aiohttp.web.Application()
-            app.add_routes(routes)
-            runner, _ = await start_site(app, address)
-            self._runners.append(runner)
+        await self._serve(ready_routes(self), settings.ready_address)
+        self.admin_address = await self._serve(
+            [
+                aiohttp.web.get("/metrics", serve_metrics_text),
+                *explain_routes(self),
+            ],
+            settings.metrics_address,
+        )
         await self.peers.listen()
         self.tasks.start(follow_site(self), name="site")
         self.tasks.start(keep_registered(self), name="registration")
@@ -306,6 +305,14 @@
             ]
         return []
 
+    async def _serve(self, routes, address):
+        """Serve admin routes at an address; return the address with the bound port."""
+        app = aiohttp.web.Application()
+        app.add_routes(routes)
+        runner, bound = await start_site(app, address)
+        self._runners.append(runner)
+        return bound
+
     def _open_clients(self):
         source = self.settings.source_address
         no_timeout = aiohttp.ClientTimeout(total=None)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/endpoint_table.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/endpoint_table.py
@@ -144,7 +144,7 @@
         ]
         if not free:
             return None
-        return self._policy(free, self._context(service, now))
+        return self._policy(free, self.context_of(service, now))
 
     def select_limited_endpoint(self, service, *, now, excluded, rival):
         """Return the load that would be selected if it did not need a permit, or None.
@@ -167,7 +167,7 @@
         ]
         if not limited:
             return None
-        context = self._context(service, now)
+        context = self.context_of(service, now)
         best = self._policy(limited, context)
         if best is None or rival is None:
             return best
@@ -251,7 +251,8 @@
         rate = rates.setdefault((scope, peer_scope), PlacementRate())
         rate.record(placements, now=now)
 
-    def _context(self, service, now):
+    def context_of(self, service, now):
+        """Return the `PlacementContext` of a service at a time in seconds."""
         loads = self.loads_of(service)
         unseen_by_scope = dict.fromkeys(Scope, 0.0)
         rates = self._peer_rates_by_service.get(service, {})
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/policies.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/policies.py
@@ -62,11 +62,15 @@
         is_local = load.endpoint.data_centre == self.data_centre
         return Scope.LOCAL if is_local else Scope.REMOTE
 
-    def cost(self, load):
+    def load_cost(self, load):
         """Return the cost of sending a request to the endpoint of a load."""
         is_remote = self.scope_of(load) is Scope.REMOTE
         work = (load.in_flight + 1) * load.pace_at(self.now)
-        return work + REMOTE_PENALTY_REQUESTS * is_remote, self.rng.random()
+        return work + REMOTE_PENALTY_REQUESTS * is_remote
+
+    def cost(self, load):
+        """Return the sort key of a load; loads of equal cost are in random order."""
+        return self.load_cost(load), self.rng.random()
 
 
 class PlacementRate:
