Fix requests rejected for a queue that is empty

Cause: the policy `claimed` may leave a free slot to another entry for the moment. The request then counted as one without a free slot: with one request of 2 s in flight the predicted wait was 2 s, and it was rejected with "0 requests waiting". Change: a request with nobody ahead of it waits while an endpoint has a free slot by what the entry knows. Measured: the new test failed before with that rejection and passes now; tests of admission and placement pass.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/admission/tests/test_waiting.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/admission/tests/test_waiting.py
@@ -3,6 +3,7 @@
 from types import SimpleNamespace
 
 from magnoliagrade.clock import ManualClock
+from magnoliagrade.wire import EndpointWork
 from magnoliagrade.world.site import SiteEndpoint
 
 from magnoliagrade_entry.direct.admission.tests.test_overload import STREAM, Arrival
@@ -10,6 +11,17 @@
 from magnoliagrade_entry.direct.placement.endpoint_table import EndpointTable
 
 
+class Random(random.Random):
+    """Random numbers that a test may set."""
+
+    def __init__(self):
+        super().__init__(1)
+        self.draws = []
+
+    def random(self):
+        return self.draws.pop(0) if self.draws else super().random()
+
+
 def test_started_streams_get_free_slots_before_new_requests():
     # Streams move away from a slow rank while all other endpoints are full.
     async def scenario():
@@ -69,6 +81,35 @@
     asyncio.run(scenario())
 
 
+def test_request_that_leaves_a_free_slot_to_another_entry_is_not_rejected():
+    # One request of 2 s is in flight, so that a slot becomes free in 2 s; the free one
+    # is probably taken by the requests that other entries place.
+    async def scenario():
+        queue, endpoint_table, clock = _full_queue()
+        load = endpoint_table.by_id["i-0"]
+        for _ in range(5):
+            queue.release(load, work_s=2.0)
+        endpoint_table.record_report()
+        for number in range(100):
+            rows = [EndpointWork(endpoint="i-0", in_flight=4 + number % 2)]
+            endpoint_table.update_peer_work(
+                "peer", rows, is_complete=True, now=clock.monotonic()
+            )
+        load.set_peer_in_flight("peer", 4)
+        clock._time += 2.5
+        endpoint_table._rng.draws = [0.99, 0.99, 0.99, 0.99, 0.0]
+        waiting = _start(queue, clock, deadline_s=1.75)
+        for _ in range(3):
+            await asyncio.sleep(0)
+        assert not waiting.done()
+        queue.wake()
+        for _ in range(3):
+            await asyncio.sleep(0)
+        assert waiting.result() is load
+
+    asyncio.run(scenario())
+
+
 def _start(queue, clock, *, has_started=False, deadline_s=9.0):
     now = clock.monotonic()
     request = Arrival(arrived_at=now, ends_at=now + 8.0)
@@ -84,7 +125,9 @@
 
 def _full_queue():
     clock = ManualClock(start=50.0)
-    endpoint_table = EndpointTable(data_centre="dc-0", rng=random.Random(1))
+    endpoint_table = EndpointTable(
+        data_centre="dc-0", rng=Random(), report_interval_s=lambda _scope: 0.5
+    )
     endpoint_table.update(
         [
             SiteEndpoint(
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/admission/waiting.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/admission/waiting.py
@@ -131,9 +131,8 @@
                 load = self._acquire_free_slot(excluded, now)
                 if load is not None:
                     return load
-            ahead = [w for w in self.waiters if w.has_started or not has_started]
             self._reject_if_too_late(
-                request, excluded, slot_deadline, now, ahead=len(ahead)
+                request, excluded, slot_deadline, now, has_started=has_started
             )
         waiter = Waiter(
             request=request,
@@ -236,7 +235,9 @@
             entries=self._limit_exchange.count_entries(),
         )
 
-    def _reject_if_too_late(self, request, excluded, slot_deadline, now, *, ahead):
+    def _reject_if_too_late(
+        self, request, excluded, slot_deadline, now, *, has_started
+    ):
         candidates = [
             load
             for load in self._endpoint_table.loads_of(self._service)
@@ -253,7 +254,13 @@
                 request,
                 wait_s=returns_at - now,
             )
-        if now + self._expected_wait_s(now, ahead) > slot_deadline:
+        ahead = [w for w in self.waiters if w.has_started or not has_started]
+        if not ahead and self._endpoint_table.has_free_slot(
+            self._service, now=now, excluded=excluded
+        ):
+            # The request leaves the slot to another entry for the moment.
+            return
+        if now + self._expected_wait_s(now, len(ahead)) > slot_deadline:
             raise self._overloaded_error(
                 "the queue is too long to get a slot in time", request
             )
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/endpoint_table.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/endpoint_table.py
@@ -146,6 +146,13 @@
             return None
         return self._policy(free, self.context_of(service, now))
 
+    def has_free_slot(self, service, *, now, excluded=()):
+        """Return whether an endpoint may get a request, by what this entry knows."""
+        return any(
+            not load.needs_permit(now)
+            for load in self._free_loads(service, now, excluded)
+        )
+
     def select_limited_endpoint(self, service, *, now, excluded, rival):
         """Return the load that would be selected if it did not need a permit, or None.
 
