Ask relays of the store again after they decline one pull

Cause: a relay that could not answer one pull, because the changes were too large to pass on (each new configuration) or because the puller was a few ms ahead of it, counted as failed for 5 s, in which the puller called the store itself. Change: a relay says that it goes on relaying, and the puller reads the store once; a pull from ahead waits for the relay's next call. Two declined pulls in a row count as a failure.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/change_log.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/change_log.py
@@ -43,6 +43,12 @@
         while len(self._events) > MAX_CHANGES:
             self._first_revision = self._events.popleft().revision
 
+    def is_behind(self, position):
+        """Return whether a `StorePosition` of this era is after the last change."""
+        if self.position is None or position.era != self.position.era:
+            return False
+        return position.revision > self.position.revision
+
     def after(self, position):
         """Return the changes after a `StorePosition`; None if they are not known."""
         if self.position is None or position.era != self.position.era:
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/site_relay.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/site_relay.py
@@ -80,6 +80,7 @@
 
     __slots__ = (
         "_failed_until_by_name",
+        "_is_declined",
         "_last_call",
         "_node",
         "_pulled_at",
@@ -93,6 +94,7 @@
     def __init__(self, *, node):
         self._node = node
         self._failed_until_by_name = {}
+        self._is_declined = False
         self._last_call = 0
         self._pulled_at = float("-inf")
         self._pulls = []
@@ -167,8 +169,9 @@
         finally:
             del self._reply_by_call[call]
         if not message.is_known:
-            self._record_failure(link)
+            self._record_unanswered(link, message)
             return None, position, False
+        self._is_declined = False
         PULLS.labels("answered").inc()
         events = [_event_of(change) for change in message.changes]
         return (
@@ -218,10 +221,14 @@
             link.send(SiteChanges(call=pull.call))
 
     def _answer_changed(self):
-        """Answer the pulls that changes are known for; the next ones are confirmed."""
+        """Answer the pulls that changes are known for; the next ones are confirmed.
+
+        A peer that has read the store itself may be ahead until this entry's next call.
+        """
         waiting = []
         for link, pull in self._pulls:
-            if self.change_log.after(_position_of(pull)) == []:
+            is_ahead = self.change_log.is_behind(_position_of(pull))
+            if is_ahead or self.change_log.after(_position_of(pull)) == []:
                 waiting.append((link, pull))
             else:
                 self._answer(link, pull, is_confirmed=False)
@@ -230,7 +237,9 @@
     def _answer(self, link, pull, *, is_confirmed):
         events = self.change_log.after(_position_of(pull))
         if events is None or _size(events) > MAX_CHANGES_BYTES:
-            link.send(SiteChanges(call=pull.call))
+            # A peer in this era is up to date once it has read the store itself.
+            is_relaying = pull.era == self.change_log.position.era
+            link.send(SiteChanges(call=pull.call, is_relaying=is_relaying))
             return
         link.send(
             SiteChanges(
@@ -250,6 +259,14 @@
             if peers.scope_of(link) is Scope.LOCAL
         }
 
+    def _record_unanswered(self, link, message):
+        """Record that a relay did not answer; it may have declined this pull only."""
+        if message.is_relaying and not self._is_declined:
+            PULLS.labels("declined").inc()
+            self._is_declined = True
+        else:
+            self._record_failure(link)
+
     def _record_failure(self, link):
         PULLS.labels("failed").inc()
         now = self._node.clock.monotonic()
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/tests/test_site_relay.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/tests/test_site_relay.py
@@ -54,22 +54,56 @@
 def test_pull_that_cannot_be_answered_is_rejected_at_once():
     position = StorePosition(1, 7)
     large = StoreEvent(key="k", value=b"x" * MAX_CHANGES_BYTES, revision=8)
-    for pull, events in (
-        (_pull(era=2), []),
-        (_pull(revision=3), []),
-        (_pull(revision=9), []),
-        (_pull(), [large]),
+    for pull, events, is_relaying in (
+        (_pull(era=2), [], False),
+        (_pull(revision=3), [], True),
+        (_pull(), [large], True),
     ):
         relays, link = _relays(RELAY), _Link(PULLER)
         relays.change_log.extend(events, StorePosition(1, 8) if events else position)
         relays.receive_pull(link, pull)
-        assert link.sent == [SiteChanges(call=1)], pull
+        assert link.sent == [SiteChanges(call=1, is_relaying=is_relaying)], pull
     for relays in (_relays(PULLER), _relays(RELAY, position=None)):
         link = _Link(STANDBY)
         relays.receive_pull(link, _pull())
         assert link.sent == [SiteChanges(call=1)]
 
 
+def test_pull_of_a_peer_that_is_ahead_waits_for_the_next_call():
+    relays, link = _relays(RELAY), _Link(PULLER)
+    relays.receive_pull(link, _pull(revision=9))
+    assert link.sent == []
+    pulls = relays.take_pulls()
+    relays.change_log.extend([], StorePosition(1, 9))
+    relays.confirm_pulls(pulls)
+    assert link.sent == [
+        SiteChanges(call=1, is_known=True, is_confirmed=True, revision=9)
+    ]
+
+
+def test_relay_that_declines_one_pull_is_asked_again_at_once():
+    async def scenario():
+        relays = _relays(PULLER)
+        for is_answered, expected in (
+            (False, RELAY),
+            (True, RELAY),
+            (False, RELAY),
+            # Declining twice in a row counts as a failure.
+            (False, STANDBY),
+        ):
+            link = relays.pick()
+            pulling = asyncio.ensure_future(relays.pull(link, StorePosition(1, 7)))
+            await asyncio.sleep(0)
+            reply = SiteChanges(
+                call=relays._last_call, is_known=is_answered, is_relaying=True
+            )
+            relays.receive_reply(link, reply)
+            await pulling
+            assert relays.pick().peer_instance == expected
+
+    asyncio.run(scenario())
+
+
 def test_relays_read_the_store_and_others_the_first_relay_that_answers():
     assert _relays(RELAY).pick() is None
     assert _relays(STANDBY).pick() is None
--- a/packages/magnoliagrade/magnoliagrade/wire/work.capnp
+++ b/packages/magnoliagrade/magnoliagrade/wire/work.capnp
@@ -94,6 +94,7 @@
   isConfirmed @2 :Bool;      # the store was read after the pull had arrived
   revision @3 :UInt64;       # position to continue from, in the era of the pull
   changes @4 :List(SiteChange);
+  isRelaying @5 :Bool;       # the sender cannot answer this pull, but later ones
 }
 
 struct WorkMessage {
--- a/packages/magnoliagrade/magnoliagrade/wire/work.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/work.py
@@ -163,7 +163,7 @@
     """The changes after the position of a pull.
 
     The sender cannot answer unless `is_known`. If `is_confirmed`, it has read the store
-    after the pull arrived.
+    after the pull arrived. If `is_relaying`, it can answer pulls of later changes.
     """
 
     call: int = 0
@@ -171,3 +171,4 @@
     is_confirmed: bool = False
     revision: int = 0
     changes: list = field(default_factory=list, metadata={"of": SiteChange})
+    is_relaying: bool = False
