--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -60,7 +60,7 @@
     orders = [asyncio.create_task(_order(site, url, name)) for name in names]
     await asyncio.sleep(0.5)
     # Orders on the faulty connection are still waiting; the others are done.
-    assert not all(o.done() for o in orders)
+    assert not all(o.done() for o in orders), (label, await _runs(site))
     await site.set_rules({"target": target, "flow": "cut"})
     responses = await asyncio.gather(*orders)
     await site.set_rules()
