--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/group_notices.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/group_notices.py
@@ -16,8 +16,8 @@
 
 # Interval of reads of the rank's own status; about the length of a pass.
 POLL_INTERVAL_S = 0.1
-# Number of ranks whose agents publish the group's state: two machines and one data
-# centre may fail at once, as for the coordinator.
+# Number of ranks whose agents publish the group's state: the coordinator's and those of
+# the two that may recover the group, which find all its ranks before they need them.
 PUBLISHING_RANKS = 3
 # Time for which a state has to last before the agent of rank r publishes it, for each
 # rank below its own: longer than a call to the store.
