Log and count what makes streams late, by priority

Attempts log route, priority, first event and longest gap; rejections name route and priority; plans and switches of maps log the time of the reading, of preparing and of arming. tests/test_docs.py allows the label priority: its values are bounded to ten by DirectRequest.priority_label. No decision changes.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
@@ -112,6 +112,7 @@
         "_pending_version",
         "_placement",
         "_placement_version",
+        "_read_s",
         "_reader",
         "_slow_ranks",
         "_stall_detector",
@@ -126,6 +127,7 @@
         self._formation = None
         self._last_failure = ""
         self._is_load_low = False
+        self._read_s = 0.0
         self._reader = GroupReader(
             budget=LinkBudget(link_mbps=node.settings.link_mbps), clock=node.clock
         )
@@ -207,9 +209,11 @@
 
     async def _coordinate_once(self, status):
         await self._adopt_formation(status)
+        began_at = self._node.clock.monotonic()
         statuses = await self._demand.read(
             self._clients, status.epoch, interval_s=self._plan_interval_s()
         )
+        self._read_s = self._node.clock.monotonic() - began_at
         if statuses is None:
             return
         self._slow_ranks.update_paces(
@@ -306,6 +310,9 @@
             map_version=version,
             pressure=round(urgency, 2),
             pass_s=round(pass_s, 3),
+            read_s=round(self._read_s, 3),
+            running=sum(status.running for status in statuses),
+            waiting=sum(status.waiting for status in statuses),
             saving=round(saving, 3),
             copies=int((planned & ~self._placement).sum()),
             skew=round(planning.load_skew(self._placement, choices), 2),
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/switching.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/switching.py
@@ -202,10 +202,12 @@
         version = next_version(statuses, rng=self._rng)
         for client in self.clients:
             client.tries = 0
+        prepared_from = self._clock.monotonic()
         if not await self._prepare(self.clients, version, experts):
             raise SwitchFailed(f"map {version} was not prepared on all ranks")
         is_lossy = any(client.tries > 1 for client in self.clients)
         began_at = self._clock.monotonic()
+        prepare_s = began_at - prepared_from
         statuses = await self.statuses()
         read_s = self._clock.monotonic() - began_at
         lead = lead_passes(pass_s, is_lossy=is_lossy, read_s=read_s)
@@ -243,6 +245,9 @@
             epoch=self._epoch,
             map_version=version,
             step=step,
+            lead=lead,
+            prepare_s=round(prepare_s, 3),
+            arm_s=round(self._clock.monotonic() - began_at, 3),
         )
         return version
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/arrival.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/arrival.py
@@ -32,6 +32,8 @@
 # about 0.1 s, and a few hundred ms while the store is slow. Callers wait for at least a
 # third of a second.
 CONFIGURATION_WAIT_S = 0.4
+# Highest priority with a label of its own in metrics, which bounds their number.
+LAST_PRIORITY_LABEL = 9
 # Time until the deadline of requests whose caller sets none.
 DEFAULT_DEADLINE_S = 30.0
 
@@ -88,6 +90,11 @@
             return self.organisation.priority
         return self.route.priority
 
+    @property
+    def priority_label(self):
+        """Priority as the label of a metric, with one value for all above 9."""
+        return str(min(max(0, int(self.priority)), LAST_PRIORITY_LABEL))
+
 
 async def read_request(node, http_request):
     """Return the validated request of a caller.
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/attempts.py
@@ -233,6 +233,8 @@
             request_id=request.id,
             endpoint=self.endpoint.id,
             service=request.service,
+            route=request.route.name,
+            priority=request.priority,
             result=result,
             attempt=self._attempts.sent,
             load=self._load.in_flight,
@@ -242,5 +244,18 @@
             age_s=round(self._node.site_state.age_s(), 2),
             waited_s=round(self._started_at - request.arrived_at, 3),
             took_s=round(self._node.clock.monotonic() - self._started_at, 3),
+            **self._stream_times(),
             **fields,
         )
+
+    def _stream_times(self):
+        """Return when a stream's caller got the first event, and the longest gap."""
+        attempts = self._attempts
+        if attempts.first_event_at is None:
+            return {}
+        return {
+            "first_event_s": round(
+                attempts.first_event_at - attempts.request.arrived_at, 3
+            ),
+            "longest_gap_s": round(attempts.longest_gap_s, 3),
+        }
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/door.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/door.py
@@ -17,6 +17,11 @@
 REQUESTS = Counter(
     "magnoliagrade_direct_requests_total", "Requests by result", ["result"]
 )
+REJECTIONS = Counter(
+    "magnoliagrade_direct_rejections_total",
+    "Rejected requests by their priority",
+    ["priority", "result"],
+)
 DURATION = Histogram(
     "magnoliagrade_direct_request_seconds",
     "Time from arrival to the end of the answer",
@@ -59,14 +64,20 @@
 async def _serve(node, http_request):
     try:
         request = await read_request(node, http_request)
-        response = await serve_request(node, request, http_request)
     except MagnoliagradeError as exc:
         return _rejection_response(node, exc, request_id_of(http_request.headers))
+    try:
+        response = await serve_request(node, request, http_request)
+    except MagnoliagradeError as exc:
+        REJECTIONS.labels(request.priority_label, exc.kind.value).inc()
+        return _rejection_response(
+            node, exc, request.id, route=request.route.name, priority=request.priority
+        )
     REQUESTS.labels(str(response.status)).inc()
     return response
 
 
-def _rejection_response(node, error, request_id):
+def _rejection_response(node, error, request_id, **fields):
     REQUESTS.labels(error.kind.value).inc()
     log_rejection(
         _log,
@@ -74,6 +85,7 @@
         request_id=request_id,
         version=node.site_state.version,
         age_s=round(node.site_state.age_s(), 2),
+        **fields,
     )
     response = error_response(error, request_id=request_id)
     if error.retry_after is not None:
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/request_attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/request_attempts.py
@@ -35,7 +35,8 @@
     not selected either, as long as the service has others. `has_run` is set once an
     attempt that may have run the request has failed. `last_event_id` and
     `last_event_at` (seconds; None before the first event) describe the last event sent
-    to the caller of a stream.
+    to the caller of a stream, `first_event_at` is when the first one was sent, and
+    `longest_gap_s` is the longest time between two events.
     """
 
     __slots__ = (
@@ -43,9 +44,11 @@
         "_node",
         "_traits",
         "broken_domains",
+        "first_event_at",
         "has_run",
         "last_event_at",
         "last_event_id",
+        "longest_gap_s",
         "request",
         "sent",
         "tried",
@@ -61,7 +64,9 @@
         self.sent = 0
         self.tried = set()
         self.last_event_id = request.last_event_id
+        self.first_event_at = None
         self.last_event_at = None
+        self.longest_gap_s = 0.0
 
     @property
     def traits(self):
@@ -70,6 +75,18 @@
             self._traits = traits_of(self.request)
         return self._traits
 
+    def record_events(self, events):
+        """Record events that are about to be sent to the caller of a stream."""
+        now = self._node.clock.monotonic()
+        if self.last_event_at is None:
+            self.first_event_at = now
+        else:
+            self.longest_gap_s = max(self.longest_gap_s, now - self.last_event_at)
+        self.last_event_at = now
+        for event in events:
+            if event.id:
+                self.last_event_id = event.id
+
     def remaining_s(self):
         """Return the seconds until the deadline of the request."""
         return self.request.ends_at - self._node.clock.monotonic()
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/streams.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/streams.py
@@ -24,9 +24,16 @@
 _BOUNDARY = re.compile(rb"\r?\n\r?\n")
 FIRST_EVENT = Histogram(
     "magnoliagrade_direct_first_event_seconds",
-    "Time from arrival to the first event",
+    "Time from arrival to the first event, by the priority of the request",
+    ["priority"],
     buckets=(0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.9, 1.5, 2, 3, 6),
 )
+LONGEST_GAP = Histogram(
+    "magnoliagrade_direct_longest_gap_seconds",
+    "Longest time between two events of a complete stream, by priority",
+    ["priority"],
+    buckets=(0.05, 0.08, 0.1, 0.12, 0.15, 0.2, 0.3, 0.6, 1.5, 3),
+)
 RESUMED = Counter("magnoliagrade_direct_streams_resumed_total", "Streams resumed")
 _log = logging.getLogger(__name__)
 
@@ -152,6 +159,9 @@
                     has_run=True,
                 ) from None
             attempt.record_success()
+            if attempts.first_event_at is not None:
+                priority = attempts.request.priority_label
+                LONGEST_GAP.labels(priority).observe(attempts.longest_gap_s)
             return response
 
     def may_resume(self, failed):
@@ -269,12 +279,11 @@
     async def _write(self, upstream, events):
         if self._response is None:
             await self._start(upstream)
-            arrived_at = self._attempts.request.arrived_at
-            FIRST_EVENT.observe(self._node.clock.monotonic() - arrived_at)
-        for event in events:
-            if event.id:
-                self._attempts.last_event_id = event.id
-        self._attempts.last_event_at = self._node.clock.monotonic()
+            request = self._attempts.request
+            FIRST_EVENT.labels(request.priority_label).observe(
+                self._node.clock.monotonic() - request.arrived_at
+            )
+        self._attempts.record_events(events)
         await self._response.write(b"".join(event.data for event in events))
 
     async def _start(self, upstream):
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -8,8 +8,8 @@
 ROOT = pathlib.Path(__file__).parent.parent
 LINK = re.compile(r"\]\(([^)#:]+)\)")
 BOUNDED_LABELS = frozenset(
-    "allowed application door group outcome phase policy pool purpose reason result "
-    "role source verb".split()
+    "allowed application door group outcome phase policy pool priority purpose reason "
+    "result role source verb".split()
 )
 UNITS = ("_seconds", "_bytes", "_cost", "_tokens", "_changes")
 
