Send expert maps to ranks as changes from the map in use

Change: an agent remembers the last maps that it prepared, and gets a new one as varints of the experts that change, with a checksum of the result. The checksum keeps two ranks from preparing different maps under one version. group.counted logs each reading, so that a late plan can be told from a late reading.

Tests: test_agents_that_know_the_map_in_use_receive_only_its_changes fails without the change (every map is sent whole); a random walk with restarting agents and wrong bases finds no pass with two maps. The maps of the other tests were texts, which are no maps; they are maps of numbers now, checked in the same way.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
@@ -282,9 +282,20 @@
             gap_objective_s=self._node.gap_objective_s,
         )
         self._is_load_low = not urgency
+        choices = self._demand.window.choices
+        log_event(
+            _log,
+            "group.counted",
+            map_version=version,
+            pass_s=round(pass_s, 3),
+            pressure=round(urgency, 2),
+            read_s=round(self._read_s, 3),
+            running=sum(status.running for status in statuses),
+            skew=round(planning.load_skew(self._placement, choices), 2),
+            waiting=sum(status.waiting for status in statuses),
+        )
         if self._is_load_low:
             return
-        choices = self._demand.window.choices
         speeds = planning.rank_speeds(statuses)
         planned = planning.plan_placement(
             self._placement,
@@ -310,9 +321,6 @@
             map_version=version,
             pressure=round(urgency, 2),
             pass_s=round(pass_s, 3),
-            read_s=round(self._read_s, 3),
-            running=sum(status.running for status in statuses),
-            waiting=sum(status.waiting for status in statuses),
             saving=round(saving, 3),
             copies=int((planned & ~self._placement).sum()),
             skew=round(planning.load_skew(self._placement, choices), 2),
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/member.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/member.py
@@ -13,15 +13,18 @@
 from magnoliagrade_agent.direct.counter_codec import CounterEncoder
 from magnoliagrade_agent.direct.expert_map_codec import pack_experts, unpack_experts
 from magnoliagrade_agent.direct.increment_codec import IncrementTracker, pack_increments
+from magnoliagrade_agent.direct.map_changes_codec import KnownMaps, UnknownBase
 
-__all__ = ["CONFIRMED", "FAILED", "REFUSED", "RankMember"]
+__all__ = ["CONFIRMED", "FAILED", "REFUSED", "UNKNOWN_BASE", "RankMember"]
 
 # Outcomes in a `RankReply`. Confirmed: the read succeeded, or the status shows the
 # effect of the order. Refused: the server rejected the order, or the read belongs to
 # another epoch or map version. Failed: the read failed, or the effect is unknown.
+# Unknown base: nothing was ordered, the changes of a map are based on an unknown one.
 CONFIRMED = "confirmed"
 REFUSED = "refused"
 FAILED = "failed"
+UNKNOWN_BASE = "unknown-base"
 # Operations that change nothing.
 READ_OPERATIONS = frozenset({"status", "counts", "increments", "experts"})
 # An order without a response is sent again. With four in ten lost, one order in a
@@ -54,6 +57,7 @@
         "_clock",
         "_counter_encoder",
         "_increments",
+        "_known_maps",
         "_server",
         "_status_lag_s",
     )
@@ -66,6 +70,7 @@
         # snapshot that its former process sent.
         self._counter_encoder = CounterEncoder(first_snapshot_id=new_incarnation())
         self._increments = IncrementTracker(first_snapshot_id=new_incarnation())
+        self._known_maps = KnownMaps()
 
     async def read_status(self):
         """Return the `RankStatus` of the rank.
@@ -135,7 +140,11 @@
         if call.operation in ("arm", "hold", "release"):
             fields["step"] = call.step
         if call.operation == "prepare":
-            fields["experts"] = unpack_experts(call.placement)
+            try:
+                fields["experts"] = self._experts_of(call)
+            except UnknownBase as exc:
+                log_event(_log, "rank.map.base_unknown", detail=str(exc))
+                return UNKNOWN_BASE, None, 0
         status = None
         for tries in range(1, MAX_ORDER_TRIES + 1):
             outcome = await self._server.order(call.operation, **fields)
@@ -148,6 +157,15 @@
                 return REFUSED, status, tries
         return FAILED, status, MAX_ORDER_TRIES
 
+    def _experts_of(self, call):
+        """Return the map of a call to prepare it, and remember it."""
+        if call.base:
+            experts = self._known_maps.apply_changes(call.base, call.placement)
+        else:
+            experts = unpack_experts(call.placement)
+        self._known_maps.add(call.version, experts)
+        return experts
+
     async def _read_status(self, call, outcome):
         ends_at = self._clock.monotonic() + PREPARE_TIMEOUT_S
         while True:
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/switching.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/switching.py
@@ -30,7 +30,8 @@
 from magnoliagrade.observability import log_event
 
 from magnoliagrade_agent.direct.expert_map_codec import pack_experts
-from magnoliagrade_agent.direct.member import CONFIRMED
+from magnoliagrade_agent.direct.map_changes_codec import pack_changes
+from magnoliagrade_agent.direct.member import CONFIRMED, UNKNOWN_BASE
 from magnoliagrade_agent.direct.ports import RankUnreachable, call_with_short_timeout
 
 __all__ = [
@@ -203,7 +204,7 @@
         for client in self.clients:
             client.tries = 0
         prepared_from = self._clock.monotonic()
-        if not await self._prepare(self.clients, version, experts):
+        if not await self._prepare_changes(statuses, version, experts, former_experts):
             raise SwitchFailed(f"map {version} was not prepared on all ranks")
         is_lossy = any(client.tries > 1 for client in self.clients)
         began_at = self._clock.monotonic()
@@ -353,6 +354,31 @@
             released.append(status.held_step)
         log_event(_log, "group.settled", epoch=self._epoch, released=released)
 
+    async def _prepare_changes(self, statuses, version, experts, former_experts):
+        """Prepare a map on all ranks by its changes from the map in use.
+
+        Agents that do not know the map in use, as after a restart, get the whole map.
+        """
+        in_use = {status.map_version for status in statuses}
+        if len(in_use) > 1 or 0 in in_use:
+            return await self._prepare(self.clients, version, experts)
+        replies = await self._order_each(
+            self.clients,
+            "prepare",
+            version=version,
+            base=in_use.pop(),
+            placement=pack_changes(former_experts, experts),
+        )
+        outcomes = [outcome for outcome, _ in replies]
+        if not {*outcomes} <= {CONFIRMED, UNKNOWN_BASE}:
+            return False
+        uninformed = [
+            client
+            for client, outcome in zip(self.clients, outcomes, strict=True)
+            if outcome == UNKNOWN_BASE
+        ]
+        return await self._prepare(uninformed, version, experts)
+
     async def _prepare(self, clients, version, experts):
         return await self._order_all(
             clients, "prepare", version=version, placement=pack_experts(experts)
@@ -370,13 +396,16 @@
             await self._clock.sleep(SETTLE_RETRY_INTERVAL_S)
 
     async def _order_all(self, clients, operation, **fields):
-        outcomes = await asyncio.gather(
+        replies = await self._order_each(clients, operation, **fields)
+        return all(outcome == CONFIRMED for outcome, _ in replies)
+
+    async def _order_each(self, clients, operation, **fields):
+        return await asyncio.gather(
             *(
                 client.order(operation, epoch=self._epoch, **fields)
                 for client in clients
             )
         )
-        return all(outcome == CONFIRMED for outcome, _ in outcomes)
 
 
 def is_next_pass_held(status):
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/test_switching.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/test_switching.py
@@ -19,7 +19,7 @@
 
     async def scenario():
         await _simulate(
-            group, clock, _switch(group, clock, 0).run([["a"]], [["b"]]), 2.0
+            group, clock, _switch(group, clock, 0).run(_map(1), _map(0)), 2.0
         )
 
     asyncio.run(scenario())
@@ -37,7 +37,7 @@
             random.Random(seed), late_fraction=0.0, lost_fraction=0.0, size=16
         )
         group.read_s = 0.2
-        work = _switch(group, clock, 0).run([["a"]], [["b"]], pass_s=PASS_S)
+        work = _switch(group, clock, 0).run(_map(1), _map(0), pass_s=PASS_S)
         asyncio.run(_simulate(group, clock, work, 4.0))
         assert {rank.version for rank in group.ranks} != {0}
         assert group.step >= 4.0 / PASS_S - 2, f"seed {seed}"
@@ -46,7 +46,7 @@
 def test_switch_of_a_group_with_a_slow_rank_completes_within_two_seconds():
     # A rank is twelve times slower for some seconds: passes take 0.6 s.
     group, clock = _group(random.Random(1), late_fraction=0.0, lost_fraction=0.0)
-    work = _switch(group, clock, 0).run([["a"]], [["b"]], pass_s=0.6)
+    work = _switch(group, clock, 0).run(_map(1), _map(0), pass_s=0.6)
     asyncio.run(_simulate(group, clock, work, 2.0, pass_s=0.6))
     assert {rank.version for rank in group.ranks} != {0}
     assert group.mixed_passes == 0
@@ -117,6 +117,62 @@
     assert len(drawn) == 50
 
 
+def test_agents_that_know_the_map_in_use_receive_only_its_changes():
+    rng = random.Random(1)
+    group, clock = _group(rng, late_fraction=0.0, lost_fraction=0.0)
+    switch = _switch(group, clock, 0, client_class=SizingClient)
+    maps = [[[sorted(rng.sample(range(252), 5)) for _ in range(4)] for _ in range(8)]]
+    for _ in range(3):
+        maps.append([[list(experts) for experts in ranks] for ranks in maps[-1]])
+        maps[-1][rng.randrange(8)][rng.randrange(4)] = sorted(rng.sample(range(252), 5))
+
+    async def scenario():
+        for number in range(1, 4):
+            for client in switch.clients:
+                client.sizes = []
+            if number == 3:
+                # An agent has restarted and knows no map.
+                switch.clients[2]._member = RankMember(
+                    server=group.ranks[2], clock=clock
+                )
+            work = switch.run(maps[number], maps[number - 1])
+            assert await _simulate(group, clock, work, 2.0)
+            sizes_by_number[number] = [client.sizes for client in switch.clients]
+            assert all(rank.map == maps[number] for rank in group.ranks)
+
+    sizes_by_number = {}
+    asyncio.run(scenario())
+    assert group.mixed_passes == 0
+    ((whole,),) = {tuple(sizes) for sizes in sizes_by_number[1]}
+    ((changes,),) = {tuple(sizes) for sizes in sizes_by_number[2]}
+    assert changes < whole / 3
+    assert [len(sizes) for sizes in sizes_by_number[3]] == [1, 1, 2, 1]
+    assert sizes_by_number[3][2][1] > 3 * sizes_by_number[3][2][0]
+
+
+def test_no_pass_runs_with_two_maps_when_agents_take_changes_for_those_of_another_map():
+    for seed in range(100):
+        rng = random.Random(seed)
+        group, clock = _group(
+            rng, late_fraction=rng.uniform(0, 0.5), lost_fraction=rng.uniform(0, 0.2)
+        )
+        asyncio.run(_run_switches_of_restarting_agents(group, clock, rng))
+        assert group.mixed_passes == 0, f"seed {seed}"
+
+
+async def _run_switches_of_restarting_agents(group, clock, rng):
+    """Run switches whose former map may be wrong, by agents of which some restart."""
+    switch = _switch(group, clock, 0)
+    numbers = [0]
+    for number in range(1, 6):
+        work = switch.run(_map(number), _map(rng.choice(numbers)))
+        await _simulate(group, clock, work, rng.uniform(0.1, 3.0))
+        numbers.append(number)
+        client = rng.choice(switch.clients)
+        client._member = RankMember(server=client._member._server, clock=clock)
+    await _simulate(group, clock, asyncio.sleep(0), 6.0, pass_s=0.3)
+
+
 async def _run_switches_with_faults(group, clock, rng):
     """Run switches that are cancelled at any moment, with short and long passes."""
     for turn in range(5):
@@ -124,7 +180,7 @@
         pass_s = rng.choice([0.03, PASS_S, 0.4, 2.0])
         reported_pass_s = rng.choice([0.0, pass_s, rng.choice([0.03, 0.6])])
         work = _switch(group, clock, local_rank).run(
-            [[f"map {turn}"]], [["former"]], pass_s=reported_pass_s
+            _map(turn + 1), _map(0), pass_s=reported_pass_s
         )
         await _simulate(group, clock, work, rng.uniform(0.02, 4.0), pass_s=pass_s)
         if rng.random() < 0.1:
@@ -137,7 +193,7 @@
         for turn in range(4):
             switch = _switch(group, clock, local_rank)
             try:
-                await switch.run([[f"map {turn} of {local_rank}"]], [["former"]])
+                await switch.run(_map(1 + 2 * turn + local_rank), _map(0))
             except MagnoliagradeError:
                 await clock.sleep(rng.uniform(0, 0.3))
 
@@ -147,15 +203,15 @@
 
 async def _stop_while_arming(group, clock):
     long_pass_s = 2.0
-    work = _switch(group, clock, 0).run([["new"]], [["former"]])
+    work = _switch(group, clock, 0).run(_map(1), _map(0))
     await _simulate(group, clock, work, group.rng.uniform(0.1, 0.5), pass_s=long_pass_s)
-    work = _switch(group, clock, 1).settle([["former"]])
+    work = _switch(group, clock, 1).settle(_map(0))
     await _simulate(group, clock, work, 20.0, pass_s=long_pass_s)
 
 
 async def _stop_machine(group, clock, rng):
     """Stop the coordinator's machine; return whether passes can and did continue."""
-    task = asyncio.ensure_future(_switch(group, clock, 0).run([["new"]], [["former"]]))
+    task = asyncio.ensure_future(_switch(group, clock, 0).run(_map(1), _map(0)))
     await _simulate(group, clock, asyncio.sleep(0), rng.uniform(0.05, 0.6))
     task.cancel()
     group.ranks[0].is_unresponsive = True
@@ -163,14 +219,14 @@
     can_continue = any(rank.armed is None for rank in group.ranks[1:])
     switch = _switch(group, clock, 1)
     for _ in range(3):
-        recovery = switch.settle([["former"]], coordinator=switch.clients[0])
+        recovery = switch.settle(_map(0), coordinator=switch.clients[0])
         if await _simulate(group, clock, recovery, 1.0):
             break
     step = group.step
     await _simulate(group, clock, asyncio.sleep(0), 1.0)
     has_continued = group.step > step + 8
     group.ranks[0].is_unresponsive = False
-    await _simulate(group, clock, _switch(group, clock, 0).settle([["former"]]), 3.0)
+    await _simulate(group, clock, _switch(group, clock, 0).settle(_map(0)), 3.0)
     await _simulate(group, clock, asyncio.sleep(0), 4.0)
     return can_continue, has_continued
 
@@ -178,7 +234,7 @@
 async def _stop_after_first_arms(group, clock):
     """Stop at the first orders to arm; return whether another agent settles."""
     switch = _switch(group, clock, 0, client_class=UncancellableClient)
-    task = asyncio.ensure_future(switch.run([["new"]], [["former"]]))
+    task = asyncio.ensure_future(switch.run(_map(1), _map(0)))
     while not any("arm" in client.sent for client in switch.clients):
         await clock.advance(TICK_S / 10)
     task.cancel()
@@ -187,21 +243,21 @@
     group.ranks[0].is_unresponsive = True
     has_unarmed_rank = any(rank.armed is None for rank in group.ranks[1:])
     other_switch = _switch(group, clock, 1)
-    recovery = other_switch.settle([["former"]], coordinator=other_switch.clients[0])
+    recovery = other_switch.settle(_map(0), coordinator=other_switch.clients[0])
     return has_unarmed_rank and await _simulate(group, clock, recovery, 2.0)
 
 
 async def _stop_coordinator(group, clock, rng):
-    work = _switch(group, clock, 0).run([["new"]], [["former"]])
+    work = _switch(group, clock, 0).run(_map(1), _map(0))
     await _simulate(group, clock, work, rng.uniform(0.02, 0.5))
     for _ in range(40):
-        work = _switch(group, clock, 1).settle([["former"]])
+        work = _switch(group, clock, 1).settle(_map(0))
         if await _simulate(group, clock, work, 20.0):
             break
     # Late orders of the former coordinator to hold a pass may still be executed.
     await _simulate(group, clock, asyncio.sleep(0), 4.0)
     for _ in range(40):
-        work = _switch(group, clock, 1).settle([["former"]])
+        work = _switch(group, clock, 1).settle(_map(0))
         if await _simulate(group, clock, work, 20.0):
             break
     group.late_fraction = 0.0
@@ -218,6 +274,19 @@
     ), clock
 
 
+class SizingClient(LocalRankClient):
+    """Rank client that records the sizes of the maps that it sends."""
+
+    def __init__(self, *, member):
+        super().__init__(member=member)
+        self.sizes = []
+
+    async def call(self, call):
+        if call.operation == "prepare":
+            self.sizes.append(len(call.placement))
+        return await super().call(call)
+
+
 class UncancellableClient(LocalRankClient):
     """Rank client whose calls are executed even if the caller is cancelled."""
 
@@ -230,6 +299,13 @@
         return await asyncio.shield(super().call(call))
 
 
+def _map(number, *, ranks=4):
+    """Return a map of four experts a rank, with one that each number places anew."""
+    experts = [[*range(4 * rank, 4 * rank + 4)] for rank in range(ranks)]
+    experts[number % ranks].append(4 * ranks + number)
+    return [experts]
+
+
 def _switch(group, clock, local_rank, *, client_class=LocalRankClient):
     clients = [
         client_class(member=RankMember(server=rank, clock=clock))
--- a/packages/magnoliagrade/magnoliagrade/wire/work.capnp
+++ b/packages/magnoliagrade/magnoliagrade/wire/work.capnp
@@ -18,12 +18,13 @@
   epoch @2 :UInt64;          # epoch of the group
   version @3 :UInt64;        # of the expert map; for `counts`: id of the last snapshot
   step @4 :UInt64;
-  placement @5 :Data;        # packed expert map
+  placement @5 :Data;        # packed expert map, or its changes from that of `base`
+  base @6 :UInt64;           # version of a map; 0: `placement` is complete
 }
 
 struct RankReply {
   call @0 :UInt64;
-  outcome @1 :Text;          # confirmed, refused or failed
+  outcome @1 :Text;          # confirmed, refused, failed or unknown-base
   status @2 :Data;           # JSON of the rank's status
   counts @3 :Data;           # `counts`: delta-encoded counters; `experts`: JSON
   tries @4 :UInt32;          # number of times an order was sent until it took effect
--- a/packages/magnoliagrade/magnoliagrade/wire/work.py
+++ b/packages/magnoliagrade/magnoliagrade/wire/work.py
@@ -52,6 +52,7 @@
     version: int = 0
     step: int = 0
     placement: bytes = b""
+    base: int = 0
 
 
 @message("work", "rankReply")
