Ignore registrations that cannot be decoded, whatever they hold

Callers saw: routes, keys and endpoints as they were before the registration, then 503 for every request with a key, from all entries and for as long as they ran.

Cause: a decoder raised other errors than FormatError. A number of 400 digits fits into no float (OverflowError), which ended the task that follows the store; a port of 5,000 digits or one like '\u00b2' is no int (ValueError), so that the whole listing was read again and again. Class of the fault: values of other writers decoded without one boundary.

Change: decoders of the store's values raise FormatError for whatever they cannot decode; numbers above 2**53 and addresses other than HOST:PORT are refused; details are abbreviated. The task that follows the store survives errors of a response.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/site_watch.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/site_watch.py
@@ -31,6 +31,18 @@
 # end of its outage.
 BACKOFF_MAX_S = 0.8
 
+# Errors after which the store is read again: what one response contains must not end
+# the task that follows the store.
+FOLLOWING_ERRORS = (
+    MagnoliagradeError,
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+
 AGE = Gauge("magnoliagrade_site_age_seconds", "Age of what is known of the site")
 _log = logging.getLogger(__name__)
 
@@ -51,7 +63,7 @@
         except HistoryLost as exc:
             follower.position = None
             log_event(_log, "store.history.lost", detail=exc.detail)
-        except (MagnoliagradeError, KeyError, TypeError, ValueError) as exc:
+        except FOLLOWING_ERRORS as exc:
             await follower.back_off(exc)
 
 
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/operators/site.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/operators/site.py
@@ -31,14 +31,14 @@
         self.entries = []
         self._restarts = []
         self._runners = []
-        self._store_address = ""
+        self.store_address = ""
         self._session = None
 
     async def __aenter__(self):
         """Start the store."""
         app = web.Application()
         app.add_routes(self.store.routes())
-        self._store_address = await self._serve(app)
+        self.store_address = await self._serve(app)
         self._session = aiohttp.ClientSession()
         return self
 
@@ -135,7 +135,7 @@
             "ready_address": f"{HOST}:0",
             "link_address": f"{HOST}:0",
             "metrics_address": f"{HOST}:0",
-            "store_address": self._store_address,
+            "store_address": self.store_address,
         }
         settings = DirectSettings(**defaults | fields)
         entry = DirectEntry(settings=settings)
--- a/packages/magnoliagrade/magnoliagrade/platform/configuration.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/configuration.py
@@ -3,6 +3,7 @@
 from magnoliagrade.platform.fields import (
     FormatError,
     boolean_field,
+    decoder,
     load_object,
     number_field,
     object_list_field,
@@ -30,6 +31,7 @@
 SECONDS_PER_MS = 1e-3
 
 
+@decoder
 def decode_configuration(data):
     """Return the operators' configuration, decoded from JSON.
 
--- a/packages/magnoliagrade/magnoliagrade/platform/endpoints.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/endpoints.py
@@ -1,7 +1,11 @@
 """Decoding of the registrations that model servers write to the store."""
 
+import re
+import reprlib
+
 from magnoliagrade.platform.fields import (
     FormatError,
+    decoder,
     load_object,
     number_field,
     string_field,
@@ -10,9 +14,11 @@
 
 __all__ = ["decode_endpoint"]
 
+_ADDRESS = re.compile(r"[A-Za-z0-9._-]+:([0-9]{1,5})")
 _IS_DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
+@decoder
 def decode_endpoint(endpoint_id, data):
     """Return the endpoint that a registration describes.
 
@@ -31,11 +37,11 @@
     document = load_object(data)
     state = string_field(document, "State")
     if state not in _IS_DRAINING_BY_STATE:
-        raise FormatError(f"State: unknown state {state!r}")
+        raise FormatError(f"State: unknown state {reprlib.repr(state)}")
     address = string_field(document, "Address")
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise FormatError(f"Address: expected HOST:PORT, got {address!r}")
+    match = _ADDRESS.fullmatch(address)
+    if match is None or not 0 < int(match[1]) < 65536:
+        raise FormatError(f"Address: expected HOST:PORT, got {reprlib.repr(address)}")
     return SiteEndpoint(
         id=endpoint_id,
         service=string_field(document, "Service"),
--- a/packages/magnoliagrade/magnoliagrade/platform/fields.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/fields.py
@@ -4,13 +4,16 @@
 `FormatError`.
 """
 
+import functools
 import json
+import reprlib
 
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
 
 __all__ = [
     "FormatError",
     "boolean_field",
+    "decoder",
     "load_object",
     "number_field",
     "optional_object",
@@ -18,6 +21,8 @@
     "string_field",
 ]
 
+# Integers up to here are exact in every JSON implementation, and fit into a float.
+LARGEST_NUMBER = 2**53
 _MISSING = object()
 
 
@@ -28,6 +33,29 @@
         super().__init__(ErrorKind.INVALID_REQUEST, detail)
 
 
+def decoder(decode):
+    """Decorate a function that decodes a value of another writer.
+
+    The decorated function raises `FormatError` for every value that it cannot decode.
+    """
+
+    @functools.wraps(decode)
+    def decode_checked(*args):
+        try:
+            return decode(*args)
+        except (
+            ArithmeticError,
+            AttributeError,
+            LookupError,
+            RecursionError,
+            TypeError,
+            ValueError,
+        ) as exc:
+            raise FormatError(f"{type(exc).__name__}: {exc}") from exc
+
+    return decode_checked
+
+
 def load_object(data):
     """Return the JSON object that is encoded in bytes.
 
@@ -58,11 +86,12 @@
 
 
 def number_field(document, name, default=_MISSING, *, minimum=0):
-    """Return the value of a field that holds a finite number, `minimum` or more."""
+    """Return the value of a field with a number from `minimum` to 2**53."""
     value = _field_of_type(document, name, (int, float), default)
-    if isinstance(value, bool) or not minimum <= value < float("inf"):
+    if isinstance(value, bool) or not minimum <= value <= LARGEST_NUMBER:
         raise FormatError(
-            f"{name}: expected a finite number of at least {minimum}, got {value!r}"
+            f"{name}: expected a number from {minimum} to 2**53, got "
+            f"{reprlib.repr(value)}"
         )
     return value
 
--- a/packages/magnoliagrade/magnoliagrade/platform/items.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/items.py
@@ -10,6 +10,7 @@
 from magnoliagrade.platform.fields import (
     FormatError,
     boolean_field,
+    decoder,
     load_object,
     number_field,
     optional_object,
@@ -110,6 +111,7 @@
     is_blocked: bool
 
 
+@decoder
 def decode_item(key, value):
     """Return the decoded value of a key of the store.
 
