Take a refusal of another request for an unknown outcome

Callers saw: 503, not run, for orders that a server had run, and orders that ran at up to three servers (REFUSED, TWICE), where a faulty server answered with the refusal of another request.

Cause: the check whether a response says 'not executed' came before the check that it belongs to the request. Class: a promise read from a response whose sender is not known.

Change: a response that names another request is an unknown outcome, also a refusal.

Evidence: test_refusal_of_another_request_does_not_say_that_an_order_has_not_run failed before (status 503, the order had run at three servers). test_refusal_that_is_written_again_on_a_connection_is_of_no_other_order passed before: the direct path makes a connection for each attempt, so that a refusal written once more on a kept one reaches nobody. Refusals without any id are still taken at their word.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/upstream.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/upstream.py
@@ -267,7 +267,10 @@
 
 def _check_response(response, endpoint, request):
     status = response.status
-    if has_not_run(status, response.headers):
+    request_id, signature = response_identity(response.headers)
+    belongs_to_request = request_id in ("", request.id)
+    # A refusal of another request says nothing of this one, which may have run.
+    if belongs_to_request and has_not_run(status, response.headers):
         response.close()
         raise AttemptFailed(
             ErrorKind.NOT_RUN,
@@ -279,8 +282,6 @@
             notice=notice_of(status, response.headers),
             pause_s=requested_pause_s(status, response.headers),
         )
-    request_id, signature = response_identity(response.headers)
-    belongs_to_request = request_id in ("", request.id)
     is_complete = 400 <= status or signature
     if (
         not belongs_to_request
--- a/packages/magnoliagrade-standins/magnoliagrade_standins/operators/endpoint.py
+++ b/packages/magnoliagrade-standins/magnoliagrade_standins/operators/endpoint.py
@@ -16,6 +16,8 @@
 TRICKLE_INTERVAL_S = 0.2
 # Time for which an endpoint runs a request under which it ends.
 CRASH_DELAY_S = 0.05
+# Time after which a refusal is written once more.
+REPEAT_DELAY_S = 0.005
 
 
 @dataclass(slots=True, kw_only=True)
@@ -30,8 +32,11 @@
         (connection reset without a response), `cut-body` (connection reset within a
         response that has no content length), `other-answer` (response with the id of
         another request), `hang` (no response), `cut-stream` (connection reset
-        within an event) or `trickle` (an event that goes on byte by byte and never
-        ends).
+        within an event), `trickle` (an event that goes on byte by byte and never
+        ends), `other-refusal` (503, not executed, with the id of another request),
+        `repeated-refusal` (the response of `busy` twice on a connection that stays
+        open), `error-text` (200 with text instead of events) or `error-events` (200
+        with an error as an event without an id).
     delay_s : float
         Processing time of a plain request and interval between the events of a
         stream, in seconds.
@@ -129,12 +134,14 @@
             return web.Response(status=421)
         self.arrived_at.append(time.monotonic())
         fault = self.behaviour.fault
-        if fault in ("busy", "broken-group"):
+        if fault in ("busy", "broken-group", "repeated-refusal"):
             causing_server = "other" if fault == "broken-group" else self.id
             headers = {"X-Magnoliagrade-Not-Executed": "1", "At-Server": causing_server}
             headers |= self._notices()
             if self.behaviour.retry_after_s:
                 headers["Retry-After"] = f"{self.behaviour.retry_after_s:g}"
+            if fault == "repeated-refusal":
+                return self._refuse_twice(request, headers)
             return web.Response(status=503, headers=headers)
         self.runs.append(request_id)
         self.began_at[request_id] = time.monotonic()
@@ -144,6 +151,16 @@
             self.cancelled.append(request_id)
             raise
 
+    def _refuse_twice(self, request, headers):
+        lines = ["HTTP/1.1 503 Busy", "Content-Length: 0"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        refusal = "\r\n".join([*lines, "", ""]).encode()
+        request.transport.write(refusal)
+        asyncio.get_running_loop().call_later(
+            REPEAT_DELAY_S, request.transport.write, refusal
+        )
+        return web.Response()
+
     def _notices(self):
         notices = {}
         if self.behaviour.is_leaving:
@@ -162,6 +179,12 @@
     async def _run(self, request, request_id, fault):
         if fault == "hang":
             await asyncio.sleep(3600)
+        if fault == "other-refusal":
+            headers = {
+                "X-Magnoliagrade-Not-Executed": "1",
+                REQUEST_ID_HEADER: "another",
+            }
+            return web.Response(status=503, headers=headers)
         if fault == "reset":
             request.transport.abort()
             return web.Response()
@@ -191,6 +214,8 @@
         return web.Response(status=status, headers=headers, text=text)
 
     async def _stream(self, request, headers, fault):
+        if fault in ("error", "error-text", "error-events"):
+            return _error_of_stream(headers, fault)
         headers["Content-Type"] = "text/event-stream"
         response = web.StreamResponse(headers=headers)
         await response.prepare(request)
@@ -266,3 +291,12 @@
 def _shared_parts(request):
     prefix = request.headers.get("X-Magnoliagrade-Prompt-Prefix", "")
     return [entry.partition(":")[0] for entry in prefix.split(",")[:-1]]
+
+
+def _error_of_stream(headers, fault):
+    media_type = "text/event-stream" if fault == "error-events" else "text/plain"
+    return web.Response(
+        status=500 if fault == "error" else 200,
+        headers=headers | {"Content-Type": media_type},
+        text="HTTP/1.1 500 failed\r\n\r\ndata: failure\n\n",
+    )
