Keep errors of the next server out of streams that have begun

Cause, without the operators' platform: a second response was copied by its type alone. A stream that had sent its head but no event got a second head and the error's body; an error of type text/event-stream was copied as events. On the operators' platform: any response of status 200 was relayed as events, whatever its type, and events without ids went into a stream of numbered ones. Class: a resumed response that is not checked to be the rest of the first one.

Change: a stream goes on only with status 200 and events; numbered streams only with numbered events or comments. Anything else is a failed attempt: the stream goes on elsewhere, or its connection ends.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/streams.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/streams.py
@@ -210,13 +210,28 @@
         upstream = await self._within_silence_timeout(attempt.open(), silent_since)
         if upstream.status != 200:
             return await self._handle_error_status(attempt, upstream)
+        if not upstream.is_event_stream:
+            raise AttemptFailed(
+                ErrorKind.ANSWER_BROKEN,
+                f"{attempt.endpoint.id} sent another type of response than events",
+                has_run=True,
+            )
         reader = EventReader()
+        is_resumed = self._attempts.last_event_id.isdigit()
         chunks = aiter(upstream.chunks())
         while True:
             data = await self._within_silence_timeout(anext(chunks, None), silent_since)
             if data is None:
                 break
-            events = [e for e in reader.feed(data) if not self._is_duplicate(e)]
+            events = reader.feed(data)
+            if is_resumed and not all(map(_continues_numbered_stream, events)):
+                raise AttemptFailed(
+                    ErrorKind.ANSWER_BROKEN,
+                    f"{attempt.endpoint.id} sent an event without an id to resume a "
+                    "stream of numbered events",
+                    has_run=True,
+                )
+            events = [event for event in events if not self._is_duplicate(event)]
             if events:
                 silent_since = clock.monotonic()
                 attempt.record_response()
@@ -303,6 +318,12 @@
         return is_numbered and int(event.id) <= int(last)
 
 
+def _continues_numbered_stream(event):
+    """Return whether an event has a number, or is only a comment."""
+    is_comment = all(line.startswith(b":") for line in event.data.splitlines() if line)
+    return event.id.isdigit() or is_comment
+
+
 def _id_of(event):
     for line in event.splitlines():
         if line.startswith(b"id:"):
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/upstream.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/upstream.py
@@ -168,6 +168,11 @@
         """Headers of the response."""
         return self.response.headers
 
+    @property
+    def is_event_stream(self):
+        """Whether the body is a stream of events."""
+        return self.response.content_type == "text/event-stream"
+
     @property
     def notice(self):
         """What the endpoint says of itself, as `EndpointNotice`; None for a 421."""
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/requests/attempt.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/requests/attempt.py
@@ -146,15 +146,17 @@
 
 
 async def _copy_response(response, sink):
-    if response.content_type == "text/event-stream":
-        await _copy_events(response, sink)
-    elif sink.tokens_written:
+    is_stream = response.content_type == "text/event-stream"
+    is_resumed = sink.has_started or sink.tokens_written > 0
+    if is_resumed and not (is_stream and response.status == 200):
         response.close()
         raise _incomplete_response(
-            f"response to a resumed stream is {response.content_type!r}, not an event "
-            "stream",
+            f"response to a resumed stream has status {response.status} and type "
+            f"{response.content_type!r}",
             sink,
         )
+    if is_stream:
+        await _copy_events(response, sink)
     elif (
         response.content_length or MAX_BUFFERED_RESPONSE_BYTES
     ) < MAX_BUFFERED_RESPONSE_BYTES:
