Compare changes of a placement by the ranks that they concern

Change: the power mean is updated by the few ranks that hold the experts of a candidate.

The tests of magnoliagrade.algorithms pass unchanged.

--- a/packages/magnoliagrade/magnoliagrade/algorithms/balance/placement_changes.py
+++ b/packages/magnoliagrade/magnoliagrade/algorithms/balance/placement_changes.py
@@ -91,7 +91,7 @@
     candidates = []
     for rank in target_ranks:
         candidates += _replications(
-            placement, shares, most_loaded[:MAX_EXPERTS_TRIED], rank, slots
+            placement, shares, replicas, most_loaded[:MAX_EXPERTS_TRIED], rank, slots
         )
         candidates += _moves_and_swaps(placement, shares, times, slowest, rank, slots)
     if not may_load[slowest]:
@@ -99,10 +99,10 @@
     return _choose(placement, rates, replicas, times, speeds, candidates)
 
 
-def _replications(placement, shares, experts, rank, slots):
+def _replications(placement, shares, replicas, experts, rank, slots):
     dropped = ()
     if placement[rank].sum() >= slots:
-        spare = np.flatnonzero(placement[rank] & (placement.sum(axis=0) > 1))
+        spare = np.flatnonzero(placement[rank] & (replicas > 1))
         if not len(spare):
             return []
         evicted = int(spare[np.argmin(shares[spare])])
@@ -139,44 +139,56 @@
 
 
 def _choose(placement, rates, replicas, times, speeds, candidates):
-    before = _power_mean(times)
+    longest = float(times.max())
+    if longest <= 0:
+        return None
+    # Lists, since reading single numbers of arrays is slow.
+    scaled = (times / longest).tolist()
+    scales = (1 / (speeds * longest)).tolist()
+    powers = [time**POWER_MEAN_EXPONENT for time in scaled]
+    total = sum(powers)
+    before = _root_mean(total, len(times))
+    rates = rates.tolist()
+    replicas = replicas.tolist()
+    holders_by_expert = {}
     best = None
     for added, dropped in candidates:
-        after = _power_mean(
-            _rank_times_after(
-                placement, rates, replicas, times, speeds, (added, dropped)
-            )
+        load_changes = _load_changes(
+            placement, rates, replicas, holders_by_expert, added, dropped
         )
-        change = PlacementChange(added=added, dropped=dropped, gain=before - after)
-        if change.gain <= 0:
+        after_total = total
+        for rank, load_change in load_changes.items():
+            time = scaled[rank] + load_change * scales[rank]
+            after_total += time**POWER_MEAN_EXPONENT - powers[rank]
+        gain = longest * (before - _root_mean(max(0.0, after_total), len(times)))
+        if gain <= 0:
             continue
-        if best is None or change.gain_per_transfer > best.gain_per_transfer:
-            best = change
+        if best is None or gain / len(added) > best.gain_per_transfer:
+            best = PlacementChange(added=added, dropped=dropped, gain=gain)
     return best
 
 
-def _rank_times_after(placement, rates, replicas, times, speeds, change):
-    """Return the ranks' times after a change, computed from its experts only."""
-    added, dropped = change
-    delta_by_expert = {}
-    for pairs, delta in ((added, 1), (dropped, -1)):
-        for rank, expert in pairs:
-            delta_by_expert.setdefault(expert, []).append((rank, delta))
-    loads = np.zeros(len(times))
-    for expert, deltas in delta_by_expert.items():
-        holders = placement[:, expert].astype(float)
-        loads -= holders * (rates[expert] / replicas[expert])
-        for rank, delta in deltas:
-            holders[rank] += delta
-        loads += holders * (rates[expert] / holders.sum())
-    return times + loads / speeds
-
-
-def _power_mean(times):
-    longest = times.max()
-    if longest <= 0:
-        return 0.0
-    return float(
-        longest
-        * np.mean((times / longest) ** POWER_MEAN_EXPONENT) ** (1 / POWER_MEAN_EXPONENT)
-    )
+def _load_changes(placement, rates, replicas, holders_by_expert, added, dropped):
+    """Return how much a change adds to the load of each rank that it concerns.
+
+    Few ranks hold the experts of a change, so that comparing candidates does not take
+    time in proportion to the number of ranks.
+    """
+    changes = {}
+    for expert in {expert for _, expert in added + dropped}:
+        holders = holders_by_expert.get(expert)
+        if holders is None:
+            holders = np.flatnonzero(placement[:, expert]).tolist()
+            holders_by_expert[expert] = holders
+        rate = rates[expert]
+        for rank in holders:
+            changes[rank] = changes.get(rank, 0.0) - rate / replicas[expert]
+        after = {*holders, *(r for r, e in added if e == expert)}
+        after.difference_update(r for r, e in dropped if e == expert)
+        for rank in after:
+            changes[rank] = changes.get(rank, 0.0) + rate / len(after)
+    return changes
+
+
+def _root_mean(total, number):
+    return (total / number) ** (1 / POWER_MEAN_EXPONENT)
