Plan expert maps by the length that passes settle at

Cause: a map was planned by the length of the last passes. Right after a shift of the demand these are still short, so that the load counted as low, the next reading came 0.7 s later, and the plan when most streams were late already. Class of the fault: a control loop that waits for the harm instead of the state that leads to it.

Change: urgency follows the length at which passes settle for the rate of events and the skew counted now (Little's law); the rate is smoothed, as streams are few right after passes became long. Readings every 0.25 s, 0.35 s under low load. A switch is armed as far ahead as the orders of this switch took, not 0.75 s for one lost order in 62, and by the passes measured while it was prepared. Reading the map and the lead time are modules of their own.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
@@ -4,7 +4,6 @@
 that it holds, and the agent of the lowest rank from 1 to 3 that is running takes over.
 """
 
-import asyncio
 import logging
 
 from magnoliagrade.errors import MagnoliagradeError
@@ -15,16 +14,9 @@
 from magnoliagrade_agent.direct.expert_map_codec import pack_experts
 from magnoliagrade_agent.direct.group_reader import GroupReader
 from magnoliagrade_agent.direct.link_budget import LinkBudget
-from magnoliagrade_agent.direct.placement_arrays import (
-    expert_lists,
-    placement_array,
-    unassigned_experts,
-)
-from magnoliagrade_agent.direct.ports import (
-    LocalRankClient,
-    RankUnreachable,
-    call_with_short_timeout,
-)
+from magnoliagrade_agent.direct.map_reading import read_experts, read_experts_in_use
+from magnoliagrade_agent.direct.placement_arrays import expert_lists, placement_array
+from magnoliagrade_agent.direct.ports import LocalRankClient
 from magnoliagrade_agent.direct.rank_directory import RankDirectory, formation_key
 from magnoliagrade_agent.direct.stall_detection import (
     RECOVERY_CANDIDATES,
@@ -40,10 +32,10 @@
 __all__ = ["Coordinator", "is_coordinator"]
 
 # Interval of plans. `LinkBudget` bounds what is read each time.
-PLAN_INTERVAL_S = 0.4
+PLAN_INTERVAL_S = 0.25
 # Longer interval while shorter passes would serve no caller better, so that fewer
 # counters cross data centres.
-LOW_LOAD_PLAN_INTERVAL_S = 0.7
+LOW_LOAD_PLAN_INTERVAL_S = 0.35
 # Shortest pause between two plans, if a plan and its switch take longer than the
 # interval: the ranks' servers and the agent's machine have other work.
 MIN_PAUSE_S = 0.05
@@ -192,8 +184,12 @@
             step=status.step,
             coordinator=address,
         )
-        experts = await self._experts_of_version(
-            status.map_version, suspect=coordinator
+        engine = await self._node.engine()
+        experts = await read_experts(
+            self._clients,
+            status.map_version,
+            size=engine.experts if engine else 0,
+            suspect=coordinator,
         )
         await self._switch.settle(experts, coordinator=coordinator)
 
@@ -226,7 +222,7 @@
         if self._is_switch_pending(statuses):
             return
         if any(is_unsettled(status) for status in statuses):
-            experts = await self._experts_in_use(statuses)
+            experts = await read_experts_in_use(self._clients, statuses)
             await self._switch.settle(experts)
             self._placement_version = None
             return
@@ -270,19 +266,25 @@
         version = statuses[0].map_version
         if version != self._placement_version:
             self._placement = placement_array(
-                await self._experts_in_use(statuses), engine.experts
+                await read_experts_in_use(self._clients, statuses), engine.experts
             )
             self._placement_version = version
         if not self._demand.has_enough_choices:
             return
+        choices = self._demand.window.choices
+        load_skew = planning.load_skew(self._placement, choices)
+        event_rate = self._demand.event_rate
+        event_rate.update(statuses, pass_s=pass_s, now=self._node.clock.monotonic())
+        settled_s = planning.settled_pass_s(
+            events_per_s=event_rate.per_s, engine=engine, load_skew=load_skew
+        )
         urgency = planning.rebalance_urgency(
             statuses,
             slots=engine.slots,
-            pass_s=pass_s,
+            pass_s=max(pass_s, settled_s),
             gap_objective_s=self._node.gap_objective_s,
         )
         self._is_load_low = not urgency
-        choices = self._demand.window.choices
         log_event(
             _log,
             "group.counted",
@@ -291,7 +293,8 @@
             pressure=round(urgency, 2),
             read_s=round(self._read_s, 3),
             running=sum(status.running for status in statuses),
-            skew=round(planning.load_skew(self._placement, choices), 2),
+            settled_s=round(settled_s, 3),
+            skew=round(load_skew, 2),
             waiting=sum(status.waiting for status in statuses),
         )
         if self._is_load_low:
@@ -323,7 +326,7 @@
             pass_s=round(pass_s, 3),
             saving=round(saving, 3),
             copies=int((planned & ~self._placement).sum()),
-            skew=round(planning.load_skew(self._placement, choices), 2),
+            skew=round(load_skew, 2),
             slowest_pace=max(status.pace for status in statuses),
         )
         await self._switch_to(planned, pass_s)
@@ -377,40 +380,6 @@
         self._placement_version = None
         return False
 
-    async def _experts_in_use(self, statuses):
-        version = statuses[0].map_version
-        if any(status.map_version != version for status in statuses):
-            raise RankUnreachable(
-                "ranks report different map versions during a switch: "
-                f"{sorted({status.map_version for status in statuses})}"
-            )
-        return await self._experts_of_version(version)
-
-    async def _experts_of_version(self, version, *, suspect=None):
-        """Return the map of a version as experts by set and rank.
-
-        A suspect rank that does not respond gets the experts that no other rank has.
-        """
-        found = await asyncio.gather(
-            *(
-                call_with_short_timeout(client.experts(version))
-                if client is suspect
-                else client.experts(version)
-                for client in self._clients
-            ),
-            return_exceptions=True,
-        )
-        by_rank = []
-        for client, experts in zip(self._clients, found, strict=True):
-            is_missing = isinstance(experts, MagnoliagradeError) and client is suspect
-            if isinstance(experts, BaseException) and not is_missing:
-                raise experts
-            by_rank.append(None if is_missing else experts)
-        if None in by_rank:
-            engine = await self._node.engine()
-            by_rank[by_rank.index(None)] = unassigned_experts(by_rank, engine.experts)
-        return [list(ranks) for ranks in zip(*by_rank, strict=True)]
-
     def _reset(self):
         self._last_pass_sample = None
         self._clients = []
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/expert_demand.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/expert_demand.py
@@ -16,12 +16,13 @@
         Knows the data centres of the ranks.
     """
 
-    __slots__ = ("_directory", "_node", "_reader", "window")
+    __slots__ = ("_directory", "_node", "_reader", "event_rate", "window")
 
     def __init__(self, *, node, reader, directory):
         self._directory = directory
         self._node = node
         self._reader = reader
+        self.event_rate = None
         self.window = None
 
     async def read(self, clients, epoch, *, interval_s):
@@ -81,5 +82,6 @@
             # it.
             from magnoliagrade_agent.direct import planning
 
+            self.event_rate = planning.EventRate()
             self.window = planning.CountWindow(sets=engine.sets, experts=engine.experts)
         return self.window
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/planning.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/planning.py
@@ -20,6 +20,7 @@
 
 __all__ = [
     "CountWindow",
+    "EventRate",
     "load_skew",
     "pass_time_saving",
     "plan_placement",
@@ -28,12 +29,13 @@
     "required_gain_per_copy",
     "required_saving",
     "round_robin_placement",
+    "settled_pass_s",
 ]
 
 # Half-life of the weight of counts: half of the time between two readings, so that the
 # first plan after a shift of the load follows it. A reading counts thousands of choices
 # of the hottest experts, and most requests that made them run on for a second or two.
-COUNT_HALF_LIFE_S = 0.2
+COUNT_HALF_LIFE_S = 0.125
 # Fraction of the pass length that a switch has to save at urgency 1: copies make passes
 # 15 % longer for about 0.4 s of the 3 s until the next shift of the load.
 MIN_SAVING_FRACTION = 0.04
@@ -60,11 +62,50 @@
 # Largest number of changes that a plan makes to one set, to bound the planning time;
 # larger than the number of experts of a set that one switch may replace.
 MAX_MOVES_PER_SET = 64
+# Half-life of the weight of an event rate: about half of the life of a stream, within
+# which their number follows the length of the passes.
+EVENT_RATE_HALF_LIFE_S = 1.0
 # Choices in a window below which no map is planned. A rank counts 13,788 choices of its
 # hottest expert in the first second of traffic.
 MIN_WINDOW_CHOICES = 2000
 
 
+class EventRate:
+    """Rate at which the streams of a rank end passes, from statuses and pass lengths.
+
+    Notes
+    -----
+    The number of streams follows the length of the passes late: right after passes have
+    become longer, the quotient of both is below the rate at which streams come.
+    """
+
+    __slots__ = ("_updated_at", "per_s")
+
+    def __init__(self):
+        self._updated_at = None
+        self.per_s = 0.0
+
+    def update(self, statuses, *, pass_s, now):
+        """Add the statuses of all ranks at a time in seconds.
+
+        Parameters
+        ----------
+        statuses : list of RankStatus
+            Status of all ranks.
+        pass_s : float
+            Length of the passes since the last call in seconds; 0 for none.
+        now : float
+            Time in seconds.
+        """
+        if pass_s <= 0:
+            return
+        rate = sum(status.running for status in statuses) / len(statuses) / pass_s
+        elapsed_s = float("inf") if self._updated_at is None else now - self._updated_at
+        self._updated_at = now
+        kept = 0.5 ** (elapsed_s / EVENT_RATE_HALF_LIFE_S)
+        self.per_s = kept * self.per_s + (1 - kept) * rate
+
+
 class CountWindow:
     """Recent choices of each expert, with exponential decay, from monotonic counters.
 
@@ -177,6 +218,43 @@
     return min(1.0, max(0.0, by_slots, by_pass))
 
 
+def settled_pass_s(*, events_per_s, engine, load_skew):
+    """Return the length that passes reach if streams go on to come as they do now.
+
+    Parameters
+    ----------
+    events_per_s : float
+        Rate at which the streams of a rank end passes, which each yield an event.
+    engine : EngineProfile
+        Cost model of the ranks' engines.
+    load_skew : float
+        Ratio of the slowest rank's time to the mean time for the experts in demand.
+
+    Returns
+    -------
+    pass_s : float
+        Length in seconds, at most that of a pass of full ranks; 0 without streams.
+
+    Notes
+    -----
+    Load pattern: the demand shifts, and the map no longer fits it. Each pass becomes
+    longer, so that streams end later and more of them run, which makes the next passes
+    longer again. The length of the last passes shows this only after about a second.
+
+    By Little's law the streams of a rank are their rate times the length of a pass, and
+    the length grows linearly with the streams. Both agree at the base length divided by
+    the part of the time that the streams leave.
+    """
+    if events_per_s <= 0:
+        return 0.0
+    base_s = engine.steps_per_pass * engine.step_s
+    stream_s = engine.steps_per_pass * engine.sequence_s
+    stream_s *= 1 - engine.expert_share + engine.expert_share * load_skew
+    full_s = base_s + engine.slots * stream_s
+    utilisation = events_per_s * stream_s
+    return min(full_s, base_s / (1 - utilisation)) if utilisation < 1 else full_s
+
+
 def required_gain_per_copy(urgency):
     """Return the fraction of a pass that one copied expert has to save.
 
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/switching.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/switching.py
@@ -24,12 +24,12 @@
 
 import asyncio
 import logging
-import math
 
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
 from magnoliagrade.observability import log_event
 
 from magnoliagrade_agent.direct.expert_map_codec import pack_experts
+from magnoliagrade_agent.direct.lead_time import lead_passes
 from magnoliagrade_agent.direct.map_changes_codec import pack_changes
 from magnoliagrade_agent.direct.member import CONFIRMED, UNKNOWN_BASE
 from magnoliagrade_agent.direct.ports import RankUnreachable, call_with_short_timeout
@@ -39,24 +39,11 @@
     "SwitchFailed",
     "is_next_pass_held",
     "is_unsettled",
-    "lead_passes",
     "next_version",
 ]
 
-# Time between the hold and the pass of the switch. Arming takes about 50 ms, so the
-# pass is released before the group reaches it: a group that waits for a held pass makes
-# all its streams late.
-LEAD_TIME_S = 0.25
-# Lead time if an order has just had no response: arming may then need several tries of
-# 80 ms.
-LEAD_TIME_LOSSY_S = 0.75
-# Shortest lead time, as a multiple of the time that reading the status of all ranks
-# takes: arming them takes about as long as that, and the other calls some time more.
-LEAD_TIME_READS = 3.0
-# Shortest pass of a group: 5 decoding steps of 5.85 ms.
-MIN_PASS_S = 0.03
-# Two, because the pass that is under way may end at once.
-MIN_LEAD_PASSES = 2
+# Number of passes from which their mean length is known.
+MIN_PASSES_MEASURED = 2
 # Versions are drawn at random from a range of this size, so that an order of another
 # coordinator, or of an earlier process of this agent, does not carry the same version
 # with another map.
@@ -70,38 +57,6 @@
 _log = logging.getLogger(__name__)
 
 
-def lead_passes(pass_s, *, is_lossy=False, read_s=0.0):
-    """Return how many passes ahead a switch is armed.
-
-    Parameters
-    ----------
-    pass_s : float
-        Recent length of a pass in seconds; 0 if that is not known.
-    is_lossy : bool
-        Whether an order has just had no response.
-    read_s : float
-        Time that reading the status of all ranks has just taken, in seconds.
-
-    Notes
-    -----
-    Load pattern: one rank becomes several times slower, and passes take half a second.
-    A switch that is armed many passes ahead would take place when the rank is no longer
-    slow. In a large group the replies of all ranks take a fraction of a second of the
-    coordinator's link; the group must not reach the held pass before they are in.
-
-    Examples
-    --------
-    >>> lead_passes(0.06), lead_passes(0.6), lead_passes(0.0)
-    (6, 2, 10)
-    >>> lead_passes(0.09, read_s=0.2)
-    8
-    """
-    lead_s = LEAD_TIME_LOSSY_S if is_lossy else LEAD_TIME_S
-    lead_s = max(lead_s, LEAD_TIME_READS * read_s)
-    passes = math.ceil(lead_s / max(MIN_PASS_S, pass_s))
-    return max(MIN_LEAD_PASSES, passes + 1)
-
-
 class SwitchFailed(MagnoliagradeError):
     """A switch did not take place; the group keeps its former map."""
 
@@ -203,16 +158,21 @@
         version = next_version(statuses, rng=self._rng)
         for client in self.clients:
             client.tries = 0
+        first_step = max(status.step for status in statuses)
         prepared_from = self._clock.monotonic()
         if not await self._prepare_changes(statuses, version, experts, former_experts):
             raise SwitchFailed(f"map {version} was not prepared on all ranks")
-        is_lossy = any(client.tries > 1 for client in self.clients)
+        tries = max(client.tries for client in self.clients)
         began_at = self._clock.monotonic()
         prepare_s = began_at - prepared_from
         statuses = await self.statuses()
         read_s = self._clock.monotonic() - began_at
-        lead = lead_passes(pass_s, is_lossy=is_lossy, read_s=read_s)
-        step = max(status.step for status in statuses) + lead
+        step = max(status.step for status in statuses)
+        if step - first_step >= MIN_PASSES_MEASURED:
+            # Passes become longer until the map is in use.
+            pass_s = (self._clock.monotonic() - prepared_from) / (step - first_step)
+        lead = lead_passes(pass_s, tries=tries, read_s=read_s)
+        step += lead
         step = self._last_held_step = max(step, self._last_held_step + 1)
         holder = self._holding_client()
         outcome, _ = await holder.hold(epoch=self._epoch, step=step)
