Order requests by the priority of the organisation, then of the route

Cause: the priority of an organisation replaced that of the route. Class: a precedence taken for a replacement.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/admission/overload.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/admission/overload.py
@@ -66,13 +66,13 @@
 
     Notes
     -----
-    Within a priority, requests that can still meet their latency objective are served
+    Within an urgency, requests that can still meet their latency objective are served
     before late ones, newest first. Serving the oldest first under a lasting overload
     completes each request just after its objective.
     """
     is_late = now + FIRST_EVENT_S > request.arrived_at + request.route.objective_s
     arrival_order = request.arrived_at if is_late else -request.arrived_at
-    return request.priority, is_late, arrival_order
+    return *request.urgency, is_late, arrival_order
 
 
 def completion_rate(recent_per_s, in_flight, work_s):
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/admission/tests/test_overload.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/admission/tests/test_overload.py
@@ -37,6 +37,10 @@
     def route(self):
         return STREAM
 
+    @property
+    def urgency(self):
+        return self.priority, self.priority
+
 
 def test_wait_order_meets_the_objective_more_often_than_oldest_first():
     def oldest_first(request, _now):
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/explanation.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/explanation.py
@@ -68,13 +68,16 @@
     route = site_state.route_table.find(host, target)
     if route is None:
         return explanation | {"decision": "reject: no route matches host and path"}
+    priority = _priority_of(site_state.configuration, route, organisation)
     explanation |= {
         "route": route.name,
         "kind": route.kind.value,
-        "priority": _priority_of(site_state.configuration, route, organisation),
+        "priority": priority,
         "objective_s": route.objective_s,
         "services": [
-            _explain_service(node, share) for share in route.shares if share.weight > 0
+            _explain_service(node, share, (priority, route.priority))
+            for share in route.shares
+            if share.weight > 0
         ],
     }
     if not explanation["services"]:
@@ -89,7 +92,7 @@
     return route.priority
 
 
-def _explain_service(node, share):
+def _explain_service(node, share, urgency):
     table = node.endpoint_table
     service = share.service
     now = node.clock.monotonic()
@@ -104,7 +107,7 @@
     return {
         "service": service,
         "weight": share.weight,
-        "is_ranked": service in node.site_state.ranked_services,
+        "urgency_level": node.site_state.urgency_levels.get(service, {}).get(urgency),
         "waiting": waiting,
         "unseen_placements": {
             scope.value: round(unseen, 2)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/__init__.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/__init__.py
@@ -7,7 +7,7 @@
 from magnoliagrade_entry.direct.knowledge.site_relay import SiteRelays, relay_names
 from magnoliagrade_entry.direct.knowledge.site_state import STORE_SETTLE_S, SiteState
 from magnoliagrade_entry.direct.knowledge.site_watch import follow_site
-from magnoliagrade_entry.direct.knowledge.urgency import ranked_services
+from magnoliagrade_entry.direct.knowledge.urgency import urgency_levels
 
 __all__ = [
     "ChangeLog",
@@ -18,6 +18,6 @@
     "SiteState",
     "follow_site",
     "keep_registered",
-    "ranked_services",
     "relay_names",
+    "urgency_levels",
 ]
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/site_state.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/site_state.py
@@ -22,7 +22,7 @@
 
 from magnoliagrade_entry.direct.knowledge.endpoint_registry import EndpointRegistry
 from magnoliagrade_entry.direct.knowledge.route_table import RouteTable
-from magnoliagrade_entry.direct.knowledge.urgency import ranked_services
+from magnoliagrade_entry.direct.knowledge.urgency import urgency_levels
 
 __all__ = ["STORE_SETTLE_S", "SiteState"]
 
@@ -71,12 +71,12 @@
         The encoded configuration in force; empty without one.
     era : int or None
         Era of the store in the last listing that was applied; None before the first.
-    ranked_services : frozenset of str
-        Services whose requests differ in priority.
     rank_groups_by_name : dict of str to RankGroup
         Groups of ranks that serve a service together with others.
     registry : EndpointRegistry
         Endpoints, also those that get no requests.
+    urgency_levels : dict of str to dict
+        Levels by `DirectRequest.urgency`, for services whose requests differ in it.
     """
 
     __slots__ = (
@@ -90,12 +90,12 @@
         "era",
         "evacuated",
         "link_address_by_name",
-        "ranked_services",
         "rank_groups_by_name",
         "registry",
         "route_table",
         "slow_ranks_by_group",
         "store_returned_at",
+        "urgency_levels",
     )
 
     def __init__(self, *, clock):
@@ -109,12 +109,12 @@
         self.era = None
         self.evacuated = set()
         self.link_address_by_name = {}
-        self.ranked_services = frozenset()
         self.rank_groups_by_name = {}
         self.registry = EndpointRegistry(clock=clock, service_of=self._service_of)
         self.route_table = RouteTable(routes=[])
         self.slow_ranks_by_group = {}
         self.store_returned_at = float("-inf")
+        self.urgency_levels = {}
 
     @property
     def version(self):
@@ -404,7 +404,7 @@
             # The version never decreases during the life of a process.
             return
         self.configuration = configuration
-        self.ranked_services = ranked_services(configuration)
+        self.urgency_levels = urgency_levels(configuration)
         self.route_table = RouteTable(routes=configuration.routes)
         log_event(
             _log,
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/arrival.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/arrival.py
@@ -85,11 +85,19 @@
 
     @property
     def priority(self):
-        """Priority of the request; 0 is served first."""
+        """Priority of its organisation, else of its route; 0 is served first."""
         if self.organisation is not None and self.organisation.priority is not None:
             return self.organisation.priority
         return self.route.priority
 
+    @property
+    def urgency(self):
+        """Sort key of the request's urgency; the smallest is served first.
+
+        The priority of the route orders requests whose organisations have the same one.
+        """
+        return self.priority, self.route.priority
+
     @property
     def priority_label(self):
         """Priority as the label of a metric, with one value for all above 9."""
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/attempts.py
@@ -84,8 +84,7 @@
                 now=self._started_at,
                 connection=self._connection,
                 last_event_id=attempts.last_event_id,
-                is_ranked=self.endpoint.service
-                in self._node.site_state.ranked_services,
+                urgency_level=self._urgency_level(),
             )
         except AttemptFailed as exc:
             # A replaced endpoint is gone and never received the request.
@@ -248,6 +247,12 @@
             **fields,
         )
 
+    def _urgency_level(self):
+        """Return the level of the request among those of its service, or None."""
+        request = self._attempts.request
+        levels = self._node.site_state.urgency_levels.get(request.service, {})
+        return levels.get(request.urgency)
+
     def _stream_times(self):
         """Return when a stream's caller got the first event, and the longest gap."""
         attempts = self._attempts
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/upstream.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/upstream.py
@@ -212,7 +212,7 @@
 
 
 async def open_response(
-    session, endpoint, request, *, now, connection, last_event_id="", is_ranked=False
+    session, endpoint, request, *, now, connection, last_event_id="", urgency_level=None
 ):
     """Send a request to an endpoint and return its response.
 
@@ -230,8 +230,9 @@
         Updated once the connection has been established.
     last_event_id : str
         Id of the event after which a stream resumes; empty to start a new one.
-    is_ranked : bool
-        Whether the endpoint shall admit waiting requests by their priority.
+    urgency_level : int, optional
+        Level by which the endpoint shall admit waiting requests, 0 first; the
+        endpoint's default by default.
 
     Raises
     ------
@@ -245,7 +246,7 @@
         organisation=request.organisation.name if request.organisation else "",
         deadline_s=request.ends_at - now,
         last_event_id=last_event_id,
-        priority=request.priority if is_ranked else None,
+        priority=urgency_level,
     )
     url = URL(f"http://{endpoint.address}{request.target}", encoded=True)
     try:
