Count only requests as ahead that get their slots first

Callers saw: an urgent request rejected because less urgent ones filled the queue that it would have passed, and the room to wait for a recovery taken by whoever came first.

Cause: the queue was ordered by urgency, but admission to it counted all that waited. Class: room shared by several kinds of requests and given by arrival.

Change: what is ahead of a request is what gets its slot first. A less urgent request that can no longer get a slot in time because of it is rejected at once, and so is the last one that waits for a recovery without room.

Evidence: the three new tests of test_waiting.py fail without the change.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/admission/tests/test_waiting.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/admission/tests/test_waiting.py
@@ -110,9 +110,78 @@
     asyncio.run(scenario())
 
 
-def _start(queue, clock, *, has_started=False, deadline_s=9.0):
+def test_urgent_request_is_not_rejected_for_less_urgent_ones_that_wait():
+    # A burst of less urgent requests has filled the queue; a slot is free every 2 s.
+    async def scenario():
+        queue, endpoint_table, clock = _full_queue()
+        queue.release(endpoint_table.by_id["i-0"], work_s=12.0)
+        queue._acquire_free_slot(set(), clock.monotonic())
+        bulk = [_start(queue, clock, priority=2, deadline_s=9.0) for _ in range(3)]
+        await asyncio.sleep(0)
+        late = _start(queue, clock, priority=2, deadline_s=6.0)
+        await asyncio.sleep(0)
+        assert late.done() and late.exception().detail.startswith("the queue")
+        urgent = _start(queue, clock, priority=0, deadline_s=6.0)
+        await asyncio.sleep(0)
+        assert not urgent.done()
+        queue.release(endpoint_table.by_id["i-0"], work_s=12.0)
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert urgent.done() and not any(task.done() for task in bulk[:2])
+        for task in bulk:
+            task.cancel()
+
+    asyncio.run(scenario())
+
+
+def test_request_that_urgent_ones_keep_from_a_slot_in_time_is_rejected_at_once():
+    async def scenario():
+        queue, endpoint_table, clock = _full_queue()
+        queue.release(endpoint_table.by_id["i-0"], work_s=12.0)
+        queue._acquire_free_slot(set(), clock.monotonic())
+        bulk = [_start(queue, clock, priority=2, deadline_s=7.0) for _ in range(2)]
+        await asyncio.sleep(0)
+        assert not any(task.done() for task in bulk)
+        urgent = [_start(queue, clock, priority=0, deadline_s=9.0) for _ in range(2)]
+        for _ in range(3):
+            await asyncio.sleep(0)
+        assert [task.done() for task in bulk].count(True) == 1
+        (displaced,) = (task for task in bulk if task.done())
+        assert displaced.exception().detail.startswith("more urgent requests")
+        assert displaced.exception().retry_after > 0
+        assert not any(task.done() for task in urgent)
+        for task in (*bulk, *urgent):
+            task.cancel()
+
+    asyncio.run(scenario())
+
+
+def test_urgent_request_takes_the_room_of_a_less_urgent_one_in_an_outage():
+    async def scenario():
+        queue, endpoint_table, clock = _full_queue()
+        queue._limit_exchange.count_entries = lambda: 6
+        domain = endpoint_table.by_id["i-0"].fault_domain
+        endpoint_table.outages.begin(domain, now=clock.monotonic())
+        bulk = _start(queue, clock, priority=2, remaining_s=5.0)
+        await asyncio.sleep(0)
+        other = _start(queue, clock, priority=2, remaining_s=5.0)
+        await asyncio.sleep(0)
+        assert not bulk.done() and other.exception().detail.startswith("a group")
+        urgent = _start(queue, clock, priority=0, remaining_s=5.0)
+        for _ in range(3):
+            await asyncio.sleep(0)
+        assert bulk.exception().detail.startswith("a group")
+        assert not urgent.done()
+        urgent.cancel()
+
+    asyncio.run(scenario())
+
+
+def _start(
+    queue, clock, *, has_started=False, deadline_s=9.0, priority=1, remaining_s=8.0
+):
     now = clock.monotonic()
-    request = Arrival(arrived_at=now, ends_at=now + 8.0)
+    request = Arrival(arrived_at=now, ends_at=now + remaining_s, priority=priority)
     return asyncio.create_task(
         queue.acquire_slot(
             request,
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/admission/waiting.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/admission/waiting.py
@@ -119,21 +119,11 @@
             `OVERLOADED` as soon as no slot can be expected in time.
         """
         now = self._clock.monotonic()
-        outages = self._endpoint_table.outages
-        if outages.should_reject(self._service, now=now):
-            if not self._may_await_recovery(request, now, slot_deadline):
-                raise self._outage_error(request, now)
-            AWAITED_RECOVERIES.inc()
-        else:
-            # During an outage a request let through as a probe does not wait behind
-            # others.
-            if not self.waiters or outages.is_unavailable(self._service):
-                load = self._acquire_free_slot(excluded, now)
-                if load is not None:
-                    return load
-            self._reject_if_too_late(
-                request, excluded, slot_deadline, now, has_started=has_started
-            )
+        load = self._admit(
+            request, excluded, slot_deadline, now, has_started=has_started
+        )
+        if load is not None:
+            return load
         waiter = Waiter(
             request=request,
             excluded=excluded,
@@ -142,6 +132,8 @@
             future=asyncio.get_running_loop().create_future(),
         )
         self.waiters.append(waiter)
+        if not self._endpoint_table.outages.is_unavailable(self._service):
+            self._reject_displaced(waiter, now)
         # An ejection may have ended since the last call: no event marks its end.
         self.wake()
         try:
@@ -159,7 +151,7 @@
                 "no endpoint had a free slot in time", request
             ) from None
         except asyncio.CancelledError:
-            if waiter.future.done() and not waiter.future.cancelled():
+            if _has_slot(waiter.future):
                 self.release(waiter.future.result())
             raise
         finally:
@@ -194,11 +186,7 @@
         ):
             return
         now = self._clock.monotonic()
-
-        def wake_order(waiter):
-            return not waiter.has_started, *wait_order(waiter.request, now)
-
-        for waiter in sorted(self.waiters, key=wake_order):
+        for waiter in self._in_order(now):
             if waiter.future.done():
                 continue
             load = self._acquire_free_slot(waiter.excluded, now)
@@ -225,16 +213,81 @@
             self._in_flight += 1
         return load
 
+    def _admit(self, request, excluded, slot_deadline, now, *, has_started):
+        """Return the load of a free slot, or None if the request may wait for one."""
+        outages = self._endpoint_table.outages
+        if outages.should_reject(self._service, now=now):
+            if not self._may_await_recovery(request, now, slot_deadline):
+                raise self._outage_error(request, now)
+            self._make_room_to_wait(request, now)
+            AWAITED_RECOVERIES.inc()
+        else:
+            # During an outage a request let through as a probe does not wait behind
+            # others.
+            if not self.waiters or outages.is_unavailable(self._service):
+                load = self._acquire_free_slot(excluded, now)
+                if load is not None:
+                    return load
+            self._reject_if_too_late(
+                request, excluded, slot_deadline, now, has_started=has_started
+            )
+        return None
+
+    def _in_order(self, now):
+        """Return the waiting requests in the order in which they get slots."""
+        return sorted(
+            self.waiters,
+            key=lambda w: (not w.has_started, *wait_order(w.request, now)),
+        )
+
+    def _ahead_of(self, request, *, has_started):
+        """Return the waiting requests that a request does not go before."""
+        return [
+            waiter
+            for waiter in self.waiters
+            if waiter.has_started
+            or (not has_started and waiter.request.urgency <= request.urgency)
+        ]
+
+    def _reject_displaced(self, added, now):
+        """Reject the requests that an added one keeps from getting a slot in time."""
+        for ahead, waiter in enumerate(self._in_order(now)):
+            is_behind = not waiter.has_started and (
+                added.has_started or waiter.request.urgency > added.request.urgency
+            )
+            if not is_behind or waiter.future.done():
+                continue
+            if now + self._expected_wait_s(now, ahead) > waiter.slot_deadline:
+                waiter.future.set_exception(
+                    self._overloaded_error(
+                        "more urgent requests take the slots that become free in time",
+                        waiter.request,
+                    )
+                )
+
     def _may_await_recovery(self, request, now, slot_deadline):
         """Return whether a request may wait for the end of the service's outage."""
+        ahead = len(self._ahead_of(request, has_started=False))
+        return slot_deadline > now and self._has_room_to_wait(request, ahead)
+
+    def _has_room_to_wait(self, request, waiting):
         loads = self._endpoint_table.loads_of(self._service)
-        return slot_deadline > now and has_room_to_wait(
+        return has_room_to_wait(
             request,
-            len(self.waiters),
+            waiting,
             slots=sum(load.endpoint.slots for load in loads),
             entries=self._limit_exchange.count_entries(),
         )
 
+    def _make_room_to_wait(self, request, now):
+        """Reject the last of the less urgent requests if there is no room for all."""
+        pending = [w for w in self._in_order(now) if not w.future.done()]
+        if not pending or self._has_room_to_wait(request, len(pending)):
+            return
+        last = pending[-1]
+        if not last.has_started and last.request.urgency > request.urgency:
+            last.future.set_exception(self._outage_error(last.request, now))
+
     def _reject_if_too_late(
         self, request, excluded, slot_deadline, now, *, has_started
     ):
@@ -254,7 +307,7 @@
                 request,
                 wait_s=returns_at - now,
             )
-        ahead = [w for w in self.waiters if w.has_started or not has_started]
+        ahead = self._ahead_of(request, has_started=has_started)
         if not ahead and self._endpoint_table.has_free_slot(
             self._service, now=now, excluded=excluded
         ):
@@ -294,3 +347,8 @@
             f"{detail}: {len(self.waiters)} requests waiting for {self._service}",
             retry_after=retry_after_s(wait_s, request.ends_at - now, rng=self._rng),
         )
+
+
+def _has_slot(future):
+    """Return whether a slot was assigned to the request of a future."""
+    return future.done() and not future.cancelled() and future.exception() is None
