Name the errors of decoding once, and use them in the coordinator's loop

The coordinator's loop caught fewer errors than the decoders of other writers' values may raise; the same tuple now serves both loops and the decorator.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
@@ -8,6 +8,7 @@
 
 from magnoliagrade.errors import MagnoliagradeError
 from magnoliagrade.observability import log_event
+from magnoliagrade.platform import DECODING_ERRORS
 from prometheus_client import Counter
 
 from magnoliagrade_agent.direct.expert_demand import ExpertDemand
@@ -151,7 +152,7 @@
             except MagnoliagradeError as exc:
                 self._log_new_failure(exc.detail)
                 pause_s = PLAN_INTERVAL_S
-            except (KeyError, TypeError, ValueError) as exc:
+            except DECODING_ERRORS as exc:
                 # A response of a server may be malformed.
                 self._log_new_failure(
                     f"replies of ranks could not be used: {type(exc).__name__}: {exc}"
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/site_watch.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/site_watch.py
@@ -4,7 +4,7 @@
 
 from magnoliagrade.errors import MagnoliagradeError
 from magnoliagrade.observability import log_event
-from magnoliagrade.platform import HistoryLost, StorePosition
+from magnoliagrade.platform import DECODING_ERRORS, HistoryLost, StorePosition
 from prometheus_client import Gauge
 
 from magnoliagrade_entry.direct.knowledge.site_relay import RELAY_WATCH_WAIT_S
@@ -31,18 +31,6 @@
 # end of its outage.
 BACKOFF_MAX_S = 0.8
 
-# Errors after which the store is read again: what one response contains must not end
-# the task that follows the store.
-FOLLOWING_ERRORS = (
-    MagnoliagradeError,
-    ArithmeticError,
-    AttributeError,
-    LookupError,
-    RecursionError,
-    TypeError,
-    ValueError,
-)
-
 AGE = Gauge("magnoliagrade_site_age_seconds", "Age of what is known of the site")
 _log = logging.getLogger(__name__)
 
@@ -63,7 +51,7 @@
         except HistoryLost as exc:
             follower.position = None
             log_event(_log, "store.history.lost", detail=exc.detail)
-        except FOLLOWING_ERRORS as exc:
+        except (MagnoliagradeError, *DECODING_ERRORS) as exc:
             await follower.back_off(exc)
 
 
--- a/packages/magnoliagrade/magnoliagrade/platform/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/__init__.py
@@ -5,7 +5,7 @@
 
 from magnoliagrade.platform.configuration import decode_configuration
 from magnoliagrade.platform.endpoints import decode_endpoint
-from magnoliagrade.platform.fields import FormatError
+from magnoliagrade.platform.fields import DECODING_ERRORS, FormatError
 from magnoliagrade.platform.headers import (
     EndpointNotice,
     api_key_of,
@@ -54,6 +54,7 @@
 )
 
 __all__ = [
+    "DECODING_ERRORS",
     "BLOCKED_REQUEST_LIFE_S",
     "SLOW_RANKS_LIFE_S",
     "BlockedRequestItem",
--- a/packages/magnoliagrade/magnoliagrade/platform/fields.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/fields.py
@@ -11,6 +11,7 @@
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
 
 __all__ = [
+    "DECODING_ERRORS",
     "FormatError",
     "boolean_field",
     "decoder",
@@ -21,6 +22,15 @@
     "string_field",
 ]
 
+# What reading a document of another writer may raise.
+DECODING_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 # Integers up to here are exact in every JSON implementation, and fit into a float.
 LARGEST_NUMBER = 2**53
 _MISSING = object()
@@ -43,14 +53,7 @@
     def decode_checked(*args):
         try:
             return decode(*args)
-        except (
-            ArithmeticError,
-            AttributeError,
-            LookupError,
-            RecursionError,
-            TypeError,
-            ValueError,
-        ) as exc:
+        except DECODING_ERRORS as exc:
             raise FormatError(f"{type(exc).__name__}: {exc}") from exc
 
     return decode_checked
