Revert: give the room to wait for a recovery by urgency

Requests that had waited for a recovery were rejected when a more urgent one came, so that their callers had waited in vain. The room is given by arrival again, as before; its test goes with it. Queues outside outages keep the order by urgency.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/admission/waiting.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/admission/waiting.py
@@ -219,7 +219,6 @@
         if outages.should_reject(self._service, now=now):
             if not self._may_await_recovery(request, now, slot_deadline):
                 raise self._outage_error(request, now)
-            self._make_room_to_wait(request, now)
             AWAITED_RECOVERIES.inc()
         else:
             # During an outage a request let through as a probe does not wait behind
@@ -267,27 +266,14 @@
 
     def _may_await_recovery(self, request, now, slot_deadline):
         """Return whether a request may wait for the end of the service's outage."""
-        ahead = len(self._ahead_of(request, has_started=False))
-        return slot_deadline > now and self._has_room_to_wait(request, ahead)
-
-    def _has_room_to_wait(self, request, waiting):
         loads = self._endpoint_table.loads_of(self._service)
-        return has_room_to_wait(
+        return slot_deadline > now and has_room_to_wait(
             request,
-            waiting,
+            len(self.waiters),
             slots=sum(load.endpoint.slots for load in loads),
             entries=self._limit_exchange.count_entries(),
         )
 
-    def _make_room_to_wait(self, request, now):
-        """Reject the last of the less urgent requests if there is no room for all."""
-        pending = [w for w in self._in_order(now) if not w.future.done()]
-        if not pending or self._has_room_to_wait(request, len(pending)):
-            return
-        last = pending[-1]
-        if not last.has_started and last.request.urgency > request.urgency:
-            last.future.set_exception(self._outage_error(last.request, now))
-
     def _reject_if_too_late(
         self, request, excluded, slot_deadline, now, *, has_started
     ):
