Let the event rate of a group rise at once

Change: the rate is at least that of the newest reading, and only falls by its half-life.

Test: test_the_event_rate_follows_traffic_that_begins fails without the change.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/planning.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/planning.py
@@ -76,7 +76,8 @@
     Notes
     -----
     The number of streams follows the length of the passes late: right after passes have
-    become longer, the quotient of both is below the rate at which streams come.
+    become longer, the quotient of both is below the rate at which streams come. So the
+    rate falls only by its half-life, but rises at once, as when traffic begins.
     """
 
     __slots__ = ("_updated_at", "per_s")
@@ -103,7 +104,7 @@
         elapsed_s = float("inf") if self._updated_at is None else now - self._updated_at
         self._updated_at = now
         kept = 0.5 ** (elapsed_s / EVENT_RATE_HALF_LIFE_S)
-        self.per_s = kept * self.per_s + (1 - kept) * rate
+        self.per_s = max(rate, kept * self.per_s + (1 - kept) * rate)
 
 
 class CountWindow:
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/test_planning.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/test_planning.py
@@ -151,6 +151,13 @@
     assert rate.per_s > 45.0
 
 
+def test_the_event_rate_follows_traffic_that_begins():
+    rate = EventRate()
+    for now, running in ((0.3, 1), (0.6, 3), (0.9, 6)):
+        rate.update([RankStatus(running=running)] * 4, pass_s=0.05, now=now)
+        assert rate.per_s == running / 0.05
+
+
 def _replay_shift(engine):
     """Return when after a shift a new map is urgent, and the length of a pass then."""
     for elapsed_s, pass_s, urgency in _readings_of_shift(engine, skew=2.9, seconds=3.0):
