Hold a later pass if the one of a switch has begun

Cause: with the shorter lead after lost orders a repeated order to hold could come after its pass.

Change: the coordinator reads the ranks again and holds a later pass, up to three times; the prepared map stays. A pass is still never held twice, and a late order to hold one that has begun is rejected by the server as before.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/switching.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/switching.py
@@ -44,6 +44,8 @@
 
 # Number of passes from which their mean length is known.
 MIN_PASSES_MEASURED = 2
+# Number of passes that are tried to hold for one switch.
+MAX_HOLDS = 3
 # Versions are drawn at random from a range of this size, so that an order of another
 # coordinator, or of an earlier process of this agent, does not carry the same version
 # with another map.
@@ -162,22 +164,29 @@
         prepared_from = self._clock.monotonic()
         if not await self._prepare_changes(statuses, version, experts, former_experts):
             raise SwitchFailed(f"map {version} was not prepared on all ranks")
-        tries = max(client.tries for client in self.clients)
         began_at = self._clock.monotonic()
         prepare_s = began_at - prepared_from
-        statuses = await self.statuses()
-        read_s = self._clock.monotonic() - began_at
-        step = max(status.step for status in statuses)
-        if step - first_step >= MIN_PASSES_MEASURED:
-            # Passes become longer until the map is in use.
-            pass_s = (self._clock.monotonic() - prepared_from) / (step - first_step)
-        lead = lead_passes(pass_s, tries=tries, read_s=read_s)
-        step += lead
-        step = self._last_held_step = max(step, self._last_held_step + 1)
         holder = self._holding_client()
-        outcome, _ = await holder.hold(epoch=self._epoch, step=step)
-        if outcome != CONFIRMED:
+        for _ in range(MAX_HOLDS):
+            read_from = self._clock.monotonic()
+            statuses = await self.statuses()
+            now = self._clock.monotonic()
+            step = max(status.step for status in statuses)
+            if step - first_step >= MIN_PASSES_MEASURED:
+                # Passes become longer until the map is in use.
+                pass_s = (now - prepared_from) / (step - first_step)
+            lead = lead_passes(
+                pass_s,
+                tries=max(client.tries for client in self.clients),
+                read_s=now - read_from,
+            )
+            step = self._last_held_step = max(step + lead, self._last_held_step + 1)
+            outcome, _ = await holder.hold(epoch=self._epoch, step=step)
+            if outcome == CONFIRMED:
+                break
+            # The pass began before a repeated order to hold it arrived.
             await self._release(holder, step)
+        else:
             raise SwitchFailed(
                 f"{holder.name}: pass {step} could not be held: {outcome}"
             )
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/test_switching.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/tests/test_switching.py
@@ -117,6 +117,29 @@
     assert len(drawn) == 50
 
 
+def test_switch_whose_pass_has_begun_before_it_is_held_takes_a_later_one():
+    # The first order to hold is lost, and its repetition arrives after the pass.
+    group, clock = _group(random.Random(1), late_fraction=0.0, lost_fraction=0.0)
+    holder = group.ranks[1]
+    hold = holder._hold
+    refused = []
+
+    def hold_late(version, step, experts):
+        if refused:
+            return hold(version, step, experts)
+        refused.append(step)
+        while group.step < step:
+            group.begin_pass()
+        return False
+
+    holder._hold = hold_late
+    work = _switch(group, clock, 0).run(_map(1), _map(0), pass_s=PASS_S)
+    assert asyncio.run(_simulate(group, clock, work, 2.0))
+    assert len(refused) == 1
+    assert {rank.version for rank in group.ranks} != {0}
+    assert group.mixed_passes == 0
+
+
 def test_agents_that_know_the_map_in_use_receive_only_its_changes():
     rng = random.Random(1)
     group, clock = _group(rng, late_fraction=0.0, lost_fraction=0.0)
