--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/arrival.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/arrival.py
@@ -100,8 +100,11 @@
 
     @property
     def priority_label(self):
-        """Priority as the label of a metric, with one value for all above 9."""
-        return str(min(max(0, int(self.priority)), LAST_PRIORITY_LABEL))
+        """Priority of its route as the label of a metric, with one value from 9 on.
+
+        Organisations mostly have the same priority, which tells no requests apart.
+        """
+        return str(min(max(0, int(self.route.priority)), LAST_PRIORITY_LABEL))
 
 
 async def read_request(node, http_request):
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/door.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/door.py
@@ -19,7 +19,7 @@
 )
 REJECTIONS = Counter(
     "magnoliagrade_direct_rejections_total",
-    "Rejected requests by their priority",
+    "Rejected requests by the priority of their route",
     ["priority", "result"],
 )
 DURATION = Histogram(
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/streams.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/streams.py
@@ -24,13 +24,13 @@
 _BOUNDARY = re.compile(rb"\r?\n\r?\n")
 FIRST_EVENT = Histogram(
     "magnoliagrade_direct_first_event_seconds",
-    "Time from arrival to the first event, by the priority of the request",
+    "Time from arrival to the first event, by the priority of the route",
     ["priority"],
     buckets=(0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.9, 1.5, 2, 3, 6),
 )
 LONGEST_GAP = Histogram(
     "magnoliagrade_direct_longest_gap_seconds",
-    "Longest time between two events of a complete stream, by priority",
+    "Longest time between two events of a stream, by the priority of the route",
     ["priority"],
     buckets=(0.05, 0.08, 0.1, 0.12, 0.15, 0.2, 0.3, 0.6, 1.5, 3),
 )
