Start tasks again that have to run as long as their process

A task that follows the store, registers an entry, reports its load, dials a peer or coordinates a group ended at the first error that nobody expected: Tasks logged it, nothing started it again, and the process went on serving with outdated state. A link whose message raised such an error was never dialled again. One row of the platform's list without a field ended the task that reads the list.

Why it works: what ends such a task is no longer the set of errors that its author thought of. It starts from a complete listing, so that it needs no state of the failed run; the coordinator finds its ranks again and settles a switch under way, as after a takeover.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/coordinator.py
@@ -134,7 +134,12 @@
         self._reset()
 
     async def run(self):
-        """Coordinate, recover or stand by, by the rank's status, until cancelled."""
+        """Coordinate, recover or stand by, by the rank's status, until cancelled.
+
+        It may be called again after it has failed: the ranks are then found again, and
+        a switch that was under way is settled.
+        """
+        self._formation = None
         while True:
             began_at = self._node.clock.monotonic()
             try:
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/instance.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/instance.py
@@ -130,9 +130,12 @@
             hello=self.hello,
             handle=self._serve_calls,
         )
-        self.tasks.start(self.coordinator.run(), name="coordinator")
-        self.tasks.start(self.slow_ranks.run(), name="slow ranks")
-        self.tasks.start(self.group_notices.run(), name="group notices")
+        for name, run in (
+            ("coordinator", self.coordinator.run),
+            ("slow ranks", self.slow_ranks.run),
+            ("group notices", self.group_notices.run),
+        ):
+            self.tasks.start_lasting(run, name=name, clock=self.clock)
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._log_reload)
         log_event(_log, "agent.started", incarnation=self.identity.incarnation)
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/rank_directory.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/rank_directory.py
@@ -1,6 +1,7 @@
 """Discovery of a group's ranks: server list from the store, links to their agents."""
 
 import asyncio
+import functools
 import logging
 
 from magnoliagrade.errors import MagnoliagradeError
@@ -176,7 +177,8 @@
         server=server, clock=node.clock, status_lag_s=REMOTE_STATUS_LAG_S
     )
     client = RemoteRankClient(name=server_address, remote=remote, server=server)
-    dialling = maintain_link(
+    keep_link = functools.partial(
+        maintain_link,
         address=f"{host}:{link_port}",
         make_link=node.make_link,
         hello=node.hello,
@@ -185,4 +187,7 @@
         rng=node.rng,
         source=node.settings.source_address,
     )
-    return client, node.tasks.start(dialling, name=f"link to agent at {host}")
+    task = node.tasks.start_lasting(
+        keep_link, name=f"link to agent at {host}", clock=node.clock
+    )
+    return client, task
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/exchange/peer_links.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/exchange/peer_links.py
@@ -1,6 +1,7 @@
 """Links between direct entries, which report their requests in flight to each other."""
 
 import asyncio
+import functools
 import logging
 
 from magnoliagrade.observability import log_event
@@ -134,8 +135,9 @@
                 del self._dialling_by_name[name]
         for name, address in wanted.items():
             if name not in self._dialling_by_name:
-                task = self._node.tasks.start(
-                    self._dial(name, address), name=f"link to {name}"
+                task = self._node.start_lasting(
+                    functools.partial(self._dial, name, address),
+                    name=f"link to {name}",
                 )
                 self._dialling_by_name[name] = (address, task)
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import logging
 import random
 import signal
@@ -169,14 +170,19 @@
             settings.metrics_address,
         )
         await self.peers.listen()
-        self.tasks.start(follow_site(self), name="site")
-        self.tasks.start(keep_registered(self), name="registration")
+        self.start_lasting(functools.partial(follow_site, self), name="site")
+        self.start_lasting(
+            functools.partial(keep_registered, self), name="registration"
+        )
         for scope in Scope:
-            self.tasks.start(self.peers.report(scope), name=f"{scope.value} reports")
-        self.tasks.start(
-            self.peers.pull_newer_configurations(), name="newer configurations"
+            self.start_lasting(
+                functools.partial(self.peers.report, scope),
+                name=f"{scope.value} reports",
+            )
+        self.start_lasting(
+            self.peers.pull_newer_configurations, name="newer configurations"
         )
-        self.tasks.start(self._wake_periodically(), name="waking")
+        self.start_lasting(self._wake_periodically, name="waking")
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._log_reload)
         log_event(_log, "entry.started", incarnation=self.identity.incarnation)
@@ -197,6 +203,10 @@
         log_event(_log, "entry.stopped", requests_cut=self.requests_in_flight)
         await self.close_now()
 
+    def start_lasting(self, run, *, name):
+        """Start a task that is started again if it fails; see `Tasks.start_lasting`."""
+        return self.tasks.start_lasting(run, name=name, clock=self.clock)
+
     def on_site_changed(self):
         """Apply the current site state to endpoints, limits, peers and wait queues."""
         site_state = self.site_state
@@ -251,8 +261,8 @@
         """Start polling an unavailable fault domain, unless a task does so."""
         running = self._recovery_by_domain.get(domain)
         if running is None or running.done():
-            self._recovery_by_domain[domain] = self.tasks.start(
-                watch_recovery(self, domain),
+            self._recovery_by_domain[domain] = self.start_lasting(
+                functools.partial(watch_recovery, self, domain),
                 name=f"recovery of {domain.service} {domain.group}",
             )
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/site_state.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/knowledge/site_state.py
@@ -165,7 +165,12 @@
         if value is None and isinstance(item, InstanceItem):
             self._hold(key)
             return True
-        self._apply_item(item, position)
+        try:
+            self._apply_item(item, position)
+        except Exception:
+            # One key must not keep the changes of the others from being applied.
+            self._record_unapplied(key, position)
+            return True
         if isinstance(item, ConfigurationItem) and item.configuration is not None:
             self._keep_configuration_data(item.configuration, value)
         return True
@@ -322,6 +327,14 @@
             CHANGES.labels("refused").inc()
             return _unreadable_item(key)
 
+    def _record_unapplied(self, key, position):
+        """Log a change that failed to be applied; an endpoint is removed."""
+        _log.exception("site.item.failed", extra={"key": key})
+        CHANGES.labels("failed").inc()
+        item = _unreadable_item(key)
+        if item is not None:
+            self._apply_item(item, position)
+
     def _is_outdated_in_copy(self, value):
         """Return whether a listed value is older than what is known of its subject."""
         try:
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/membership/link_manager.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/membership/link_manager.py
@@ -1,5 +1,6 @@
 """Maintenance of the links from an entry to other instances."""
 
+import functools
 import random
 
 from magnoliagrade.wire import maintain_link
@@ -72,8 +73,10 @@
 
     def _start_dialling(self, name, address):
         self._address_by_name[name] = address
-        self._task_by_name[name] = self._node.tasks.start(
-            self._maintain_link(name, address), name=f"link {name}"
+        self._task_by_name[name] = self._node.tasks.start_lasting(
+            functools.partial(self._maintain_link, name, address),
+            name=f"link {name}",
+            clock=self._node.clock,
         )
 
     async def _maintain_link(self, name, address):
--- a/packages/magnoliagrade/magnoliagrade/node/node.py
+++ b/packages/magnoliagrade/magnoliagrade/node/node.py
@@ -1,6 +1,7 @@
 """Base class of entries and agents: identity, links, listeners, shutdown."""
 
 import asyncio
+import functools
 import random
 
 import aiohttp
@@ -187,7 +188,9 @@
     def start_tasks(self):
         """Start the background tasks and announce the bound addresses."""
         for name, function in self._task_table.by_name.items():
-            self.tasks.start(function(self), name=name)
+            self.tasks.start_lasting(
+                functools.partial(function, self), name=name, clock=self.clock
+            )
         announce_ready(**self.addresses)
 
     async def announce_leaving(self):
--- a/tests/test_odd_registrations.py
+++ b/tests/test_odd_registrations.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import base64
 import json
 
 import aiohttp
@@ -19,6 +20,15 @@
 TEST_LIMIT_S = 60
 # A change of the store reaches an entry within a few hundred ms.
 APPLY_LIMIT_S = 5.0
+OTHER_PREFIXES = (
+    "magnoliagrade/instances/",
+    "magnoliagrade/rank-groups/",
+    "magnoliagrade/slow-ranks/",
+    "magnoliagrade/blocked-requests/",
+    "magnoliagrade/unknown/",
+    "op/evacuate/",
+    "unknown/",
+)
 SOUND = endpoint_document("plain", "127.0.0.1:80")
 HUGE = int("9" * 400)
 ODD_ADDRESSES = (
@@ -107,6 +117,57 @@
     _run(scenario)
 
 
+def test_entries_follow_the_store_past_odd_values_under_all_other_keys():
+    async def scenario(site):
+        for name in ("former", "later"):
+            await site.add_endpoint(name, name)
+        routes = [route_document("/x/", "former"), route_document("/y/", "later")]
+        site.configure(configuration_document(1, routes))
+        entry = await site.add_entry()
+        version = 1
+        for prefix in OTHER_PREFIXES:
+            for number, document in enumerate(ODD_REGISTRATIONS.values()):
+                site.store.put(f"{prefix}odd-{number}", _encoded(document))
+            version += 1
+            service = ("former", "later")[version % 2]
+            routes[0] = route_document("/x/", service)
+            site.configure(configuration_document(version, routes))
+            async with asyncio.timeout(APPLY_LIMIT_S):
+                while entry.site_state.version < version:
+                    await asyncio.sleep(0.01)
+            status, _, body = await site.call(entry, "GET", "/x/1")
+            assert (status, body.split()[-1]) == (200, service), prefix
+        late_entry = await site.add_entry()
+        assert late_entry.site_state.version == version
+        assert (await site.call(late_entry, "GET", "/x/1"))[0] == 200
+
+    _run(scenario)
+
+
+def test_odd_registration_of_a_live_server_keeps_only_that_server_out():
+    async def scenario(site):
+        for name in ("i-1", "i-2"):
+            await site.add_endpoint(name, "plain")
+        site.configure(configuration_document(1, [route_document("/x/", "plain")]))
+        entry = await site.add_entry()
+        sound = base64.b64decode(site.store.item_by_key["servers/i-1"]["Value"])
+        for odd, document in ODD_REGISTRATIONS.items():
+            site.store.put("servers/i-1", _encoded(document))
+            await _wait_for_endpoints(entry, ["i-2"])
+            status, _, body = await site.call(entry, "GET", "/x/1")
+            assert (status, body.split()[-1]) == (200, "i-2"), odd
+            site.store.put("servers/i-1", sound)
+            await _wait_for_endpoints(entry, ["i-1", "i-2"])
+
+    _run(scenario)
+
+
+async def _wait_for_endpoints(entry, ids):
+    async with asyncio.timeout(APPLY_LIMIT_S):
+        while sorted(entry.endpoint_table.by_id) != ids:
+            await asyncio.sleep(0.01)
+
+
 def _encoded(document):
     return document if isinstance(document, bytes) else json.dumps(document).encode()
 
