Take only requests that end before an entry that shuts down does

Callers saw: in a planned stop of one entry, in calm, requests that came late in the grace were passed on and cut without an answer at its end, among them orders that may not be repeated.

Cause: an entry decided by its own time, 2.5 s after SIGTERM, whether it takes a request, and compared the request's time with its own end neither at its arrival nor when it got a slot. At the end it closed the connections without a response.

Change: magnoliagrade_entry/shutdown.py, used by both paths. A request that may run only once is taken and sent only if its deadline comes before the end; one that may be repeated also if one and a half times its route's longest recent duration fits. Others are rejected at once (SHUTTING_DOWN, not run, Retry-After). What is left at the end gets 503 if it was not sent, 504 if it may have run; a stream that has begun is cut.

The agents of that path reject at once, before and now.

Why it works: what may outlast the entry never reaches a server through it, and its caller is told so in time to try another entry. "Has not run" is said only if no attempt had begun.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
@@ -37,6 +37,7 @@
     EndpointConnector,
     trace_connections,
 )
+from magnoliagrade_entry.shutdown import Shutdown
 
 __all__ = ["DirectEntry"]
 
@@ -45,6 +46,9 @@
 ROTATION_LAG_S = 2.5
 # Part of the grace period that is reserved for closing open connections.
 CLOSE_MARGIN_S = 0.7
+# Time limit for the error responses to the requests that are left at the end, which is
+# part of that margin.
+END_TIME_LIMIT_S = 0.2
 # Interval of checks for requests in flight; short compared with the grace period.
 DRAIN_POLL_S = 0.05
 # An entry is ready while its configuration was confirmed within this fraction of the
@@ -100,6 +104,7 @@
         "retry_budget",
         "rng",
         "settings",
+        "shutdown",
         "site_state",
         "started_at",
         "store",
@@ -137,6 +142,7 @@
             window_s=settings.retry_window_s,
             count_entries=lambda: len(self.site_state.link_address_by_name),
         )
+        self.shutdown = Shutdown(clock=self.clock)
         self._cold_intervals = ColdIntervals(name=settings.name)
         self._group_notices = GroupNotices(node=self)
         self.lease = None
@@ -188,11 +194,16 @@
         log_event(_log, "entry.started", incarnation=self.identity.incarnation)
 
     async def stop(self):
-        """Drain the requests in flight, then close."""
+        """Drain the requests in flight, then close.
+
+        Requests that may outlast the entry are rejected from the start, and those that
+        are left at the end get an error response.
+        """
         began_at = self.clock.monotonic()
         self.is_leaving = True
         log_event(_log, "entry.leaving", requests_in_flight=self.requests_in_flight)
         ends_at = began_at + self.settings.grace_s - CLOSE_MARGIN_S
+        self.shutdown.begin(ends_at)
         while self.clock.monotonic() < ends_at:
             waited_s = self.clock.monotonic() - began_at
             if waited_s >= ROTATION_LAG_S:
@@ -200,7 +211,16 @@
                 if not self.requests_in_flight:
                     break
             await self.clock.sleep(DRAIN_POLL_S)
-        log_event(_log, "entry.stopped", requests_cut=self.requests_in_flight)
+        self.shutdown.end()
+        closes_at = self.clock.monotonic() + END_TIME_LIMIT_S
+        while self.requests_in_flight and self.clock.monotonic() < closes_at:
+            await self.clock.sleep(DRAIN_POLL_S)
+        log_event(
+            _log,
+            "entry.stopped",
+            requests_cut=self.requests_in_flight,
+            requests_ended=self.shutdown.requests_ended,
+        )
         await self.close_now()
 
     def start_lasting(self, run, *, name):
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/arrival.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/arrival.py
@@ -26,8 +26,6 @@
 DENIAL_MAX_AGE_S = 3.5
 # Retry-After of rejections that end once the store responds again.
 STORE_RETRY_S = 1.0
-# Retry-After of an entry that shuts down: another entry accepts the request at once.
-SHUTDOWN_RETRY_S = 0.05
 # Time after the start that requests wait for the first configuration. Reading it takes
 # about 0.1 s, and a few hundred ms while the store is slow. Callers wait for at least a
 # third of a second.
@@ -124,11 +122,7 @@
     """
     arrived_at = node.clock.monotonic()
     if node.rejects_requests:
-        raise MagnoliagradeError(
-            ErrorKind.SHUTTING_DOWN,
-            "the entry is shutting down",
-            retry_after=SHUTDOWN_RETRY_S,
-        )
+        raise node.shutdown.error("it accepts no further requests")
     headers = http_request.headers
     target = http_request.raw_path
     if not target.startswith("/"):
@@ -154,7 +148,9 @@
     if wait_s is None:
         wait_s = DEFAULT_DEADLINE_S
     ends_at = arrived_at + min(wait_s, route.timeout_s)
-    body = await _read_body(http_request, ends_at - arrived_at)
+    _check_shutdown(node, route, ends_at)
+    body = await _read_body(node, http_request, ends_at - arrived_at)
+    _check_shutdown(node, route, ends_at)
     return DirectRequest(
         id=request_id_of(headers),
         method=http_request.method,
@@ -212,13 +208,22 @@
     )
 
 
-async def _read_body(http_request, limit_s):
+def _check_shutdown(node, route, ends_at):
+    node.shutdown.check(route.name, is_repeatable=route.is_idempotent, ends_at=ends_at)
+
+
+async def _read_body(node, http_request, limit_s):
     if not http_request.body_exists and "Content-Length" not in http_request.headers:
         return None
     try:
-        async with asyncio.timeout(max(0.0, limit_s)):
+        async with (
+            node.shutdown.time_limit() as shutdown_limit,
+            asyncio.timeout(max(0.0, limit_s)),
+        ):
             return await http_request.read()
     except TimeoutError:
+        if shutdown_limit.expired():
+            raise node.shutdown.error("the request body is not complete") from None
         raise MagnoliagradeError(
             ErrorKind.INVALID_REQUEST,
             f"the request body did not arrive within {limit_s:.2f} s, its deadline",
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/request_attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/request_attempts.py
@@ -1,5 +1,6 @@
 """All attempts of one request: slots, limits and retries."""
 
+import asyncio
 import contextlib
 
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
@@ -36,7 +37,8 @@
     attempt that may have run the request has failed. `last_event_id` and
     `last_event_at` (seconds; None before the first event) describe the last event sent
     to the caller of a stream, `first_event_at` is when the first one was sent, and
-    `longest_gap_s` is the longest time between two events.
+    `longest_gap_s` is the longest time between two events. `is_attempting` is set while
+    an attempt is under way, or about to begin in another task.
     """
 
     __slots__ = (
@@ -46,6 +48,7 @@
         "broken_domains",
         "first_event_at",
         "has_run",
+        "is_attempting",
         "last_event_at",
         "last_event_id",
         "longest_gap_s",
@@ -61,6 +64,7 @@
         self.request = request
         self.broken_domains = set()
         self.has_run = False
+        self.is_attempting = False
         self.sent = 0
         self.tried = set()
         self.last_event_id = request.last_event_id
@@ -122,6 +126,7 @@
             raise _upstream_failed(exc) from exc
         try:
             self._check_blocked()
+            self._check_shutdown()
         except MagnoliagradeError:
             load, self._load = self._load, None
             queue.release(load)
@@ -133,12 +138,17 @@
         await self.ensure_slot()
         load, self._load = self._load, None
         attempt = Attempt(node=self._node, attempts=self, load=load)
+        self.is_attempting = True
         try:
             yield attempt
         except AttemptFailed as exc:
             attempt.record_failure(exc)
             raise
+        except asyncio.CancelledError:
+            self.has_run = True
+            raise
         finally:
+            self.is_attempting = False
             attempt.close()
 
     def check_retry(self, failed):
@@ -168,6 +178,29 @@
             retry_after=retry_after_s(wait_s, self.remaining_s(), rng=self._node.rng),
         )
 
+    def shutdown_error(self):
+        """Return the response to a request that ends with the entry's shutdown."""
+        if not self.has_run and not self.is_attempting:
+            return self._node.shutdown.error("the request has not been sent yet")
+        return MagnoliagradeError(
+            ErrorKind.OUTCOME_UNKNOWN,
+            "the entry shut down before an endpoint had responded",
+        )
+
+    def _check_shutdown(self):
+        """Raise an error if the entry shuts down before the request may have ended."""
+        request = self.request
+        try:
+            self._node.shutdown.check(
+                request.route.name,
+                is_repeatable=request.route.is_idempotent,
+                ends_at=request.ends_at,
+            )
+        except MagnoliagradeError as exc:
+            if not self.has_run:
+                raise
+            raise _upstream_failed(exc) from exc
+
     def _check_blocked(self):
         """Raise `REQUEST_BLOCKED` if servers end under requests like this one."""
         guard = self._node.crash_guard
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/serving.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/serving.py
@@ -40,10 +40,25 @@
     node.retry_budget.record_request(request.service, now=node.clock.monotonic())
     attempts = Attempts(node=node, request=request)
     if request.route.is_stream:
-        return await relay_stream(node, attempts, http_request)
-    if request.route.is_idempotent:
-        return await _serve_idempotent(attempts)
-    return await _serve_once(node, attempts)
+        response = await relay_stream(node, attempts, http_request)
+    else:
+        response = await _serve_plain(node, attempts)
+    if response.status < 400:
+        took_s = node.clock.monotonic() - request.arrived_at
+        node.shutdown.durations.record(request.route.name, took_s)
+    return response
+
+
+async def _serve_plain(node, attempts):
+    try:
+        async with node.shutdown.time_limit() as shutdown_limit:
+            if attempts.request.route.is_idempotent:
+                return await _serve_idempotent(attempts)
+            return await _serve_once(node, attempts)
+    except TimeoutError:
+        if not shutdown_limit.expired():
+            raise
+        raise attempts.shutdown_error() from None
 
 
 async def _serve_idempotent(attempts):
@@ -74,6 +89,7 @@
     """Serve a request that may run only once; it continues if its caller leaves."""
     while True:
         await attempts.ensure_slot()
+        attempts.is_attempting = True
         work = _attempt_plain_outcome(attempts)
         task = node.tasks.start(work, name=f"order {attempts.request.id}")
         outcome = await asyncio.shield(task)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/streams.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/streams.py
@@ -117,16 +117,16 @@
         If nothing has been sent to the caller yet.
     """
     relay = _Relay(node=node, attempts=attempts, http_request=http_request)
-    while True:
-        try:
-            return await relay.run_attempt()
-        except AttemptFailed as exc:
-            if not relay.may_resume(exc):
-                return relay.abort(exc)
-        except MagnoliagradeError as exc:
-            if not relay.has_started:
-                raise
-            return relay.abort(exc)
+    try:
+        async with node.shutdown.time_limit() as shutdown_limit:
+            return await relay.run()
+    except TimeoutError:
+        if not shutdown_limit.expired():
+            raise
+        error = attempts.shutdown_error()
+        if not relay.has_started:
+            raise error from None
+        return relay.abort(error)
 
 
 class _Relay:
@@ -145,7 +145,20 @@
         """Whether the response to the caller has begun."""
         return self._response is not None
 
-    async def run_attempt(self):
+    async def run(self):
+        """Relay the stream; return the response, complete or aborted."""
+        while True:
+            try:
+                return await self._run_attempt()
+            except AttemptFailed as exc:
+                if not self.may_resume(exc):
+                    return self.abort(exc)
+            except MagnoliagradeError as exc:
+                if not self.has_started:
+                    raise
+                return self.abort(exc)
+
+    async def _run_attempt(self):
         """Relay the events of one endpoint up to the end of the stream."""
         attempts = self._attempts
         async with attempts.next_attempt() as attempt:
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/doors.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/doors.py
@@ -51,6 +51,7 @@
     """
 
     async def handle(http_request):
+        began_at = node.clock.monotonic()
         request_id = request_id_of(http_request.headers)
         sink = _TimedSink(
             http_request=http_request,
@@ -75,6 +76,8 @@
             except MagnoliagradeError as exc:
                 return _respond_error(exc, sink, request_id, listener="caller")
             REQUESTS.labels("caller", "whole").inc()
+            took_s = node.clock.monotonic() - began_at
+            node.shutdown.durations.record(request.application, took_s)
             return sink.response
 
     return _with_metrics(node, handle, "caller")
@@ -114,6 +117,7 @@
                 request_id = request.id
                 sink.tokens_written = int(headers.get(names.RESUME_TOKENS, "0"))
                 _set_span_attributes(span, request)
+                _check_shutdown(node, request)
                 await _serve_to_completion(node, request, sink, node.dispatcher.serve)
             except MagnoliagradeError as exc:
                 return _respond_error(exc, sink, request_id, listener="peer")
@@ -176,6 +180,15 @@
         raise error
 
 
+def _check_shutdown(node, request):
+    """Reject a request that may outlast an entry that is shutting down."""
+    node.shutdown.check(
+        request.application,
+        is_repeatable=request.repeatable,
+        ends_at=request.deadline,
+    )
+
+
 async def _serve_recorded(node, request, sink, serve):
     if not request.forwarded_attempt:
         await serve(request, sink)
@@ -201,6 +214,7 @@
 def _make_admitted_serve(node):
     async def serve(request, sink):
         try:
+            _check_shutdown(node, request)
             await node.admission.admit(request)
             try:
                 await node.claims.serve(request, sink, node.dispatcher.serve)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
@@ -28,6 +28,7 @@
     admission_policies,
 )
 from magnoliagrade_entry.routing import EndpointDirectory, PeerDirectory, Router
+from magnoliagrade_entry.shutdown import Shutdown
 from magnoliagrade_entry.status import status_routes
 from magnoliagrade_entry.watcher_election import WatcherElection
 
@@ -66,6 +67,7 @@
         "requests_in_flight",
         "revocations",
         "router",
+        "shutdown",
     )
 
     role = Role.ENTRY
@@ -105,6 +107,7 @@
         self.revocations = RevocationClient(node=self)
         self.link_manager = LinkManager(node=self)
         self.watcher_election = WatcherElection(node=self)
+        self.shutdown = Shutdown(clock=self.clock)
 
     async def start(self):
         """Open every listener and start the background tasks."""
@@ -136,8 +139,12 @@
     async def stop(self):
         """Leave gracefully: finish everything in flight, then close."""
         log_event(_log, "entry.leaving", requests_in_flight=self.requests_in_flight)
+        settings = self.settings
+        self.shutdown.begin(
+            self.clock.monotonic() + settings.drain_lag_s + settings.drain_limit_s
+        )
         await self.announce_leaving()
-        await self.clock.sleep(self.settings.drain_lag_s)
+        await self.clock.sleep(settings.drain_lag_s)
         self.closes_connections = True
         await self.wait_for_requests(lambda: self.requests_in_flight)
         await self.claims.wait_for_records()
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -80,6 +80,37 @@
         assert [outcome.body.get("number") for outcome in repeated] == numbers
 
 
+def test_order_that_may_outlast_an_entry_that_shuts_down_is_not_taken():
+    # Guards against orders that are passed on and cut at the end of the grace period.
+    asyncio.run(_order_late_in_the_grace_period())
+
+
+async def _order_late_in_the_grace_period():
+    plan = SitePlan(
+        entries_by_data_centre={"kamloops": 1, "kelowna": 1},
+        services_by_data_centre={"kamloops": 1},
+        service_options={"service_s": 1.0},
+        entry_settings={"shutdown": {"drain_lag_s": 2.0, "drain_limit_s": 2.0}},
+    )
+    # kelowna forwards, because only kamloops has an endpoint.
+    for name in ("kamloops-entry-0", "kelowna-entry-0"):
+        async with Site(plan=plan) as site:
+            await _call_with_key(site, name, "first")
+            stopping = asyncio.create_task(site.entry_by_name[name].stop())
+            await asyncio.sleep(0.5)
+            calls = [call_service(site, name, method=m) for m in ("POST", "GET")]
+            order, lookup = await asyncio.gather(*calls)
+            assert (order.status, order.code) == (503, "SHUTTING_DOWN")
+            assert (order.ran, lookup.status) == ("no", 200)
+            assert await stopping == 0
+            runs = [
+                execution["id"]
+                for execution in (await site.record("kamloops-service-0"))["executions"]
+            ]
+            assert order.request_id not in runs
+            assert lookup.request_id in runs
+
+
 def test_request_on_a_connection_that_an_agent_accepted_before_it_left_is_rejected():
     # An entry may have connected before it knows that the agent leaves.
     asyncio.run(_send_after_the_agent_left())
