--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -89,32 +89,28 @@
 
 def test_request_that_still_waits_for_a_slot_at_the_end_has_not_run():
     async def scenario(site):
-        entry, endpoint = await _start(site, kind="unsafe", delay_s=30.0, slots=1)
-        running = asyncio.create_task(_call(site, entry, "r-1", deadline_ms=20000))
-        await _wait_until(lambda: endpoint.runs)
-        waiting = asyncio.create_task(_call(site, entry, "r-2", deadline_ms=20000))
-        await _wait_until(lambda: entry.wait_queue_of("plain").waiters)
+        entry, endpoint, running, waiting = await _start_with_a_full_endpoint(
+            site, delay_s=30.0
+        )
         async with _Stop(entry) as stop:
             assert (await waiting)[0] == NOT_RUN
             assert (await running)[0] == ("unknown", 504)
             await stop.wait()
-        assert endpoint.runs == ["r-1"]
+        assert endpoint.runs == ["running"]
 
     _run(scenario)
 
 
 def test_request_that_gets_its_slot_too_late_in_the_grace_is_not_sent():
     async def scenario(site):
-        entry, endpoint = await _start(site, kind="unsafe", delay_s=2.5, slots=1)
-        running = asyncio.create_task(_call(site, entry, "r-1", deadline_ms=20000))
-        await _wait_until(lambda: endpoint.runs)
-        waiting = asyncio.create_task(_call(site, entry, "r-2", deadline_ms=20000))
-        await _wait_until(lambda: entry.wait_queue_of("plain").waiters)
+        entry, endpoint, running, waiting = await _start_with_a_full_endpoint(
+            site, delay_s=2.5
+        )
         async with _Stop(entry) as stop:
             assert (await running)[0] == ("", 200)
             assert (await waiting)[0] == NOT_RUN
             await stop.wait()
-        assert endpoint.runs == ["r-1"]
+        assert endpoint.runs == ["running"]
 
     _run(scenario)
 
@@ -184,6 +180,16 @@
     return await site.add_entry(grace_s=GRACE_S), endpoint
 
 
+async def _start_with_a_full_endpoint(site, *, delay_s):
+    """Return entry, endpoint, the call that holds its only slot, and one that waits."""
+    entry, endpoint = await _start(site, kind="unsafe", delay_s=delay_s, slots=1)
+    running = asyncio.create_task(_call(site, entry, "running", deadline_ms=20000))
+    await _wait_until(lambda: endpoint.runs)
+    waiting = asyncio.create_task(_call(site, entry, "waiting", deadline_ms=20000))
+    await _wait_until(lambda: entry.wait_queue_of("plain").waiters)
+    return entry, endpoint, running, waiting
+
+
 async def _call(site, entry, request_id, *, deadline_ms=3000, data=b"x"):
     """Return whether a request ran, as an error states, its status, and its duration.
 
