--- a/packages/magnoliagrade-entry/magnoliagrade_entry/shutdown.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/shutdown.py
@@ -31,7 +31,7 @@
 
 
 class RecentDurations:
-    """Longest time from arrival to the complete response, for each kind of request.
+    """Longest time from arrival to the end of the response, by kind of request.
 
     Parameters
     ----------
@@ -46,7 +46,7 @@
         self._longest_by_kind = {}
 
     def record(self, kind, seconds):
-        """Record how long a request of a kind took that was served completely."""
+        """Record for how long a request of a kind was served."""
         longest = self._window_of(kind)
         longest.current_s = max(longest.current_s, seconds)
 
