--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -15,8 +15,6 @@
 
 TEST_LIMIT_S = 60
 GRACE_S = 4.0
-# The entry closes its connections this long after SIGTERM.
-CLOSES_AFTER_S = 3.3
 LATE_S = 1.5
 # Longer than an entry that is stopping needs to notice and respond.
 SOON_S = 0.5
