--- a/review/common-2/site_2.py
+++ b/review/common-2/site_2.py
@@ -335,18 +335,18 @@
         host, port = runner.addresses[-1][:2]
         return f"{host}:{port}"
 
-    async def add_program(self, role, name, *, zone="kamloops", app="", host=""):
+    async def add_program(self, role, name, *, app="", host="", link_mbps=10.0):
         """Start a process of a role of the deploy file on a machine of its own."""
         host = host or self.new_host()
         ports = free_ports(host, 4)
         fields = {
             "NodeName": name,
-            "Zone": zone,
+            "Zone": "kamloops",
             "Ip": host,
             "Listen": {"Front": f"{host}:{ports[0]}", "Ready": f"{host}:{ports[1]}"},
             "InternalPorts": [self.link_port(), self.link_port() + 15],
             "Platform": {"Address": self.store.address},
-            "Limits": {"LinkMbps": 1000.0 if role == "entry" else 10.0},
+            "Limits": {"LinkMbps": 1000.0 if role == "entry" else link_mbps},
             "Bounds": {
                 "RevokeMs": REVOKE_MS,
                 "GraceS": GRACE_S,
