--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A key that was taken away, at a machine that starts while the store is a copy."""
+"""Streams whose server is silent for a while, after the machine got SIGHUP."""
 
 import asyncio
 import pathlib
@@ -11,140 +11,133 @@
 import site_2
 from aiohttp import web
 
-SOUND_KEY, REVOKED_KEY = "key-1", "key-2"
-# The store returns from a copy of some seconds before, and what the operator wrote
-# since is written again a second later.
-COPY_AGE_S = 7.0
-AWAY_S = 0.3
-REWRITE_S = 1.0
-SENDING_S = 5.0
-INTERVAL_S = 0.05
-REVOKE_S = site_2.REVOKE_MS / 1000
+KEY = "key-1"
+# The sheet of rbv-thumbs: kind of request `bulk-recaption`.
+OBJECTIVE_MS = 1007
+GAP_AIM_MS = 150
+TIMEOUT_MS = 8000
+LIMIT_MS = 8054
+# Callers wait for two seconds, four objectives or eight pauses, whichever is longest.
+PATIENCE_S = max(2.0, 4 * OBJECTIVE_MS / 1000, 8 * GAP_AIM_MS / 1000)
+SILENCE_S = 2.5
+EVENTS = 19
+STREAMS = 8
 
 
-class Test:
-    """Servers, callers and operator of the case, and what they saw."""
+class Caller:
+    """Caller of one stream, on a connection that it has used before."""
 
-    def __init__(self, site, record):
+    def __init__(self, site, record, entry):
         self.site = site
         self.record = record
-        self.runs = {}
-        self.sent = {}
-        self.entry_by_key = {}
-        self.restarted = None
+        self.entry = entry
 
-    def configure(self, version, tenants):
-        """Write a configuration; return the time of its acknowledgement."""
-        routes = [site_2.route("order", "desk", "unsafe")]
-        services = [site_2.service("desk")]
-        document = site_2.configuration(version, routes, services, tenants)
-        self.site.store.put("op/config", document)
-        self.record.add(f"version {version} is acknowledged, keys {list(tenants)}")
-        return time.monotonic()
-
-    async def start(self):
-        """Start the servers and the entries."""
-        self.configure(3, {SOUND_KEY: "tenant-1", REVOKED_KEY: "tenant-2"})
-        for number in range(3):
-            runner = web.ServerRunner(web.Server(self._handle))
-            address = await self.site.listen(runner)
-            key = f"servers/i-{number}"
-            self.entry_by_key[key] = site_2.registration("desk", address)
-            self.site.store.put(key, self.entry_by_key[key])
-        names = ("front-1", "front-2", "front-3")
-        entries = [await self.site.add_program("entry", name) for name in names]
-        await self.site.await_ready(entries)
-        self.restarted = entries[1]
-        await asyncio.sleep(site_2.STABLE_WINDOW_S)
-
-    async def _handle(self, request):
-        await request.read()
-        request_id = request.headers[site_2.REQUEST_ID]
-        self.runs[request_id] = time.monotonic()
-        self.record.add(f"run {request_id}")
-        headers = {site_2.REQUEST_ID: request_id, site_2.STAMP: "stamp"}
-        await asyncio.sleep(0.045)
-        return web.Response(headers=headers, text="done")
-
-    async def send(self, number, key):
-        """Send an order to the machine that has been restarted."""
-        request_id = f"{key}-{number}"
-        self.sent[request_id] = time.monotonic()
+    async def stream(self, request_id, path):
+        """Return the ids of the events and how the response ended."""
         headers = {
             "Host": site_2.HOST_NAME,
-            "Authorization": f"Bearer {key}",
+            "Authorization": f"Bearer {KEY}",
             site_2.REQUEST_ID: request_id,
-            site_2.DEADLINE: "1520",
+            site_2.DEADLINE: str(LIMIT_MS),
         }
-        url = f"http://{self.restarted.front}/order/1"
+        began = time.monotonic()
+        self.record.add(f"send {request_id}")
+        events, data, longest, end = [], b"", 0.0, "complete"
+        last = began
         try:
-            async with (
-                asyncio.timeout(1.5),
-                self.site.session.post(url, headers=headers, data="x") as answer,
-            ):
-                status = answer.status
-                await answer.read()
-        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
-            status = type(exc).__name__
-        self.record.add(f"answer {request_id} {status}")
-
-    async def stop_machine(self):
-        """Begin a planned restart and wait for the end of the process."""
-        self.record.add("planned restart: SIGTERM")
-        self.restarted.send(signal.SIGTERM)
-        await asyncio.wait_for(self.restarted.process.wait(), site_2.GRACE_S + 1)
-
-    async def drill(self, copy):
-        """Let the store be away for a moment and return from a copy."""
-        store = self.site.store
-        self.record.add("the store is away")
-        store.is_away = True
-        await asyncio.sleep(AWAY_S)
-        store.return_from(copy)
-        store.is_away = False
-        self.record.add("the store returns from a copy")
-
-    async def write_again(self):
-        """Write again what operator and servers had written."""
-        await asyncio.sleep(REWRITE_S)
-        for key, value in self.entry_by_key.items():
-            self.site.store.put(key, value)
-        self.configure(5, {SOUND_KEY: "tenant-1"})
+            async with self.site.session.post(
+                f"http://{self.entry.front}{path}", headers=headers, data="x" * 600
+            ) as answer:
+                if answer.status != 200:
+                    end = f"status {answer.status}"
+                while answer.status == 200:
+                    async with asyncio.timeout(PATIENCE_S):
+                        part = await answer.content.readany()
+                    longest = max(longest, time.monotonic() - last)
+                    last = time.monotonic()
+                    if not part:
+                        break
+                    data += part
+        except TimeoutError:
+            end = "given up by the caller"
+        except (aiohttp.ClientError, OSError) as exc:
+            end = f"broken off: {type(exc).__name__}"
+        for event in data.split(b"\n\n")[:-1]:
+            events.append(int(event.split(b"\n")[0].removeprefix(b"id: ")))
+        took = time.monotonic() - began
+        self.record.add(
+            f"answer {request_id} {end}, {len(events)} of {EVENTS} events, after "
+            f"{took:.2f} s, longest pause {longest:.2f} s"
+        )
+        return events, end
 
 
 async def test(site, record, trouble):
-    """Return whether a request with the key runs too late."""
-    case = Test(site, record)
-    await case.start()
-    copy = site.store.make_copy()
-    acknowledged_at = case.configure(5, {SOUND_KEY: "tenant-1"})
-    await asyncio.sleep(COPY_AGE_S - 3.0)
-    await case.stop_machine()
-    if time.monotonic() - acknowledged_at < REVOKE_S:
-        raise site_2.CannotRun("the machine stopped too soon")
-    if trouble:
-        await case.drill(copy)
-    await case.restarted.start()
-    site.start_task(case.write_again())
-    for number in range(int(SENDING_S / INTERVAL_S)):
-        site.start_task(case.send(number, REVOKED_KEY))
-        site.start_task(case.send(number, SOUND_KEY))
-        await asyncio.sleep(INTERVAL_S)
-    await asyncio.sleep(2.0)
-    late = [
-        request_id
-        for request_id in case.runs
-        if request_id.startswith(REVOKED_KEY)
-        and case.sent[request_id] > acknowledged_at + REVOKE_S
+    """Return whether a stream of a sound server ends without a complete answer."""
+    routes = [
+        site_2.route(
+            "recaption",
+            "captions",
+            "streaming",
+            TimeoutMs=TIMEOUT_MS,
+            TargetLatencyMs=OBJECTIVE_MS,
+            GapAimMs=GAP_AIM_MS,
+            MaxAttempts=1,
+            Resumable=False,
+        )
     ]
-    sound = sum(request_id.startswith(SOUND_KEY) for request_id in case.runs)
-    record.add(f"late runs with the key that was taken away: {len(late)}")
-    record.add(f"runs with the other key: {sound}")
-    for line in record.lines[-2:]:
-        print(line)
-    if not sound:
-        raise site_2.CannotRun("no request with the other key ran")
-    return bool(late)
+    services = [site_2.service("captions")]
+    document = site_2.configuration(3, routes, services, {KEY: "tenant-1"})
+    site.store.put("op/config", document)
+    cut_at_server = []
+
+    async def handle(request):
+        await request.read()
+        request_id = request.headers[site_2.REQUEST_ID]
+        record.add(f"run {request_id}")
+        headers = {
+            site_2.REQUEST_ID: request_id,
+            site_2.STAMP: "stamp",
+            "Content-Type": "text/event-stream",
+        }
+        response = web.StreamResponse(headers=headers)
+        await response.prepare(request)
+        try:
+            for number in range(1, EVENTS + 1):
+                if trouble and number == 6 and not request_id.startswith("first"):
+                    # It is preempted in the middle of its stream, and read again.
+                    await asyncio.sleep(SILENCE_S)
+                await response.write(f"id: {number}\ndata: {number}\n\n".encode())
+                await asyncio.sleep(0.08)
+        except (asyncio.CancelledError, ConnectionError):
+            cut_at_server.append(request_id)
+            record.add(f"{request_id} is closed by the caller of the server")
+            raise
+        return response
+
+    for number in (1, 2):
+        runner = web.ServerRunner(web.Server(handle, handler_cancellation=True))
+        address = await site.listen(runner)
+        entry = site_2.registration("captions", address)
+        site.store.put(f"servers/i-{number}", entry)
+    entry = await site.add_program("entry", "front-1")
+    await site.await_ready([entry])
+    await asyncio.sleep(site_2.STABLE_WINDOW_S)
+    caller = Caller(site, record, entry)
+    # Connections that are kept for the next requests.
+    kept = [caller.stream(f"first-{n}", "/recaption/1") for n in range(STREAMS)]
+    if any(end != "complete" for _, end in await asyncio.gather(*kept)):
+        raise site_2.CannotRun("a stream without silence was not served")
+    await asyncio.sleep(site_2.STABLE_WINDOW_S)
+    record.add("SIGHUP: planned work at the machine")
+    entry.send(signal.SIGHUP)
+    await asyncio.sleep(0.3)
+    streams = [caller.stream(f"second-{n}", "/recaption/1") for n in range(STREAMS)]
+    results = await asyncio.gather(*streams)
+    cut = sum(end.startswith("broken off") for _, end in results)
+    record.add(f"streams cut without a complete answer: {cut} of {STREAMS}")
+    print(record.lines[-1])
+    return cut > 3
 
 
 if __name__ == "__main__":
