--- a/review/8/case.py
+++ b/review/8/case.py
@@ -18,7 +18,7 @@
 # The caller of the requests that crash servers; most requests with its key are sound.
 CRASHING_KEY = "key-1"
 SOUND_PER_S = 16.0
-CRASHING_PER_S = 0.5
+CRASHING_PER_S = 1.0
 CALM_S = 12.0
 CRASHING_S = 40.0
 WINDOW_S = 2 * site_2.STABLE_WINDOW_S
@@ -93,7 +93,7 @@
     site.store.put(
         "op/config", site_2.configuration(3, routes, services, TENANT_BY_KEY)
     )
-    group = Group(site, record, ranks=12, slots=6, events=28, event_s=0.1, down_s=2.5)
+    group = Group(site, record, ranks=12, slots=6, events=28, event_s=0.08, down_s=2.5)
     await group.start()
     entries = [await site.add_program("entry", f"front-{n}") for n in (1, 2)]
     await site.await_ready(entries)
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 6 to 10, which need the libraries in target/deps.
+# Builds the stand-ins of the cases 6 to 9, which need the libraries in target/deps.
 # Run it after the build of the deploy file.
 set -eu
 cd "$(dirname "$0")/.."
