Fix the block of parts that sound prompts share with those that crash servers

Cause: a crash counts against every part of the prompt, and only a complete response clears one. When a crash takes a whole group of servers away, nothing is served between two crashes, so that the shared first part has three crashes as well as the part to blame, and both are blocked.

The new test in test_prompts_that_crash_servers.py, in which no sound request is served or in flight between two crashes, failed on (503).

Change: entries count arrivals and complete responses by part, at all times. Of two parts with the same crashes the less used one is blocked and explains the other's, which is blocked by its fifth crash only if two of them lack the first. Blocks are checked against this at each request, and lifted in the store too. A repeated request that was only in flight at such crashes is released. Crashes of one server are recorded together before anything is blocked.

Why it works: the part to blame is never served, while the others are part of sound requests. If the less used part is not to blame, crashes go on without it, and the wider one is blocked by the fifth, which the rule allows.

--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/exchange/peer_links.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/exchange/peer_links.py
@@ -28,7 +28,7 @@
 
 from magnoliagrade_entry.direct.placement.fault_domains import FaultDomain
 from magnoliagrade_entry.direct.scope import Scope
-from magnoliagrade_entry.direct.serving.crash_guard import ServerCrash
+from magnoliagrade_entry.direct.serving.crash_suspects import ServerCrash
 from magnoliagrade_entry.direct.serving.request_traits import RequestTraits
 
 __all__ = ["PeerLinks"]
@@ -305,15 +305,14 @@
 
     def _record_peer_crash(self, _link, message):
         crashed_at = self._node.clock.monotonic() - message.age_seconds
-        self._node.crash_guard.record_crash(
-            ServerCrash(
-                endpoint_id=message.endpoint,
-                traits=_traits_of_message(message),
-                began_at=crashed_at - message.lasted_seconds,
-                crashed_at=crashed_at,
-                responded_at=crashed_at - message.silent_seconds,
-            )
+        crash = ServerCrash(
+            endpoint_id=message.endpoint,
+            traits=_traits_of_message(message),
+            began_at=crashed_at - message.lasted_seconds,
+            crashed_at=crashed_at,
+            responded_at=crashed_at - message.silent_seconds,
         )
+        self._node.crash_guard.record_crashes([crash])
 
     def _apply_peer_work(self, link, message):
         self._node.endpoint_table.update_peer_work(
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/__init__.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/__init__.py
@@ -2,7 +2,8 @@
 
 from magnoliagrade_entry.direct.serving.arrival import DirectRequest, read_request
 from magnoliagrade_entry.direct.serving.attempts import Attempt
-from magnoliagrade_entry.direct.serving.crash_guard import CrashGuard, ServerCrash
+from magnoliagrade_entry.direct.serving.crash_guard import CrashGuard
+from magnoliagrade_entry.direct.serving.crash_suspects import ServerCrash
 from magnoliagrade_entry.direct.serving.door import make_caller_handler, ready_routes
 from magnoliagrade_entry.direct.serving.request_attempts import Attempts
 from magnoliagrade_entry.direct.serving.request_traits import RequestTraits, traits_of
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/attempts.py
@@ -130,6 +130,9 @@
         self._is_complete = True
         self._node.endpoint_table.record_success(self._load)
         self.record_response()
+        if self._attempts.request.prompt_parts:
+            parts = self._attempts.request.prompt_parts
+            self._node.crash_guard.record_response(parts)
         self._clear_suspicion()
         ATTEMPTS.labels("whole").inc()
         self._log("whole", status=self._response.status)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/crash_guard.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/crash_guard.py
@@ -5,120 +5,17 @@
 requests with the same path, caller or other parts are sound.
 """
 
-from dataclasses import dataclass, field
-
-from magnoliagrade_entry.direct.serving.request_traits import GroupKind
-
-__all__ = ["CrashGuard", "ServerCrash"]
-
-# Crashes after which a group of requests is blocked. A sound request may be in flight
-# at a server that crashes; that it meets three crashes, each with an attempt that began
-# after the last one, and is never served in between, is unlikely.
-CRASHES_TO_BLOCK = 3
-# Crashes after which repetitions with the same prompt are blocked briefly. Each
-# crash may take the whole group of the server out of service for seconds, while a wrong
-# block affects this request alone.
-CRASHES_TO_BLOCK_BRIEFLY = 2
-# Different requests, or callers, among the crashes of requests with a part of a prompt
-# in common, without which the requests, or their caller, are to blame and not the part.
-VARIETY_TO_BLOCK = 2
-# Trait that must differ among the crashes of a group, by the kind of the group.
-VARYING_TRAIT_BY_KIND = {
-    GroupKind.PART_OF_CALLER: "variant",
-    GroupKind.PART: "caller",
-}
-# Time for which a group is blocked, and for which a crash counts.
-BLOCK_S = 600.0
-# Time for which repetitions are blocked after two crashes. Then one is sent again, to
-# be served or to be blocked for longer.
-BRIEF_BLOCK_S = 60.0
+from magnoliagrade_entry.direct.serving.crash_suspects import BLOCK_S, Suspect
+from magnoliagrade_entry.direct.serving.recent_counts import RecentCounts
+
+__all__ = ["CrashGuard"]
+
 # Time for which responses are remembered after a connection broke off: longer than it
 # takes to find out whether the server crashed.
 SERVED_LIFE_S = 10.0
-# Limits on the groups that are suspected or remembered as served, and on the crashes
-# kept of each group; the oldest are dropped.
+# Limit on the groups that are suspected or remembered as served; the oldest are
+# dropped.
 MAX_GROUPS = 1000
-MAX_CRASHES = 10
-
-
-@dataclass(slots=True, frozen=True, kw_only=True)
-class ServerCrash:
-    """A server that crashed while it ran a request.
-
-    Parameters
-    ----------
-    endpoint_id : str
-        Id of the server's incarnation.
-    traits : RequestTraits
-        Traits of the request.
-    began_at, crashed_at : float
-        Times at which the attempt began and broke off, in seconds.
-    responded_at : float
-        Time of the last sign that the service was running: of a response by any of its
-        servers, of the server's first registration, or of the loss of the connection.
-    """
-
-    endpoint_id: str
-    traits: object
-    began_at: float
-    crashed_at: float
-    responded_at: float
-
-
-@dataclass(slots=True, kw_only=True)
-class _Suspect:
-    """Crashes under a group of requests.
-
-    `kind` is the `GroupKind`, and `blocked_s` the length of the last block, in seconds.
-    """
-
-    kind: GroupKind
-    crashes: list = field(default_factory=list)
-    blocked_s: float = 0.0
-
-    def add(self, crash):
-        """Add a crash unless it is known; return whether it is new."""
-        is_known = any(
-            known.endpoint_id == crash.endpoint_id
-            and known.traits == crash.traits
-            and known.began_at < crash.crashed_at
-            and crash.began_at < known.crashed_at
-            for known in self.crashes
-        )
-        if not is_known:
-            self.crashes = [*self.crashes, crash][-MAX_CRASHES:]
-        return not is_known
-
-    def block_s(self):
-        """Return for how long the crashes block the group, in seconds; 0 for not."""
-        counted = self._counted_crashes()
-        if len(counted) >= CRASHES_TO_BLOCK and self._varies():
-            return BLOCK_S
-        is_same = self.kind is GroupKind.SAME_PROMPT
-        if is_same and len(counted) >= CRASHES_TO_BLOCK_BRIEFLY:
-            return BRIEF_BLOCK_S
-        return 0.0
-
-    def _counted_crashes(self):
-        # Servers that end at one moment may do so for another reason: only attempts
-        # that began after the last crash count. All servers of a service may also fall
-        # silent together, one attempt after the other without a response: it must have
-        # shown that it runs since the last crash's attempt began.
-        counted = []
-        for crash in sorted(self.crashes, key=lambda crash: crash.crashed_at):
-            if not counted or (
-                crash.began_at >= counted[-1].crashed_at
-                and crash.responded_at >= counted[-1].began_at
-            ):
-                counted.append(crash)
-        return counted
-
-    def _varies(self):
-        trait = VARYING_TRAIT_BY_KIND.get(self.kind)
-        if trait is None:
-            return True
-        values = {getattr(crash.traits, trait) for crash in self.crashes}
-        return len(values) >= VARIETY_TO_BLOCK
 
 
 class CrashGuard:
@@ -136,8 +33,10 @@
     """
 
     __slots__ = (
+        "_arrivals",
         "_blocked_until_by_key",
         "_clock",
+        "_served",
         "_served_at_by_key",
         "_suspect_by_key",
         "_watched_until",
@@ -146,7 +45,9 @@
 
     def __init__(self, *, clock):
         self._clock = clock
+        self._arrivals = RecentCounts(clock=clock)
         self._blocked_until_by_key = {}
+        self._served = RecentCounts(clock=clock)
         self._served_at_by_key = {}
         self._suspect_by_key = {}
         self._watched_until = float("-inf")
@@ -167,13 +68,33 @@
         """Remember from now on what is served: a server may have crashed."""
         self._watched_until = self._clock.monotonic() + SERVED_LIFE_S
 
-    def record_crash(self, crash):
-        """Record that a server crashed while it ran a request.
+    def record_arrival(self, parts):
+        """Count a request that has arrived by the parts of its prompt.
+
+        Parameters
+        ----------
+        parts : iterable of str
+            Ids of the parts that other requests may share.
+
+        Notes
+        -----
+        Of two parts with the same crashes, the one that fewer complete responses had
+        explains them, or else the one that fewer requests have: the other one is also
+        part of requests that crash no server.
+        """
+        self._arrivals.record(parts)
+
+    def record_response(self, parts):
+        """Count a complete response by the parts of the prompt, as `record_arrival`."""
+        self._served.record(parts)
+
+    def record_crashes(self, crashes):
+        """Record that a server crashed while it ran requests.
 
         Parameters
         ----------
-        crash : ServerCrash
-            The crash.
+        crashes : list of ServerCrash
+            Attempts that ended by the crash.
 
         Returns
         -------
@@ -181,17 +102,23 @@
             Keys of the groups that are blocked from now on, or for longer than before.
         """
         now = self._clock.monotonic()
+        suspect_by_key = {}
+        for crash in crashes:
+            for key, group in crash.traits.groups().items():
+                if self._served_at_by_key.get(key, float("-inf")) > crash.began_at:
+                    continue
+                suspect = self._suspect_by_key.get(key)
+                if suspect is None:
+                    suspect = self._suspect_by_key[key] = Suspect(group=group)
+                if suspect.add(crash):
+                    suspect_by_key[key] = suspect
         blocked = []
-        for key, kind in crash.traits.groups().items():
-            if self._served_at_by_key.get(key, float("-inf")) > crash.began_at:
-                continue
-            suspect = self._suspect_by_key.get(key)
-            if suspect is None:
-                suspect = self._suspect_by_key[key] = _Suspect(kind=kind)
-            if not suspect.add(crash):
-                continue
-            block_s = suspect.block_s()
-            current_s = suspect.blocked_s if self.remaining_s(key) else 0.0
+        # A group that is blocked may explain crashes to those that follow it.
+        for key in sorted(suspect_by_key, key=self._blocking_order):
+            suspect = suspect_by_key[key]
+            in_force = self._in_force()
+            block_s = self._block_s(suspect, in_force)
+            current_s = suspect.blocked_s if key in in_force else 0.0
             if block_s > current_s:
                 suspect.blocked_s = block_s
                 self._blocked_until_by_key[key] = now + block_s
@@ -199,6 +126,20 @@
         self._drop_old_crashes(now)
         return blocked
 
+    def lift_explained(self, keys):
+        """Lift the blocks that another group turned out to explain; return their keys.
+
+        Parameters
+        ----------
+        keys : iterable of str
+            Keys of blocked groups.
+        """
+        lifted = [key for key in keys if not self.remaining_s(key)]
+        for key in lifted:
+            self._blocked_until_by_key.pop(key, None)
+            self.published.discard(key)
+        return lifted
+
     def record_served(self, traits):
         """Record a complete response; return whether it clears a group of suspicion."""
         now = self._clock.monotonic()
@@ -218,9 +159,10 @@
 
     def remaining_s(self, key):
         """Return for how many seconds a group is still blocked; 0 if it is not."""
-        if key in self._blocked_until_by_key:
-            return max(0.0, self._blocked_until_by_key[key] - self._clock.monotonic())
-        return BLOCK_S if key in self.published else 0.0
+        remaining_s = self._until_end_s(key)
+        if not remaining_s or key not in self._suspect_by_key:
+            return remaining_s
+        return remaining_s if key in self._in_force() else 0.0
 
     def is_suspected(self, traits):
         """Return whether a server has crashed under a request of the same groups."""
@@ -234,6 +176,58 @@
             for crash in suspect.crashes
         }
 
+    def _until_end_s(self, key):
+        if key in self._blocked_until_by_key:
+            return max(0.0, self._blocked_until_by_key[key] - self._clock.monotonic())
+        return BLOCK_S if key in self.published else 0.0
+
+    def _in_force(self):
+        """Return the blocked suspects by key, without those that others explain."""
+        keys = {*self._blocked_until_by_key, *self.published}
+        blocked = [
+            key
+            for key in keys.intersection(self._suspect_by_key)
+            if self._until_end_s(key)
+        ]
+        in_force = {}
+        for key in sorted(blocked, key=self._blocking_order):
+            suspect = self._suspect_by_key[key]
+            # Another entry that has blocked it may know of more crashes.
+            is_unexplained = not suspect.block_s()
+            if is_unexplained or self._block_s(suspect, in_force):
+                in_force[key] = suspect
+        return in_force
+
+    def _blocking_order(self, key):
+        """Return the sort key by which parts come first, those least used by others."""
+        part = self._suspect_by_key[key].group.part
+        return not part, self._use(part), key
+
+    def _use(self, part):
+        """Return how much a part of prompts is used by requests that crash nothing."""
+        return self._served.count(part), self._arrivals.count(part)
+
+    def _block_s(self, suspect, in_force):
+        """Return for how long a group is to be blocked, in seconds; 0 for not."""
+        return suspect.block_s(
+            explaining=[
+                other
+                for other in in_force.values()
+                if self._may_explain(other, suspect)
+            ]
+        )
+
+    def _may_explain(self, other, suspect):
+        """Return whether a blocked group may account for the crashes of another."""
+        part = other.group.part
+        if not part or part == suspect.group.part:
+            return False
+        if suspect.group.part:
+            return self._use(part) < self._use(suspect.group.part)
+        # A repeated request may only have been in flight at the same servers.
+        is_apart = suspect.always_lacks(part)
+        return is_apart and other.count_events() > suspect.count_events()
+
     def _drop_old_crashes(self, now):
         for key, suspect in list(self._suspect_by_key.items()):
             is_old = suspect.crashes[-1].crashed_at < now - BLOCK_S
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/request_traits.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/request_traits.py
@@ -4,7 +4,7 @@
 import hashlib
 from dataclasses import dataclass
 
-__all__ = ["GroupKind", "RequestTraits", "traits_of"]
+__all__ = ["GroupKind", "RequestGroup", "RequestTraits", "traits_of"]
 
 REQUEST_DIGEST_BYTES = 16
 CALLER_DIGEST_BYTES = 8
@@ -31,6 +31,22 @@
     PART = "part"
 
 
+@dataclass(slots=True, frozen=True, kw_only=True)
+class RequestGroup:
+    """A group of requests with a trait in common.
+
+    Parameters
+    ----------
+    kind : GroupKind
+        What its requests have in common.
+    part : str
+        Id of the part that their prompts share; empty if that is not the trait.
+    """
+
+    kind: GroupKind
+    part: str = ""
+
+
 @dataclass(slots=True, frozen=True, kw_only=True)
 class RequestTraits:
     """Traits of a request by which a group of requests can be recognised.
@@ -57,17 +73,19 @@
 
         Returns
         -------
-        kind_by_key : dict of str to GroupKind
-            Kind of each group by the group's key.
+        group_by_key : dict of str to RequestGroup
+            Each group by its key.
         """
-        kind_by_key = {
-            f"repetition-{self.variant}": GroupKind.SAME_PROMPT,
-            f"request-{self.request}": GroupKind.SAME_BODY,
+        group_by_key = {
+            f"repetition-{self.variant}": RequestGroup(kind=GroupKind.SAME_PROMPT),
+            f"request-{self.request}": RequestGroup(kind=GroupKind.SAME_BODY),
         }
         for part in self.parts:
-            kind_by_key[f"part-{part}-{self.caller}"] = GroupKind.PART_OF_CALLER
-            kind_by_key[f"part-{part}"] = GroupKind.PART
-        return kind_by_key
+            of_caller = RequestGroup(kind=GroupKind.PART_OF_CALLER, part=part)
+            group_by_key[f"part-{part}-{self.caller}"] = of_caller
+            of_all = RequestGroup(kind=GroupKind.PART, part=part)
+            group_by_key[f"part-{part}"] = of_all
+        return group_by_key
 
 
 def traits_of(request):
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/server_crashes.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/server_crashes.py
@@ -9,7 +9,7 @@
 from magnoliagrade.platform import BLOCKED_REQUEST_LIFE_S, blocked_request_key
 from prometheus_client import Counter
 
-from magnoliagrade_entry.direct.serving.crash_guard import ServerCrash
+from magnoliagrade_entry.direct.serving.crash_suspects import ServerCrash
 
 __all__ = ["CrashWatch", "withdraw_blocks"]
 
@@ -31,6 +31,10 @@
 # Pauses between attempts to record a block in the store, which may be away.
 PUBLISH_PAUSES_S = (1.0, 2.0, 4.0, 8.0, 16.0)
 
+# Time within which other entries announce the requests that they had at a server that
+# ended. One of them may explain a block.
+PEER_REPORT_S = 1.0
+
 CRASHES = Counter(
     "magnoliagrade_direct_server_crashes_total", "Servers that ended under a request"
 )
@@ -48,6 +52,18 @@
     responded_at: float
     is_connection_lost: bool
 
+    def crash_of(self, endpoint):
+        """Return the `ServerCrash` if the endpoint ended under the attempt."""
+        return ServerCrash(
+            endpoint_id=endpoint.id,
+            traits=self.traits,
+            began_at=self.began_at,
+            crashed_at=self.broken_at,
+            responded_at=(
+                self.broken_at if self.is_connection_lost else self.responded_at
+            ),
+        )
+
 
 class CrashWatch:
     """Watches servers at which attempts have broken off or had no response.
@@ -121,8 +137,7 @@
         if self._node.site_state.registry.has_announced_end(endpoint):
             return
         CRASHES.inc()
-        for attempt in attempts:
-            self._record(endpoint, attempt)
+        self._record(endpoint, attempts)
 
     async def _refuses_connections(self, endpoint):
         source_address = self._node.settings.source_address
@@ -140,32 +155,25 @@
             await self._node.clock.sleep(SUCCESSOR_CHECK_INTERVAL_S)
         return True
 
-    def _record(self, endpoint, attempt):
+    def _record(self, endpoint, attempts):
         node = self._node
-        crash = ServerCrash(
-            endpoint_id=endpoint.id,
-            traits=attempt.traits,
-            began_at=attempt.began_at,
-            crashed_at=attempt.broken_at,
-            responded_at=(
-                attempt.broken_at
-                if attempt.is_connection_lost
-                else attempt.responded_at
-            ),
-        )
-        log_event(
-            _log,
-            "request.server_crashed",
-            level=logging.WARNING,
-            request_id=attempt.request_id,
-            endpoint=endpoint.id,
-            request_digest=attempt.traits.request,
-            caller_digest=attempt.traits.caller,
-            prompt_parts=attempt.traits.parts,
-            found_after_s=round(node.clock.monotonic() - attempt.broken_at, 3),
-        )
-        blocked = node.crash_guard.record_crash(crash)
-        node.peers.announce_crash(crash)
+        crashes = []
+        for attempt in attempts:
+            log_event(
+                _log,
+                "request.server_crashed",
+                level=logging.WARNING,
+                request_id=attempt.request_id,
+                endpoint=endpoint.id,
+                request_digest=attempt.traits.request,
+                caller_digest=attempt.traits.caller,
+                prompt_parts=attempt.traits.parts,
+                found_after_s=round(node.clock.monotonic() - attempt.broken_at, 3),
+            )
+            crashes.append(attempt.crash_of(endpoint))
+        blocked = node.crash_guard.record_crashes(crashes)
+        for crash in crashes:
+            node.peers.announce_crash(crash)
         for key in blocked:
             block_s = node.crash_guard.remaining_s(key)
             log_event(
@@ -175,7 +183,7 @@
                 group=key,
                 for_s=round(block_s, 1),
             )
-            node.tasks.start(_publish_block(node, key), name=f"block of {key}")
+            node.tasks.start(_publish_until_explained(node, key), name=f"block {key}")
 
 
 async def withdraw_blocks(node, keys):
@@ -187,6 +195,15 @@
             log_event(_log, "request.block.not_withdrawn", group=key, detail=exc.detail)
 
 
+async def _publish_until_explained(node, key):
+    """Write a blocked group to the store unless another group explains its crashes."""
+    await _publish_block(node, key)
+    await node.clock.sleep(PEER_REPORT_S)
+    for lifted in node.crash_guard.lift_explained([key]):
+        log_event(_log, "request.block.lifted", group=lifted)
+        await withdraw_blocks(node, [lifted])
+
+
 async def _publish_block(node, key):
     """Write a blocked group to the store for entries that start later."""
     for pause_s in (*PUBLISH_PAUSES_S, None):
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/serving.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/serving.py
@@ -38,6 +38,8 @@
         If no endpoint responded and nothing has been sent to the caller yet.
     """
     node.retry_budget.record_request(request.service, now=node.clock.monotonic())
+    if request.prompt_parts:
+        node.crash_guard.record_arrival(request.prompt_parts)
     attempts = Attempts(node=node, request=request)
     if request.route.is_stream:
         response = await relay_stream(node, attempts, http_request)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/tests/test_crash_guard.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/tests/test_crash_guard.py
@@ -4,13 +4,16 @@
 from magnoliagrade.platform import prompt_parts_of
 
 from magnoliagrade_entry.direct.serving.crash_guard import (
+    MAX_GROUPS,
+    SERVED_LIFE_S,
+    CrashGuard,
+)
+from magnoliagrade_entry.direct.serving.crash_suspects import (
     BLOCK_S,
     BRIEF_BLOCK_S,
     CRASHES_TO_BLOCK,
     CRASHES_TO_BLOCK_BRIEFLY,
-    MAX_GROUPS,
-    SERVED_LIFE_S,
-    CrashGuard,
+    CRASHES_TO_BLOCK_WIDER,
     ServerCrash,
 )
 from magnoliagrade_entry.direct.serving.request_traits import RequestTraits, traits_of
@@ -52,7 +55,7 @@
         _crash(guard, clock, traits, endpoint=f"i-{number}")
     clock._time += 20.0
     for crash in guard.crashes():
-        assert not guard.record_crash(crash)
+        assert not guard.record_crashes([crash])
     assert guard.blocked_for_s(traits) == BRIEF_BLOCK_S - 20.0
 
 
@@ -85,7 +88,7 @@
             crashed_at=now + 0.01 * number,
             responded_at=now + 0.01 * number,
         )
-        assert not guard.record_crash(crash)
+        assert not guard.record_crashes([crash])
 
 
 def test_servers_that_fall_silent_together_count_once():
@@ -131,7 +134,7 @@
         crashed_at=51.05,
         responded_at=51.05,
     )
-    assert not guard.record_crash(crash)
+    assert not guard.record_crashes([crash])
     assert not guard.is_suspected(_traits("r"))
 
 
@@ -158,6 +161,90 @@
     assert not guard.blocked_for_s(_traits("new", parts=("a",)))
 
 
+def test_wider_part_is_not_blocked_if_nothing_is_served_between_crashes():
+    # Guards against a block of the first part of sound prompts: "f" is in all of them.
+    guard, clock = _guard()
+    _arrive(guard, parts=("f", "b"), count=20)
+    _arrive(guard, parts=("f", "c"), count=20)
+    for number in range(CRASHES_TO_BLOCK):
+        _arrive(guard, parts=("f", "a"))
+        blocked = _crash(
+            guard,
+            clock,
+            _traits(f"r{number}", parts=("f", "a")),
+            endpoint=f"i-{number}",
+            in_flight=[
+                _traits(f"s{number}", parts=("f", "b")),
+                _traits(f"t{number}", parts=("f", "c"), caller="org-2"),
+            ],
+        )
+    assert blocked == ["part-a-org"]
+    for part in ("b", "c"):
+        for caller in ("org", "org-2"):
+            sound = _traits("new", parts=("f", part), caller=caller)
+            assert not guard.blocked_for_s(sound)
+    assert guard.blocked_for_s(_traits("new", parts=("f", "a")))
+
+
+def test_wider_part_is_blocked_by_the_fifth_crash_if_a_narrower_one_is_not_to_blame():
+    guard, clock = _guard()
+    _arrive(guard, parts=("f", "b"), count=20)
+    for number in range(CRASHES_TO_BLOCK_WIDER):
+        parts = ("f", "a") if number < CRASHES_TO_BLOCK else ("f", "b")
+        _arrive(guard, parts=parts)
+        traits = _traits(f"r{number}", parts=parts)
+        assert not guard.blocked_for_s(_traits("new", parts=("f", "c")))
+        blocked = _crash(guard, clock, traits, endpoint=f"i-{number}")
+    assert blocked == ["part-f-org"]
+    assert guard.blocked_for_s(_traits("new", parts=("f", "c")))
+
+
+def test_parts_that_always_come_together_are_both_blocked():
+    guard, clock = _guard()
+    for number in range(CRASHES_TO_BLOCK):
+        _arrive(guard, parts=("f", "a"))
+        blocked = _crash(guard, clock, _traits(f"r{number}", parts=("f", "a")))
+    assert blocked == ["part-a-org", "part-f-org"]
+    # A sound request with one of them tells the parts apart.
+    _arrive(guard, parts=("f", "b"))
+    assert not guard.blocked_for_s(_traits("new", parts=("f", "b")))
+    assert guard.lift_explained(blocked) == ["part-f-org"]
+    assert guard.blocked_for_s(_traits("new", parts=("f", "a")))
+
+
+def test_repeated_request_in_flight_at_crashes_is_released_with_the_block_of_a_part():
+    # Guards against a minute's block of a request that was only in flight.
+    guard, clock = _guard()
+    _arrive(guard, parts=("f", "b"), count=20)
+    in_flight = [_traits("s", parts=("f", "b"))]
+    for number in range(CRASHES_TO_BLOCK):
+        traits = _traits(f"r{number}", parts=("f", "a"))
+        _arrive(guard, parts=traits.parts)
+        is_last = number == CRASHES_TO_BLOCK - 1
+        blocked = _crash(
+            guard,
+            clock,
+            traits,
+            endpoint=f"i-{number}",
+            in_flight=[] if is_last else in_flight,
+        )
+        if number == CRASHES_TO_BLOCK_BRIEFLY - 1:
+            assert blocked == ["repetition-s"]
+    assert blocked == ["part-a-org"]
+    assert not guard.blocked_for_s(in_flight[0])
+
+
+def test_part_that_the_store_lists_is_not_blocked_if_a_narrower_one_explains_it():
+    # An entry that has seen no sound request with "f" has published it.
+    guard, clock = _guard()
+    _arrive(guard, parts=("f", "b"), count=20)
+    for number in range(CRASHES_TO_BLOCK):
+        _crash(guard, clock, _traits(f"r{number}", parts=("f", "a")))
+    guard.published = {"part-f-org", "part-a-org"}
+    assert not guard.blocked_for_s(_traits("new", parts=("f", "b")))
+    assert guard.blocked_for_s(_traits("new", parts=("f", "a")))
+
+
 def test_crash_told_by_several_peers_counts_once():
     guard, clock = _guard()
     other = CrashGuard(clock=clock)
@@ -166,7 +253,7 @@
     for _ in range(3):
         clock._time += 0.05
         for crash in guard.crashes():
-            assert not other.record_crash(crash)
+            assert not other.record_crashes([crash])
     assert other.crashes() == guard.crashes()
 
 
@@ -237,18 +324,36 @@
     )
 
 
-def _crash(guard, clock, traits, *, endpoint="i-1", lasted_s=0.5, responded_at=None):
-    """Record a crash under an attempt that begins now; return what it blocks."""
+def _arrive(guard, *, parts, count=1):
+    """Record that requests with some parts of a prompt have arrived."""
+    for _ in range(count):
+        guard.record_arrival(parts)
+
+
+def _crash(
+    guard,
+    clock,
+    traits,
+    *,
+    endpoint="i-1",
+    lasted_s=0.5,
+    responded_at=None,
+    in_flight=(),
+):
+    """Record a crash under attempts that begin now; return what it blocks."""
     began_at = clock.monotonic()
     clock._time += lasted_s
-    return guard.record_crash(
-        ServerCrash(
-            endpoint_id=endpoint,
-            traits=traits,
-            began_at=began_at,
-            crashed_at=clock.monotonic(),
-            responded_at=responded_at or clock.monotonic(),
-        )
+    return guard.record_crashes(
+        [
+            ServerCrash(
+                endpoint_id=endpoint,
+                traits=each,
+                began_at=began_at,
+                crashed_at=clock.monotonic(),
+                responded_at=responded_at or clock.monotonic(),
+            )
+            for each in (traits, *in_flight)
+        ]
     )
 
 
--- a/tests/test_prompts_that_crash_servers.py
+++ b/tests/test_prompts_that_crash_servers.py
@@ -50,6 +50,35 @@
     _run(scenario)
 
 
+def test_part_of_sound_requests_is_not_blocked_if_nothing_is_served_between_crashes():
+    # Guards against a block of the parts that sound requests share with the bad ones.
+    async def scenario(site):
+        for number in range(8):
+            entry = site.entries[number % len(site.entries)]
+            parts = f"f1,50,0b{number}"
+            status, _, _ = await _call(site, entry, parts, body=parts)
+            assert status == 200
+        for number in range(8):
+            entry = site.entries[number % len(site.entries)]
+            parts = f"f1,{CRASHING_PART},0a{number}"
+            with contextlib.suppress(aiohttp.ClientError):
+                await _call(site, entry, parts, body=parts)
+            await asyncio.sleep(INTERVAL_S)
+        assert 1 <= len(_crashes(site)) <= CRASHES
+        await asyncio.sleep(1.0)
+        statuses = []
+        for number in range(10):
+            entry = site.entries[number % len(site.entries)]
+            parts = f"f1,50,0c{number}"
+            status, _, _ = await _call(site, entry, parts, body=parts)
+            statuses.append(status)
+        assert statuses == [200] * 10
+        status, _, _ = await _call(site, site.entries[0], f"f1,{CRASHING_PART},0c")
+        assert status == 503
+
+    _run(scenario)
+
+
 def test_entry_that_starts_later_knows_the_part_that_crashes_servers():
     async def scenario(site):
         await _send_crashing(site, site.entries, 10)
@@ -94,13 +123,13 @@
         await asyncio.sleep(INTERVAL_S)
 
 
-async def _call(site, entry, parts):
+async def _call(site, entry, parts, *, body="p"):
     prefix = ",".join(f"{part}:100" for part in parts.split(","))
     return await site.call(
         entry,
         "POST",
         "/stream/1",
-        data="p",
+        data=body,
         headers={PROMPT_PREFIX: prefix, REQUEST_ID: parts},
     )
 
