Fix responses with an odd status or header field that reach callers

A control byte in a header value ended the caller's connection without a response. A model server's 101 or 000 counted as the refusal of an order that it may have carried out.

Cause: the two parsers of the HTTP library, compiled and pure, decided what a response is, each in another way, and no reader checked the status.

Change: http/response_heads.py checks status line, fields and the length of the body before a parser gets a byte; http/connections.py applies it to the connections of entries, agents and commands, to endpoints, other entries and the stores. The attempt counts as broken, so that the caller gets 502 or 504. Only 400 to 499 refuse an order.

Why it works: nothing reads a head before it is known to be one, so no reader and neither parser can take it for more.

An interim response still precedes a sound one.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/instance.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/instance.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 from magnoliagrade.clock import SystemClock
+from magnoliagrade.http import ResponseConnector
 from magnoliagrade.identity import InstanceIdentity, new_incarnation
 from magnoliagrade.node import Tasks, start_site
 from magnoliagrade.observability import log_event, serve_metrics_text
@@ -95,9 +96,7 @@
         settings = self.settings
         source = settings.source_address
         self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0, local_addr=(source, 0) if source else None
-            ),
+            connector=ResponseConnector(source_address=source),
             timeout=aiohttp.ClientTimeout(total=None),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/commands/explaining.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/commands/explaining.py
@@ -3,6 +3,7 @@
 import sys
 
 import aiohttp
+from magnoliagrade.http import ResponseConnector
 
 from magnoliagrade_entry.commands.exits import Exit
 from magnoliagrade_entry.commands.output import print_rows
@@ -38,7 +39,9 @@
     timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
     try:
         async with (
-            aiohttp.ClientSession(timeout=timeout) as session,
+            aiohttp.ClientSession(
+                connector=ResponseConnector(), timeout=timeout
+            ) as session,
             session.get(f"http://{address}/explain", params=query) as response,
         ):
             explanation = await response.json(content_type=None)
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/commands/site.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/commands/site.py
@@ -8,6 +8,7 @@
 import aiohttp
 from magnoliagrade.configuration import ConfigurationRepository
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
+from magnoliagrade.http import ResponseConnector
 from magnoliagrade.store import HttpInstanceList, HttpStore
 
 from magnoliagrade_entry.commands.instance_client import InstanceClient
@@ -149,7 +150,9 @@
         Addresses of store, list of instances and entry.
     """
     timeout = aiohttp.ClientTimeout(total=30)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
+    async with aiohttp.ClientSession(
+        connector=ResponseConnector(), timeout=timeout
+    ) as session:
         yield SiteClient(addresses=addresses, session=session)
 
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
@@ -10,7 +10,12 @@
 import aiohttp
 from magnoliagrade.clock import SystemClock
 from magnoliagrade.errors import MagnoliagradeError
-from magnoliagrade.http import ListenerLimits, change_limits, start_listener
+from magnoliagrade.http import (
+    ListenerLimits,
+    ResponseConnector,
+    change_limits,
+    start_listener,
+)
 from magnoliagrade.identity import InstanceIdentity, new_incarnation
 from magnoliagrade.node import Tasks, start_site
 from magnoliagrade.observability import log_event, serve_metrics_text
@@ -347,9 +352,7 @@
         source = self.settings.source_address
         no_timeout = aiohttp.ClientTimeout(total=None)
         self.store_session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0, local_addr=(source, 0) if source else None
-            ),
+            connector=ResponseConnector(source_address=source),
             timeout=no_timeout,
             cookie_jar=aiohttp.DummyCookieJar(),
         )
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/upstream.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/upstream.py
@@ -1,12 +1,10 @@
 """Sending of a request to one endpoint over a separate connection."""
 
-import functools
 from dataclasses import dataclass
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
-from magnoliagrade.http import send_once
+from magnoliagrade.http import CheckedResponseHandler, ResponseConnector, send_once
 from magnoliagrade.platform import (
     endpoint_headers,
     has_not_run,
@@ -93,7 +91,7 @@
         self.response = response
 
 
-class EndpointConnector(aiohttp.TCPConnector):
+class EndpointConnector(ResponseConnector):
     """Connector whose connections serve one request each.
 
     Notes
@@ -105,14 +103,13 @@
 
     def __init__(self, *, source_address=""):
         super().__init__(
-            limit=0,
+            handler_class=_ResetDetectingHandler,
+            source_address=source_address,
             force_close=True,
-            local_addr=(source_address, 0) if source_address else None,
         )
-        self._factory = functools.partial(_ResetDetectingHandler, loop=self._loop)
 
 
-class _ResetDetectingHandler(ResponseHandler):
+class _ResetDetectingHandler(CheckedResponseHandler):
     """Reports a body that ends with a connection reset as incomplete."""
 
     def connection_lost(self, exc):
--- a/packages/magnoliagrade/magnoliagrade/http/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/http/__init__.py
@@ -2,6 +2,7 @@
 
 from magnoliagrade.http.bodies import BodyBudget, read_body
 from magnoliagrade.http.client import send_once
+from magnoliagrade.http.connections import CheckedResponseHandler, ResponseConnector
 from magnoliagrade.http.events import CompleteEvents, EventSplitter
 from magnoliagrade.http.headers import (
     check_incarnation,
@@ -22,11 +23,13 @@
 
 __all__ = [
     "BodyBudget",
+    "CheckedResponseHandler",
     "CompleteEvents",
     "EventSplitter",
     "ListenerLimits",
     "RecordedResponse",
     "RecordingSink",
+    "ResponseConnector",
     "ResponseSink",
     "change_limits",
     "check_incarnation",
--- /dev/null
+++ b/packages/magnoliagrade/magnoliagrade/http/connections.py
@@ -0,0 +1,81 @@
+"""Client connections that check the heads of responses as their bytes arrive."""
+
+import functools
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_exceptions import HttpProcessingError
+from prometheus_client import Counter
+
+from magnoliagrade.http.response_heads import InvalidResponse, ResponseHeads
+
+__all__ = ["CheckedResponseHandler", "ResponseConnector"]
+
+INVALID_RESPONSES = Counter(
+    "magnoliagrade_invalid_responses_total",
+    "Connections that were closed because what the server sent was not a response",
+)
+
+
+class CheckedResponseHandler(ResponseHandler):
+    """Protocol of a client connection that closes it if a response is none.
+
+    Notes
+    -----
+    Nothing else reads a byte of a head before the head has been checked.
+    """
+
+    def __init__(self, loop):
+        super().__init__(loop)
+        self._heads = None
+
+    def set_response_params(self, **parameters):
+        """Prepare for the response to the next request on the connection."""
+        self._heads = ResponseHeads()
+        super().set_response_params(**parameters)
+
+    def data_received(self, data):
+        """Pass on the bytes of a response once its head has been checked."""
+        if self._heads is None or not data:
+            super().data_received(data)
+            return
+        # Bytes of an incomplete head count as progress, too.
+        self.start_timeout()
+        try:
+            data = self._heads.feed(data)
+        except InvalidResponse as exc:
+            self._reject(exc)
+            return
+        if data:
+            self._heads = None
+            super().data_received(data)
+
+    def _reject(self, exc):
+        INVALID_RESPONSES.inc()
+        if self.transport is not None:
+            self.transport.abort()
+        self.set_exception(HttpProcessingError(message=str(exc)), exc)
+
+
+class ResponseConnector(aiohttp.TCPConnector):
+    """Connector of aiohttp whose connections check the heads of responses.
+
+    Parameters
+    ----------
+    handler_class : type
+        Subclass of `CheckedResponseHandler`.
+    source_address : str
+        Local address to connect from; if empty, the system chooses it.
+    **options
+        Further parameters of `aiohttp.TCPConnector`.
+    """
+
+    def __init__(
+        self, *, handler_class=CheckedResponseHandler, source_address="", **options
+    ):
+        super().__init__(
+            limit=0,
+            local_addr=(source_address, 0) if source_address else None,
+            **options,
+        )
+        self._factory = functools.partial(handler_class, loop=self._loop)
--- a/packages/magnoliagrade/magnoliagrade/node/node.py
+++ b/packages/magnoliagrade/magnoliagrade/node/node.py
@@ -7,7 +7,7 @@
 import aiohttp
 
 from magnoliagrade.clock import SystemClock
-from magnoliagrade.http import ListenerLimits, start_listener
+from magnoliagrade.http import ListenerLimits, ResponseConnector, start_listener
 from magnoliagrade.identity import InstanceIdentity, new_incarnation
 from magnoliagrade.node.admin import make_admin_app
 from magnoliagrade.node.configuration_spread import ConfigurationPropagation
@@ -119,10 +119,8 @@
         keeps_connections : bool
             Whether connections are reused for further requests.
         """
-        address = self.settings.source_address
-        connector = aiohttp.TCPConnector(
-            limit=0,
-            local_addr=(address, 0) if address else None,
+        connector = ResponseConnector(
+            source_address=self.settings.source_address,
             force_close=not keeps_connections,
         )
         return aiohttp.ClientSession(
--- a/packages/magnoliagrade/magnoliagrade/platform/ranks.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/ranks.py
@@ -125,7 +125,9 @@
             return OrderOutcome.DONE
         if status == 202:
             return OrderOutcome.BEGUN
-        return OrderOutcome.REFUSED if status < 500 else OrderOutcome.UNKNOWN
+        # No other status says that the order will not be carried out.
+        is_refused = 400 <= status < 500
+        return OrderOutcome.REFUSED if is_refused else OrderOutcome.UNKNOWN
 
     async def _get(self, path):
         status, data = await self._call("GET", path, None, self._timeout_s)
