Fix readers of responses that go on without end

A body, chunk sizes, trailers or blank lines without end are read for as long as a time limit lasts.

Cause: time limits were the only bound. The HTTP library queues interim heads and skips them without a turn of the event loop, so that time limits of others run late; response.read() outside callers' requests has no limit of size; the framing of a body is no part of it, so that no limit on bodies counts it.

Change: heads of one response have 64 KiB at most, 16 interim ones; 1 MiB in a row that adds nothing to a body ends the connection; both where the bytes arrive. read_limited bounds every body that is read whole: reports, counts, maps, load reports, lists of instances, listings of the stores, rejections of peers.

Why it works: an unbounded sender is left after a fixed number of bytes, within the turn of the loop in which they come, whatever the time limit of the request is.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/engine.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/engine.py
@@ -1,16 +1,19 @@
 """HTTP client of the endpoint: requests and load reports."""
 
 import asyncio
+import json
 from urllib.parse import urlsplit
 
 import aiohttp
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
-from magnoliagrade.http import send_once
+from magnoliagrade.http import read_limited, send_once
 from magnoliagrade.world import LoadReport, Work
 
 __all__ = ["EngineClient"]
 
 CALL_TIMEOUT_S = 2.0
+# Limit on the body of a load report.
+REPORT_LIMIT_BYTES = 64 * 1024
 
 
 class EngineClient:
@@ -136,7 +139,7 @@
                 asyncio.timeout(CALL_TIMEOUT_S),
                 self._session.get(self._url + "/load") as response,
             ):
-                fields = await response.json()
+                fields = json.loads(await read_limited(response, REPORT_LIMIT_BYTES))
                 return LoadReport(
                     boot_id=fields["boot_id"],
                     running=fields["running"],
@@ -145,9 +148,17 @@
                     cache_used=fields["cache_used"],
                     age_s=fields["age_s"],
                 )
-        except (aiohttp.ClientError, OSError, TimeoutError, KeyError, ValueError) as e:
-            detail = f"cannot fetch load report: {type(e).__name__}"
-            raise MagnoliagradeError(ErrorKind.UPSTREAM_FAILED, detail) from e
+        except (
+            aiohttp.ClientError,
+            OSError,
+            RecursionError,
+            TimeoutError,
+            KeyError,
+            TypeError,
+            ValueError,
+        ) as exc:
+            detail = f"cannot fetch load report: {type(exc).__name__}"
+            raise MagnoliagradeError(ErrorKind.UPSTREAM_FAILED, detail) from exc
 
 
 def _has_marked_end(request, response):
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/group/rank_client.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/group/rank_client.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import base64
+import json
 from dataclasses import dataclass
 
 import aiohttp
 import numpy as np
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
+from magnoliagrade.http import read_limited
 
 from magnoliagrade_agent.group.orders import RankState
 from magnoliagrade_agent.group.view import GroupView, Outcome, Switch
@@ -14,6 +16,8 @@
 __all__ = ["RankClient", "RankCounts", "decode_view", "encode_view"]
 
 ORDER_TIMEOUT_S = 2.0
+# Limit on the body of a response: the maps and counts of a rank.
+BODY_LIMIT_BYTES = 16 * 1024 * 1024
 # Carries the agent's incarnation, by which the rank rejects orders of earlier agents.
 FENCE_HEADER = "X-Fence"
 
@@ -139,7 +143,7 @@
                     )
                     raise MagnoliagradeError(ErrorKind.FENCED, detail)
                 response.raise_for_status()
-                return await response.json()
+                return json.loads(await read_limited(response, BODY_LIMIT_BYTES))
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as exc:
             detail = f"{method} {self._url}{path}: {type(exc).__name__}"
             raise MagnoliagradeError(ErrorKind.UPSTREAM_FAILED, detail) from exc
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/crash_guard.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/crash_guard.py
@@ -2,7 +2,9 @@
 
 Load pattern: the repetitions of one request, or requests whose prompts share one part,
 crash each server that begins to run them, one server after the other, while all other
-requests with the same path, caller or other parts are sound.
+requests with the same path, caller or other parts are sound. A crash may take a whole
+group of servers away, so that nothing is served between two crashes, and then all parts
+of the prompts that crash servers have the same record.
 """
 
 from magnoliagrade_entry.direct.serving.crash_suspects import BLOCK_S, Suspect
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/requests/attempt.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/requests/attempt.py
@@ -1,10 +1,16 @@
 """Sending a request to one agent or peer entry and copying its response."""
 
 import asyncio
+import json
 
 import aiohttp
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError, Ran
-from magnoliagrade.http import EventSplitter, send_once, write_request_headers
+from magnoliagrade.http import (
+    EventSplitter,
+    read_limited,
+    send_once,
+    write_request_headers,
+)
 from magnoliagrade.http import headers as header_names
 from magnoliagrade.observability import get_tracer, inject_context
 
@@ -12,6 +18,8 @@
 
 # Only responses with a shorter Content-Length are buffered.
 MAX_BUFFERED_RESPONSE_BYTES = 256 * 1024
+# Longest description of an error by a process of this system.
+REJECTION_LIMIT_BYTES = 64 * 1024
 # Longest pause between two reads of a streaming response.
 STALL_TIMEOUT_S = 10.0
 _tracer = get_tracer(__name__)
@@ -124,7 +132,8 @@
         return
     ran = Ran(response.headers[header_names.RAN])
     try:
-        detail = (await response.json(content_type=None))["detail"]
+        body = await read_limited(response, REJECTION_LIMIT_BYTES)
+        detail = json.loads(body)["detail"]
     except (aiohttp.ClientError, ValueError, KeyError, TypeError):
         detail = f"rejected with {code}"
     retry_after = response.headers.get("Retry-After")
--- a/packages/magnoliagrade/magnoliagrade/http/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/http/__init__.py
@@ -1,7 +1,7 @@
 """HTTP listeners, clients, headers and bodies that all processes share."""
 
 from magnoliagrade.http.bodies import BodyBudget, read_body
-from magnoliagrade.http.client import send_once
+from magnoliagrade.http.client import read_limited, send_once
 from magnoliagrade.http.connections import CheckedResponseHandler, ResponseConnector
 from magnoliagrade.http.events import CompleteEvents, EventSplitter
 from magnoliagrade.http.headers import (
@@ -39,6 +39,7 @@
     "log_rejection",
     "problem_details_middleware",
     "read_body",
+    "read_limited",
     "read_request_headers",
     "send_once",
     "start_listener",
--- a/packages/magnoliagrade/magnoliagrade/http/client.py
+++ b/packages/magnoliagrade/magnoliagrade/http/client.py
@@ -2,7 +2,7 @@
 
 import aiohttp
 
-__all__ = ["CONNECT_TIMEOUT_S", "reject_second_send", "send_once"]
+__all__ = ["CONNECT_TIMEOUT_S", "read_limited", "reject_second_send", "send_once"]
 
 CONNECT_TIMEOUT_S = 2.0
 # Headers that aiohttp would add; requests are forwarded with the headers received.
@@ -74,6 +74,35 @@
     )
 
 
+async def read_limited(response, limit_bytes):
+    """Return the complete body of a response.
+
+    Parameters
+    ----------
+    response : aiohttp.ClientResponse
+        Response whose body is still unread.
+    limit_bytes : int
+        Longest body.
+
+    Raises
+    ------
+    aiohttp.ClientPayloadError
+        If the body is longer. The response is closed: a faulty server may go on
+        sending until it is.
+    aiohttp.ClientError, OSError
+        If the body is cut off.
+    """
+    body = bytearray()
+    async for data in response.content.iter_any():
+        body += data
+        if len(body) > limit_bytes:
+            response.close()
+            raise aiohttp.ClientPayloadError(
+                f"a body of more than {limit_bytes} bytes was not read to its end"
+            )
+    return bytes(body)
+
+
 def reject_second_send():
     """Return a client middleware that sends one request and rejects its resend.
 
--- a/packages/magnoliagrade/magnoliagrade/http/connections.py
+++ b/packages/magnoliagrade/magnoliagrade/http/connections.py
@@ -1,4 +1,4 @@
-"""Client connections that check the heads of responses as their bytes arrive."""
+"""Client connections that check responses as their bytes arrive."""
 
 import functools
 
@@ -11,6 +11,10 @@
 
 __all__ = ["CheckedResponseHandler", "ResponseConnector"]
 
+# Limit on the bytes in a row that add nothing to a body (sizes and extensions of
+# chunks, trailers): more than one read of a connection, which may be paused within it.
+FRAMING_LIMIT_BYTES = 1024 * 1024
+
 INVALID_RESPONSES = Counter(
     "magnoliagrade_invalid_responses_total",
     "Connections that were closed because what the server sent was not a response",
@@ -22,22 +26,25 @@
 
     Notes
     -----
-    Nothing else reads a byte of a head before the head has been checked.
+    The checks run where the bytes arrive: a server that sends heads without end would
+    otherwise keep the event loop from running the time limit of the request.
     """
 
     def __init__(self, loop):
         super().__init__(loop)
+        self._framing_bytes = 0
         self._heads = None
 
     def set_response_params(self, **parameters):
         """Prepare for the response to the next request on the connection."""
+        self._framing_bytes = 0
         self._heads = ResponseHeads()
         super().set_response_params(**parameters)
 
     def data_received(self, data):
         """Pass on the bytes of a response once its head has been checked."""
         if self._heads is None or not data:
-            super().data_received(data)
+            self._receive_body(data)
             return
         # Bytes of an incomplete head count as progress, too.
         self.start_timeout()
@@ -50,10 +57,31 @@
             self._heads = None
             super().data_received(data)
 
+    def _receive_body(self, data):
+        payload = self._payload
+        if payload is None:
+            super().data_received(data)
+            return
+        size = payload.total_bytes
+        super().data_received(data)
+        if payload.is_eof() or payload.total_bytes > size:
+            self._framing_bytes = 0
+            return
+        self._framing_bytes += len(data)
+        if self._framing_bytes > FRAMING_LIMIT_BYTES:
+            self._reject(
+                InvalidResponse(
+                    f"more than {FRAMING_LIMIT_BYTES} bytes in a row of the body's "
+                    "framing"
+                )
+            )
+
     def _reject(self, exc):
         INVALID_RESPONSES.inc()
         if self.transport is not None:
             self.transport.abort()
+        if self._payload is not None:
+            self._payload.set_exception(aiohttp.ClientPayloadError(str(exc)))
         self.set_exception(HttpProcessingError(message=str(exc)), exc)
 
 
--- a/packages/magnoliagrade/magnoliagrade/http/response_heads.py
+++ b/packages/magnoliagrade/magnoliagrade/http/response_heads.py
@@ -4,6 +4,10 @@
 
 __all__ = ["InvalidResponse", "ResponseHeads"]
 
+# Limit on the bytes of all heads of one response: interim ones, and the final one.
+HEADS_LIMIT_BYTES = 64 * 1024
+# Interim heads (100 Continue, 103 Early Hints) before the final one.
+MAX_INTERIM_HEADS = 16
 # Protocol switch, which no request of this system asks for.
 SWITCHING_PROTOCOLS = 101
 
@@ -33,15 +37,17 @@
 
     Notes
     -----
-    The two parsers of aiohttp, compiled and pure, accept different malformed heads. No
-    byte of a head reaches either of them before the entire head has been checked, and
-    interim heads do not reach them at all.
+    The two parsers of aiohttp, compiled and pure, accept different malformed heads, and
+    queue interim heads without a limit. No byte of a head reaches either of them before
+    the entire head has been checked, and interim heads do not reach them at all.
     """
 
-    __slots__ = ("_buffer",)
+    __slots__ = ("_buffer", "_interim_heads", "_size")
 
     def __init__(self):
         self._buffer = b""
+        self._interim_heads = 0
+        self._size = 0
 
     def feed(self, data):
         """Append received bytes; return the final head and what follows it, once whole.
@@ -59,18 +65,29 @@
         Raises
         ------
         InvalidResponse
-            If the bytes are not a head.
+            If the bytes are not a head, or the heads exceed a limit.
         """
         buffer = self._buffer + data
         while (end := _END.search(buffer)) is not None:
             head = buffer[: end.end()]
+            self._count(len(head))
             if not _is_interim(_check_head(head)):
                 self._buffer = b""
                 return buffer
+            self._interim_heads += 1
+            if self._interim_heads > MAX_INTERIM_HEADS:
+                raise InvalidResponse(f"more than {MAX_INTERIM_HEADS} interim heads")
             buffer = buffer[end.end() :]
         self._buffer = buffer
+        if self._size + len(buffer) > HEADS_LIMIT_BYTES:
+            self._count(len(buffer))
         return b""
 
+    def _count(self, size):
+        self._size += size
+        if self._size > HEADS_LIMIT_BYTES:
+            raise InvalidResponse(f"heads of more than {HEADS_LIMIT_BYTES} bytes")
+
 
 def _check_head(head):
     """Return the status of a head; raise `InvalidResponse` if it is malformed."""
--- a/packages/magnoliagrade/magnoliagrade/http/tests/test_response_heads.py
+++ b/packages/magnoliagrade/magnoliagrade/http/tests/test_response_heads.py
@@ -1,6 +1,8 @@
 """Heads of responses that are read, and bytes that are no head."""
 
 from magnoliagrade.http.response_heads import (
+    HEADS_LIMIT_BYTES,
+    MAX_INTERIM_HEADS,
     InvalidResponse,
     ResponseHeads,
 )
@@ -72,7 +74,7 @@
 
 
 def test_interim_heads_are_left_out():
-    data = 3 * INTERIM_HEAD + SOUND_HEADS[0] + b"rest"
+    data = MAX_INTERIM_HEADS * INTERIM_HEAD + SOUND_HEADS[0] + b"rest"
     for cut in range(len(data)):
         heads = ResponseHeads()
         passed = heads.feed(data[:cut])
@@ -88,6 +90,20 @@
     _assert_rejected(b"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
 
 
+def test_heads_without_end_are_rejected():
+    _assert_rejected((MAX_INTERIM_HEADS + 1) * INTERIM_HEAD)
+    for block in (b"x", b"X-A: 1\r\n", b"\r\n", b"HTTP/1.1 100 \r\nX: " + 9000 * b"x"):
+        heads = ResponseHeads()
+        size = 0
+        try:
+            while size <= 2 * HEADS_LIMIT_BYTES:
+                assert heads.feed(1000 * block) == b""
+                size += 1000 * len(block)
+        except InvalidResponse:
+            continue
+        raise AssertionError(block)
+
+
 def _assert_rejected(data):
     try:
         passed = ResponseHeads().feed(data)
--- a/packages/magnoliagrade/magnoliagrade/platform/ranks.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/ranks.py
@@ -7,6 +7,7 @@
 import aiohttp
 
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
+from magnoliagrade.http.client import read_limited
 from magnoliagrade.platform.fields import (
     FormatError,
     load_object,
@@ -18,6 +19,10 @@
 
 __all__ = ["OrderOutcome", "RankServer"]
 
+# Limits on the bodies of a status report or the response to an order, and of the counts
+# and the expert map: a faulty server may send one that does not end.
+REPORT_LIMIT_BYTES = 64 * 1024
+COUNTS_LIMIT_BYTES = 4 * 1024 * 1024
 _OPERATION_BY_NAME = {
     "prepare": "prepare",
     "arm": "arm",
@@ -75,7 +80,8 @@
 
     async def counts(self):
         """Return the epoch and how often each expert was chosen, by set of layers."""
-        document = load_object(await self._get("/picked"))
+        data = await self._get("/picked", limit_bytes=COUNTS_LIMIT_BYTES)
+        document = load_object(data)
         counts = document.get("Counts")
         if not isinstance(counts, list):
             raise FormatError(f"Counts: expected a list, got a {type(counts).__name__}")
@@ -83,7 +89,8 @@
 
     async def experts(self):
         """Return the epoch, the expert map's version and this rank's experts by set."""
-        document = load_object(await self._get("/picked?Lists=1"))
+        data = await self._get("/picked?Lists=1", limit_bytes=COUNTS_LIMIT_BYTES)
+        document = load_object(data)
         expert_map = optional_object(document, "Map") or {}
         return (
             int(number_field(document, "epoch")),
@@ -129,14 +136,18 @@
         is_refused = 400 <= status < 500
         return OrderOutcome.REFUSED if is_refused else OrderOutcome.UNKNOWN
 
-    async def _get(self, path):
-        status, data = await self._call("GET", path, None, self._timeout_s)
+    async def _get(self, path, *, limit_bytes=REPORT_LIMIT_BYTES):
+        status, data = await self._call(
+            "GET", path, None, self._timeout_s, limit_bytes=limit_bytes
+        )
         if status != 200:
             detail = f"GET {path} of {self._url}: status {status}"
             raise MagnoliagradeError(ErrorKind.UPSTREAM_FAILED, detail)
         return data
 
-    async def _call(self, method, path, data, timeout_s):
+    async def _call(
+        self, method, path, data, timeout_s, *, limit_bytes=REPORT_LIMIT_BYTES
+    ):
         try:
             async with (
                 asyncio.timeout(timeout_s),
@@ -147,7 +158,7 @@
                     headers={"Content-Type": "application/json"} if data else None,
                 ) as response,
             ):
-                return response.status, await response.read()
+                return response.status, await read_limited(response, limit_bytes)
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             raise MagnoliagradeError(
                 ErrorKind.UPSTREAM_FAILED,
--- a/packages/magnoliagrade/magnoliagrade/platform/store.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/store.py
@@ -10,7 +10,7 @@
 from prometheus_client import Gauge
 
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
-from magnoliagrade.http.client import reject_second_send
+from magnoliagrade.http.client import read_limited, reject_second_send
 from magnoliagrade.observability import log_event
 from magnoliagrade.store.client import (
     STORE_CALLS,
@@ -37,6 +37,10 @@
 # Number of times that a listing is read if the era changes between its pages.
 MAX_LISTING_TRIES = 3
 
+# Limit on the body of a response. A watch returns several changes of the configuration
+# together, each of up to a megabyte.
+BODY_LIMIT_BYTES = 64 * 1024 * 1024
+
 ERA = Gauge("magnoliagrade_store_era", "Era of the store in its newest response")
 _log = logging.getLogger(__name__)
 
@@ -274,7 +278,13 @@
         verb = path.split("/")[1]
         try:
             response = await self._exchange(method, path, params, document, timeout_s)
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as exc:
+        except (
+            aiohttp.ClientError,
+            OSError,
+            RecursionError,
+            TimeoutError,
+            ValueError,
+        ) as exc:
             STORE_CALLS.labels(purpose, verb, "unavailable").inc()
             was_never_sent = isinstance(exc, aiohttp.ClientConnectorError)
             raise StoreUnavailable(
@@ -319,7 +329,7 @@
                 middlewares=(reject_second_send(),) if method != "GET" else None,
             ) as response,
         ):
-            data = await response.read()
+            data = await read_limited(response, BODY_LIMIT_BYTES)
             is_json = response.status in (200, 412) and data
             body = json.loads(data) if is_json else {}
             era = int(response.headers.get(ERA_HEADER, self.era or 0))
--- a/packages/magnoliagrade/magnoliagrade/store/client.py
+++ b/packages/magnoliagrade/magnoliagrade/store/client.py
@@ -9,11 +9,13 @@
 from prometheus_client import Counter
 
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
-from magnoliagrade.http.client import reject_second_send
+from magnoliagrade.http.client import read_limited, reject_second_send
 
 __all__ = ["HttpStore", "Store", "StoreConflict", "StoreUnavailable", "StoreValue"]
 
 CALL_TIMEOUT_S = 2.0
+# Limit on the body of a response: a listing of values of up to a megabyte each.
+BODY_LIMIT_BYTES = 64 * 1024 * 1024
 # Calls for configuration changes by operators, which are rare, bypass the limiter.
 PURPOSE_WITHOUT_LIMIT = "configuration"
 
@@ -233,7 +235,7 @@
                 middlewares=(reject_second_send(),) if method != "GET" else None,
             ) as response,
         ):
-            body = await response.read()
+            body = await read_limited(response, BODY_LIMIT_BYTES)
             revision = int(response.headers.get("Store-Revision", "0"))
             return _StoreResponse(response.status, revision, body)
 
--- a/packages/magnoliagrade/magnoliagrade/store/instances.py
+++ b/packages/magnoliagrade/magnoliagrade/store/instances.py
@@ -1,6 +1,7 @@
 """Client of the platform's list of instances, which lags behind their state."""
 
 import asyncio
+import json
 import logging
 import reprlib
 from typing import Protocol
@@ -8,12 +9,15 @@
 import aiohttp
 
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
+from magnoliagrade.http.client import read_limited
 from magnoliagrade.observability.logs import log_event
 from magnoliagrade.world import Instance, InstanceState, Role
 
 __all__ = ["HttpInstanceList", "InstanceList"]
 
 CALL_TIMEOUT_S = 2.0
+# Limit on the body of the list.
+BODY_LIMIT_BYTES = 16 * 1024 * 1024
 
 _log = logging.getLogger(__name__)
 
@@ -55,7 +59,8 @@
                 asyncio.timeout(CALL_TIMEOUT_S),
                 self._session.get(self._url) as response,
             ):
-                rows = await response.json()
+                response.raise_for_status()
+                rows = json.loads(await read_limited(response, BODY_LIMIT_BYTES))
         except (
             aiohttp.ClientError,
             OSError,
