Fix connections that keep responses after their callers have them

What callers saw: an entry that grows past its memory although it serves one request at a time. 50 callers that keep their connections open after a response of 7 MiB each: 411 MB on, as long as the connections stay open.

Cause: the HTTP library keeps the last response of a connection until the next one, with its body. It also passes a body to the connection at once, which keeps all that the caller has not read yet.

Change: send_response writes a long body in pieces, each once the connection has taken the last, and drops the body afterwards; a client that takes none for 60 s is given up. All listeners send complete responses with it.

--- a/packages/magnoliagrade/magnoliagrade/http/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/http/__init__.py
@@ -11,7 +11,7 @@
     write_request_headers,
 )
 from magnoliagrade.http.recording import RecordedResponse, RecordingSink
-from magnoliagrade.http.responses import ResponseSink, error_response
+from magnoliagrade.http.responses import ResponseSink, error_response, send_response
 from magnoliagrade.http.server import (
     ListenerLimits,
     change_limits,
@@ -42,6 +42,7 @@
     "read_limited",
     "read_request_headers",
     "send_once",
+    "send_response",
     "start_listener",
     "write_request_headers",
 ]
--- a/packages/magnoliagrade/magnoliagrade/http/responses.py
+++ b/packages/magnoliagrade/magnoliagrade/http/responses.py
@@ -1,5 +1,6 @@
 """Writing of responses to a connection, and responses to errors."""
 
+import asyncio
 import contextlib
 import math
 
@@ -7,8 +8,15 @@
 
 from magnoliagrade.errors import problem_details, response_of
 from magnoliagrade.http.headers import CODE, RAN, end_to_end_headers
+from magnoliagrade.identity import new_request_id
 
-__all__ = ["ResponseSink", "error_response"]
+__all__ = ["ResponseSink", "error_response", "send_response"]
+
+# A body is written in pieces of this size, each once the connection has taken the last.
+PIECE_BYTES = 64 * 1024
+# A client that takes no piece for this long is given up: its response takes memory that
+# others need.
+STALL_TIMEOUT_S = 60.0
 
 
 class ResponseSink:
@@ -145,3 +153,47 @@
         headers=headers,
         content_type="application/problem+json",
     )
+
+
+async def send_response(http_request, response, *, stall_timeout_s=STALL_TIMEOUT_S):
+    """Send a complete response and drop its body.
+
+    Parameters
+    ----------
+    http_request : aiohttp.web.BaseRequest
+        Request that is responded to.
+    response : aiohttp.web.Response
+        Response of which nothing has been sent.
+    stall_timeout_s : float
+        Longest time in which the client takes no more of a long body, in seconds; the
+        connection is aborted then.
+
+    Notes
+    -----
+    aiohttp would pass the entire body to the connection, which keeps what the client
+    has not read yet, and keep the response until the next one on the connection.
+    """
+    response.headers.setdefault("X-Request-Id", new_request_id())
+    if not http_request.content.is_eof():
+        response.force_close()
+    # If the client has disconnected, aiohttp finds out when it ends the response.
+    with contextlib.suppress(ConnectionError):
+        await response.prepare(http_request)
+        has_body = http_request.method != "HEAD" and response.status not in (204, 304)
+        if has_body and len(response.body or b"") > PIECE_BYTES:
+            body, response.body = response.body, None
+            await _write_pieces(http_request, response, body, stall_timeout_s)
+        await response.write_eof()
+    response.body = None
+
+
+async def _write_pieces(http_request, response, body, stall_timeout_s):
+    view = memoryview(body)
+    for begin in range(0, len(view), PIECE_BYTES):
+        try:
+            async with asyncio.timeout(stall_timeout_s):
+                await response.write(view[begin : begin + PIECE_BYTES])
+        except TimeoutError:
+            if http_request.transport is not None:
+                http_request.transport.abort()
+            raise ConnectionAbortedError("the client takes no data") from None
--- a/packages/magnoliagrade/magnoliagrade/http/server.py
+++ b/packages/magnoliagrade/magnoliagrade/http/server.py
@@ -9,7 +9,7 @@
 from aiohttp.web_protocol import EMPTY_PAYLOAD, _ErrInfo
 
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
-from magnoliagrade.http.responses import error_response
+from magnoliagrade.http.responses import error_response, send_response
 from magnoliagrade.identity import new_request_id
 from magnoliagrade.observability import log_event
 
@@ -176,9 +176,7 @@
             _as_coded_error(exc), request_id=new_request_id(), is_internal=is_internal
         )
     if not response.prepared:
-        response.headers.setdefault("X-Request-Id", new_request_id())
-        if not http_request.content.is_eof():
-            response.force_close()
+        await send_response(http_request, response)
     return response
 
 
