Fix the end of processes by SIGHUP while they start

Cause: the handler of SIGHUP is set once the listeners are open. Before, the signal has its default action.

Evidence: tests/test_signals_at_start.py sends SIGHUP as soon as the entry listens for callers, which it does before its imports.

Change: direct entries and agents ignore SIGHUP from their first step on; the settings file is read later.

Result: the test passes. A SIGHUP before the interpreter runs the first step still ends the process.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/__main__.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/__main__.py
@@ -2,11 +2,12 @@
 
 import sys
 
-from magnoliagrade.early_start import skip_ca_certificates
+from magnoliagrade.early_start import ignore_reloads, skip_ca_certificates
 
 
 def main(file):
     """Run an agent with a settings file until the process is told to stop."""
+    ignore_reloads()
     skip_ca_certificates()
     from magnoliagrade.node import serve_node
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/__main__.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/__main__.py
@@ -3,11 +3,16 @@
 import functools
 import sys
 
-from magnoliagrade.early_start import open_listener, skip_ca_certificates
+from magnoliagrade.early_start import (
+    ignore_reloads,
+    open_listener,
+    skip_ca_certificates,
+)
 
 
 def main(file):
     """Open the callers' listener, then import the other modules and serve requests."""
+    ignore_reloads()
     listener = open_listener(file, section="listen", option="caller_address")
     skip_ca_certificates()
     from magnoliagrade.node import serve_node
--- a/packages/magnoliagrade/magnoliagrade/early_start.py
+++ b/packages/magnoliagrade/magnoliagrade/early_start.py
@@ -9,14 +9,23 @@
 
 import configparser
 import os
+import signal
 import socket
 
-__all__ = ["open_listener", "skip_ca_certificates"]
+__all__ = ["ignore_reloads", "open_listener", "skip_ca_certificates"]
 
 # Connections that wait for the process: about 1 s of new connections at a busy entry.
 LISTEN_BACKLOG_CONNECTIONS = 128
 
 
+def ignore_reloads():
+    """Ignore SIGHUP, which would end the process, until its handler is set.
+
+    The settings file is read later.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def open_listener(file, *, section, option):
     """Return a socket that listens on the address in a settings file, or None.
 
