Fix responses that together exceed the memory of a process

What callers saw: an entry that passes its memory (160 to 300 MB) and is killed, with the requests of all its callers, because servers in trouble respond to many requests at once.

Cause: a body may have 8 MiB and an event 1 MiB, and each admitted request had that much: nothing limited what a process keeps of all connections together. Failed attempts kept the frames of their traceback, with parts of the body, until the garbage collector ran; a connection that is not read was paused only after 512 KiB.

Change: ResponseMemory limits the bytes held of responses in a process. Above it, the endpoint whose unfinished responses hold the most loses the largest of them; responses of up to 64 KiB are not closed for that, nor are complete ones. A response counts until the caller has it, an order's until it has ended. It covers bodies for callers, events, reports, counts and maps of ranks, and the entries before agents. A declared length above the limit is refused at once. Counts have 1 MiB, as decoded JSON takes up to 24 times its text. The receive buffers of connections to endpoints have a fixed size.

Why it works: what is not counted has a small bound for each connection.

--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/instance.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/instance.py
@@ -8,7 +8,7 @@
 
 import aiohttp
 from magnoliagrade.clock import SystemClock
-from magnoliagrade.http import ResponseConnector
+from magnoliagrade.http import ResponseConnector, ResponseMemory
 from magnoliagrade.identity import InstanceIdentity, new_incarnation
 from magnoliagrade.node import Tasks, start_site
 from magnoliagrade.observability import log_event, serve_metrics_text
@@ -67,6 +67,7 @@
         "identity",
         "last_coordinator",
         "member",
+        "response_memory",
         "rng",
         "session",
         "settings",
@@ -85,6 +86,9 @@
         )
         self.rng = random.Random(self.identity.incarnation)
         self.tasks = Tasks()
+        self.response_memory = ResponseMemory(
+            limit_bytes=settings.response_memory_bytes
+        )
         self._last_call_at = self.clock.monotonic()
         self.last_coordinator = ""
         self._engine = None
@@ -106,6 +110,7 @@
             session=self.session,
             timeout_s=SERVER_TIMEOUT_S,
             order_timeout_s=ORDER_TIMEOUT_S,
+            memory=self.response_memory,
         )
         self.member = RankMember(server=server, clock=self.clock)
         self.slow_ranks = SlowRankPublisher(store=self.store, clock=self.clock)
--- a/packages/magnoliagrade-agent/magnoliagrade_agent/direct/rank_directory.py
+++ b/packages/magnoliagrade-agent/magnoliagrade_agent/direct/rank_directory.py
@@ -172,6 +172,7 @@
         address=server_address,
         session=node.session,
         timeout_s=REMOTE_SERVER_TIMEOUT_S,
+        memory=node.response_memory,
     )
     remote = RankMember(
         server=server, clock=node.clock, status_lag_s=REMOTE_STATUS_LAG_S
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/instance.py
@@ -13,6 +13,7 @@
 from magnoliagrade.http import (
     ListenerLimits,
     ResponseConnector,
+    ResponseMemory,
     change_limits,
     start_listener,
 )
@@ -64,6 +65,8 @@
 # same time, and number of entries that it assumes before.
 NAMES_KNOWN_AFTER_S = 4.0
 ASSUMED_ENTRIES = 40
+# A connection is paused while twice as many bytes of a response are not read yet.
+UNREAD_BYTES = 32 * 1024
 # Interval of checks for free slots: no event marks the end of an ejection.
 WAKE_INTERVAL_S = 0.05
 
@@ -106,6 +109,7 @@
         "rejects_requests",
         "relays",
         "requests_in_flight",
+        "response_memory",
         "retry_budget",
         "rng",
         "settings",
@@ -147,6 +151,9 @@
             window_s=settings.retry_window_s,
             count_entries=lambda: len(self.site_state.link_address_by_name),
         )
+        self.response_memory = ResponseMemory(
+            limit_bytes=settings.response_memory_bytes
+        )
         self.shutdown = Shutdown(clock=self.clock)
         self._cold_intervals = ColdIntervals(name=settings.name)
         self._group_notices = GroupNotices(node=self)
@@ -361,6 +368,7 @@
             trace_configs=[trace_connections()],
             timeout=no_timeout,
             auto_decompress=False,
+            read_bufsize=UNREAD_BYTES,
             cookie_jar=aiohttp.DummyCookieJar(),
         )
         self.store = PlatformStore(
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/recovery.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/placement/recovery.py
@@ -93,6 +93,7 @@
         address=endpoint.address,
         session=node.upstream_session,
         timeout_s=STATUS_TIMEOUT_S,
+        memory=node.response_memory,
     )
     try:
         status = await server.status()
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/door.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/door.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
-from magnoliagrade.http import error_response, log_rejection
+from magnoliagrade.http import error_response, log_rejection, send_response
 from magnoliagrade.platform import request_id_of
 from prometheus_client import Counter, Histogram
 
@@ -43,10 +43,14 @@
         began_at = node.clock.monotonic()
         node.requests_in_flight += 1
         try:
-            response = await _serve(node, http_request)
-            if not response.prepared and node.reasons_not_ready():
-                # The caller reconnects and is sent to an entry that is ready.
-                response.force_close()
+            # The response is counted until the caller has it.
+            with node.response_memory.hold() as hold:
+                response = await _serve(node, http_request, hold)
+                if not response.prepared:
+                    if node.reasons_not_ready():
+                        # The caller reconnects and is sent to an entry that is ready.
+                        response.force_close()
+                    await send_response(http_request, response)
             return response
         except (ConnectionError, asyncio.CancelledError):
             REQUESTS.labels("caller-gone").inc()
@@ -61,13 +65,13 @@
     return handle
 
 
-async def _serve(node, http_request):
+async def _serve(node, http_request, hold):
     try:
         request = await read_request(node, http_request)
     except MagnoliagradeError as exc:
         return _rejection_response(node, exc, request_id_of(http_request.headers))
     try:
-        response = await serve_request(node, request, http_request)
+        response = await serve_request(node, request, http_request, hold=hold)
     except MagnoliagradeError as exc:
         REJECTIONS.labels(request.priority_label, exc.kind.value).inc()
         return _rejection_response(
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/request_attempts.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/request_attempts.py
@@ -28,6 +28,8 @@
         The entry.
     request : DirectRequest
         The request.
+    hold : ResponseHold
+        Memory that the responses of endpoints take.
 
     Notes
     -----
@@ -48,6 +50,7 @@
         "broken_domains",
         "first_event_at",
         "has_run",
+        "hold",
         "is_attempting",
         "last_event_at",
         "last_event_id",
@@ -57,11 +60,12 @@
         "tried",
     )
 
-    def __init__(self, *, node, request):
+    def __init__(self, *, node, request, hold):
         self._node = node
         self._load = None
         self._traits = None
         self.request = request
+        self.hold = hold
         self.broken_domains = set()
         self.has_run = False
         self.is_attempting = False
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/serving.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/serving.py
@@ -20,7 +20,7 @@
 IDEMPOTENT_ATTEMPT_FRACTION = 0.45
 
 
-async def serve_request(node, request, http_request):
+async def serve_request(node, request, http_request, *, hold):
     """Serve a request; return the response, sent already if it is a stream.
 
     Parameters
@@ -31,6 +31,8 @@
         Validated request.
     http_request : aiohttp.web.BaseRequest
         The caller's request, which the response belongs to.
+    hold : ResponseHold
+        Memory that the responses of endpoints take until the caller has the response.
 
     Raises
     ------
@@ -40,7 +42,7 @@
     node.retry_budget.record_request(request.service, now=node.clock.monotonic())
     if request.prompt_parts:
         node.crash_guard.record_arrival(request.prompt_parts)
-    attempts = Attempts(node=node, request=request)
+    attempts = Attempts(node=node, request=request, hold=hold)
     if request.route.is_stream:
         response = await relay_stream(node, attempts, http_request)
     else:
@@ -73,6 +75,7 @@
         try:
             return await _attempt_plain(attempts)
         except AttemptFailed as exc:
+            exc.forget_frames()
             failure = exc.response or failure
             error = exc
         except MagnoliagradeError:
@@ -101,11 +104,18 @@
 
 
 async def _attempt_plain_outcome(attempts):
-    """Make one attempt; return its response or its error."""
-    try:
-        return await _attempt_plain(attempts)
-    except MagnoliagradeError as exc:
-        return exc
+    """Make one attempt; return its response or its error.
+
+    The response is counted until then, even if its caller leaves.
+    """
+    with attempts.hold:
+        try:
+            return await _attempt_plain(attempts)
+        except AttemptFailed as exc:
+            exc.forget_frames()
+            return exc
+        except MagnoliagradeError as exc:
+            return exc
 
 
 async def _attempt_plain(attempts):
@@ -115,7 +125,7 @@
         try:
             async with asyncio.timeout(limit_s):
                 upstream = await attempt.open()
-                body = await upstream.read()
+                body = await upstream.read(attempts.hold)
         except TimeoutError:
             raise AttemptFailed(
                 ErrorKind.DEADLINE,
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/streams.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/streams.py
@@ -7,11 +7,15 @@
 
 from aiohttp import web
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
+from magnoliagrade.http import ResponseTooLong
 from magnoliagrade.observability import log_event
 from magnoliagrade.platform import response_headers
 from prometheus_client import Counter, Histogram
 
-from magnoliagrade_entry.direct.serving.upstream import AttemptFailed
+from magnoliagrade_entry.direct.serving.upstream import (
+    AttemptFailed,
+    too_long_response,
+)
 
 __all__ = ["EventReader", "StreamEvent", "relay_stream"]
 
@@ -65,6 +69,11 @@
     def __init__(self):
         self._buffer = bytearray()
 
+    @property
+    def held_bytes(self):
+        """Bytes of the event that is not complete yet."""
+        return len(self._buffer)
+
     @property
     def has_partial_event(self):
         """Whether the end of an event that has begun is missing."""
@@ -158,6 +167,7 @@
             try:
                 return await self._run_attempt()
             except AttemptFailed as exc:
+                exc.forget_frames()
                 if not self.may_resume(exc):
                     return self.abort(exc)
             except MagnoliagradeError as exc:
@@ -225,8 +235,7 @@
         return self._response
 
     async def _relay_events(self, attempt):
-        clock = self._node.clock
-        silent_since = clock.monotonic()
+        silent_since = self._node.clock.monotonic()
         upstream = await self._within_silence_timeout(attempt.open(), silent_since)
         if upstream.status != 200:
             return await self._handle_error_status(attempt, upstream)
@@ -236,6 +245,21 @@
                 f"{attempt.endpoint.id} sent another type of response than events",
                 has_run=True,
             )
+        try:
+            with self._attempts.hold.receiving(
+                source=attempt.endpoint.address, close=upstream.close
+            ):
+                await self._relay_body(attempt, upstream, silent_since)
+        except ResponseTooLong as exc:
+            raise too_long_response(exc) from exc
+        if self._response is None:
+            await self._start(upstream)
+        await self._response.write_eof()
+        return self._response
+
+    async def _relay_body(self, attempt, upstream, silent_since):
+        """Relay all events of a response, which must end after one."""
+        hold = self._attempts.hold
         reader = EventReader()
         is_resumed = self._attempts.last_event_id.isdigit()
         chunks = aiter(upstream.chunks())
@@ -244,6 +268,7 @@
             if data is None:
                 break
             events = reader.feed(data)
+            hold.resize(reader.held_bytes + sum(len(event.data) for event in events))
             if is_resumed and not all(map(_continues_numbered_stream, events)):
                 raise AttemptFailed(
                     ErrorKind.ANSWER_BROKEN,
@@ -253,9 +278,10 @@
                 )
             events = [event for event in events if not self._is_duplicate(event)]
             if events:
-                silent_since = clock.monotonic()
+                silent_since = self._node.clock.monotonic()
                 attempt.record_response()
                 await self._write(upstream, events)
+                hold.resize(reader.held_bytes)
                 if not reader.has_partial_event and attempt.try_move():
                     raise AttemptFailed(
                         ErrorKind.UPSTREAM_FAILED,
@@ -276,10 +302,6 @@
                 f"the stream of {attempt.endpoint.id} ended before its first event",
                 has_run=True,
             )
-        if self._response is None:
-            await self._start(upstream)
-        await self._response.write_eof()
-        return self._response
 
     async def _within_silence_timeout(self, step, silent_since):
         """Return the result of a step, unless no event has ended for too long.
@@ -304,7 +326,7 @@
                 f"{attempt.endpoint.id} responded with status {upstream.status}",
                 has_run=True,
             )
-        body = await upstream.read()
+        body = await upstream.read(self._attempts.hold)
         return web.Response(
             status=upstream.status,
             headers=response_headers(upstream.headers),
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/upstream.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/direct/serving/upstream.py
@@ -4,7 +4,13 @@
 
 import aiohttp
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError
-from magnoliagrade.http import CheckedResponseHandler, ResponseConnector, send_once
+from magnoliagrade.http import (
+    CheckedResponseHandler,
+    ResponseConnector,
+    ResponseTooLong,
+    read_limited,
+    send_once,
+)
 from magnoliagrade.platform import (
     endpoint_headers,
     has_not_run,
@@ -22,6 +28,7 @@
     "EndpointConnector",
     "UpstreamResponse",
     "open_response",
+    "too_long_response",
     "trace_connections",
 ]
 
@@ -30,8 +37,11 @@
 # after a second.
 CONNECT_TIMEOUT_S = 0.35
 # Limit on the body of a plain response: a faulty endpoint may send one that does not
-# end, and several of them must fit into the memory of an entry (200 MB).
+# end. All of them together have a limit of their own (`ResponseMemory`).
 BODY_LIMIT_BYTES = 8 * 1024 * 1024
+# What the system keeps of each response that is not read; it also bounds how much of a
+# response arrives at once.
+RECEIVE_BUFFER_BYTES = 64 * 1024
 
 
 class AttemptFailed(MagnoliagradeError):
@@ -90,6 +100,13 @@
         self.was_sent = was_sent
         self.response = response
 
+    def forget_frames(self):
+        """Drop the traceback and causes, whose frames refer to parts of a response.
+
+        The exception is kept until the request has ended.
+        """
+        self.__traceback__ = self.__cause__ = self.__context__ = None
+
 
 class EndpointConnector(ResponseConnector):
     """Connector whose connections serve one request each.
@@ -105,6 +122,7 @@
         super().__init__(
             handler_class=_ResetDetectingHandler,
             source_address=source_address,
+            receive_buffer_bytes=RECEIVE_BUFFER_BYTES,
             force_close=True,
         )
 
@@ -175,25 +193,25 @@
         """What the endpoint says of itself, as `EndpointNotice`; None for a 421."""
         return notice_of(self.status, self.headers)
 
-    async def read(self):
+    async def read(self, hold):
         """Return the complete body.
 
+        Parameters
+        ----------
+        hold : ResponseHold
+            Memory that the body takes, also after it has been read.
+
         Raises
         ------
         AttemptFailed
-            If it is cut off, or exceeds `BODY_LIMIT_BYTES`.
+            If it is cut off, exceeds `BODY_LIMIT_BYTES`, or was closed to free memory.
         """
-        body = bytearray()
-        async for data in self.chunks():
-            body += data
-            if len(body) > BODY_LIMIT_BYTES:
-                raise AttemptFailed(
-                    ErrorKind.ANSWER_BROKEN,
-                    f"a body of {len(body)} bytes or more exceeds the limit of "
-                    f"{BODY_LIMIT_BYTES} bytes",
-                    has_run=True,
-                )
-        return bytes(body)
+        try:
+            return await read_limited(self.response, BODY_LIMIT_BYTES, hold=hold)
+        except ResponseTooLong as exc:
+            raise too_long_response(exc) from exc
+        except (aiohttp.ClientError, OSError) as exc:
+            raise _broken_response(exc) from exc
 
     async def chunks(self):
         """Yield parts of the body; raise `AttemptFailed` if it is cut off."""
@@ -301,6 +319,11 @@
     return UpstreamResponse(response=response, status=status)
 
 
+def too_long_response(exc):
+    """Return the failure of an attempt whose response is a `ResponseTooLong`."""
+    return AttemptFailed(ErrorKind.ANSWER_BROKEN, str(exc), has_run=True)
+
+
 def _broken_response(exc):
     return AttemptFailed(
         ErrorKind.OUTCOME_UNKNOWN,
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/instance.py
@@ -3,7 +3,7 @@
 import logging
 
 from magnoliagrade.configuration import ConfigurationRepository
-from magnoliagrade.http import BodyBudget, ListenerLimits
+from magnoliagrade.http import BodyBudget, ListenerLimits, ResponseMemory
 from magnoliagrade.node import Node, OutcomeTable
 from magnoliagrade.observability import log_event
 from magnoliagrade.store import HttpInstanceList
@@ -65,6 +65,7 @@
         "peers",
         "repository",
         "requests_in_flight",
+        "response_memory",
         "revocations",
         "router",
         "shutdown",
@@ -82,6 +83,9 @@
         self.requests_in_flight = 0
         self.closes_connections = False
         self.body_budget = BodyBudget(limit_bytes=settings.body_memory_bytes)
+        self.response_memory = ResponseMemory(
+            limit_bytes=settings.response_memory_bytes
+        )
         directory_options = {
             "configuration": self.configuration,
             "data_centre": settings.data_centre,
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/requests/attempt.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/requests/attempt.py
@@ -7,6 +7,7 @@
 from magnoliagrade.errors import ErrorKind, MagnoliagradeError, Ran
 from magnoliagrade.http import (
     EventSplitter,
+    ResponseTooLong,
     read_limited,
     send_once,
     write_request_headers,
@@ -96,16 +97,16 @@
         remaining_s = request.deadline - node.clock.monotonic()
         try:
             async with asyncio.timeout(remaining_s):
-                await _exchange(node.session, request, attempt, url, headers, sink)
+                await _exchange(node, request, attempt, url, headers, sink)
         except TimeoutError as exc:
             detail = f"no complete response from {placement.name} before the deadline"
             raise AttemptFailed(ErrorKind.DEADLINE, detail, ran=Ran.UNKNOWN) from exc
 
 
-async def _exchange(session, request, attempt, url, headers, sink):
+async def _exchange(node, request, attempt, url, headers, sink):
     try:
         response = await send_once(
-            session,
+            node.session,
             request.method,
             url,
             data=request.body or None,
@@ -123,7 +124,13 @@
     async with response:
         await _raise_for_rejection(response)
         _check_attempt_id(response, attempt)
-        await _copy_response(response, sink)
+        source = f"{response.url.host}:{response.url.port}"
+        hold = node.response_memory.hold()
+        try:
+            with hold, hold.receiving(source=source, close=response.close):
+                await _copy_response(response, sink, hold)
+        except ResponseTooLong as exc:
+            raise _incomplete_response(str(exc), sink) from exc
 
 
 async def _raise_for_rejection(response):
@@ -154,7 +161,7 @@
     raise AttemptFailed(ErrorKind.OUTCOME_UNKNOWN, detail, ran=Ran.UNKNOWN)
 
 
-async def _copy_response(response, sink):
+async def _copy_response(response, sink, hold):
     is_stream = response.content_type == "text/event-stream"
     is_resumed = sink.has_started or sink.tokens_written > 0
     if is_resumed and not (is_stream and response.status == 200):
@@ -165,16 +172,16 @@
             sink,
         )
     if is_stream:
-        await _copy_events(response, sink)
+        await _copy_events(response, sink, hold)
     elif (
         response.content_length or MAX_BUFFERED_RESPONSE_BYTES
     ) < MAX_BUFFERED_RESPONSE_BYTES:
-        await _copy_buffered(response, sink)
+        await _copy_buffered(response, sink, hold)
     else:
         await _copy_chunks(response, sink)
 
 
-async def _copy_events(response, sink):
+async def _copy_events(response, sink, hold):
     splitter = EventSplitter()
     if not sink.has_started:
         await sink.start(response.status, response.headers)
@@ -183,18 +190,23 @@
             events = splitter.feed(chunk)
         except ValueError as exc:
             raise _incomplete_response(str(exc), sink) from exc
+        hold.resize(splitter.held_bytes + len(events.data))
         if events.data:
             await sink.write(events.data, tokens=events.tokens)
+            hold.resize(splitter.held_bytes)
         if events.is_stream_end:
             await sink.finish()
             return
     raise _incomplete_response("stream ended without its end event", sink)
 
 
-async def _copy_buffered(response, sink):
-    chunks = [chunk async for chunk in _read_chunks(response, sink)]
+async def _copy_buffered(response, sink, hold):
+    body = bytearray()
+    async for chunk in _read_chunks(response, sink):
+        body += chunk
+        hold.resize(len(body))
     await sink.start(response.status, response.headers)
-    await sink.write(b"".join(chunks))
+    await sink.write(bytes(body))
     await sink.finish()
 
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/requests/tests/test_attempt.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/requests/tests/test_attempt.py
@@ -6,7 +6,7 @@
 import aiohttp
 from aiohttp import web
 from magnoliagrade.clock import SystemClock
-from magnoliagrade.http import ResponseSink
+from magnoliagrade.http import ResponseMemory, ResponseSink
 from magnoliagrade.http import headers as names
 from magnoliagrade.world import Request
 
@@ -33,6 +33,28 @@
     assert body == FIRST + b"data: last\n\ndata: [DONE]\n\n"
 
 
+def test_event_without_end_is_left_if_responses_take_too_much_memory():
+    async def serve(http_request):
+        response = web.StreamResponse(headers=_headers(http_request, EVENTS))
+        await response.prepare(http_request)
+        for _ in range(1000):
+            await response.write(b"x" * 1000)
+        return response
+
+    async def scenario():
+        memory = ResponseMemory(limit_bytes=100_000)
+        async with _Server(serve) as address:
+            try:
+                await _attempt(address, _Sink(), memory=memory)
+            except AttemptFailed as exc:
+                assert "to free memory" in exc.detail, exc.detail
+                assert memory.held_bytes == 0
+                return
+        raise AssertionError("the event was read to its end")
+
+    asyncio.run(scenario())
+
+
 async def _call(first, status, media_type, body):
     """Return what a caller gets of a stream that a second endpoint goes on with."""
 
@@ -74,7 +96,7 @@
         return received
 
 
-async def _attempt(address, sink):
+async def _attempt(address, sink, *, memory=None):
     clock = SystemClock()
     request = Request(
         id="r-1",
@@ -95,6 +117,7 @@
                 clock=clock,
                 identity=SimpleNamespace(instance="entry-0", data_centre="dc-0"),
                 session=session,
+                response_memory=memory or ResponseMemory(limit_bytes=2**24),
             ),
             request=request,
             placement=SimpleNamespace(
@@ -114,6 +137,17 @@
     return {names.ATTEMPT: attempt, names.RAN: "yes", "Content-Type": media_type}
 
 
+class _Sink:
+    """Sink of a response of which nothing is written."""
+
+    has_started = False
+    tokens_written = 0
+    bytes_written = 0
+
+    async def start(self, _status, _headers):
+        pass
+
+
 class _Server:
     """Serves a handler on a port of its own; the context's value is the address."""
 
--- a/packages/magnoliagrade-entry/magnoliagrade_entry/settings.py
+++ b/packages/magnoliagrade-entry/magnoliagrade_entry/settings.py
@@ -80,6 +80,15 @@
         low=1024,
         high=1024**4,
     )
+    response_memory_bytes: int = setting(
+        section="requests",
+        doc="memory for the responses of all agents and peers in the entry together; "
+        "above it, unfinished ones that hold more than 64 KiB are closed",
+        unit="bytes",
+        default=64 * 1024 * 1024,
+        low=65536,
+        high=1024**4,
+    )
     header_timeout_s: float = setting(
         section="requests",
         doc="longest time that a caller may take to send the headers of a request",
--- a/packages/magnoliagrade/magnoliagrade/http/__init__.py
+++ b/packages/magnoliagrade/magnoliagrade/http/__init__.py
@@ -11,6 +11,11 @@
     write_request_headers,
 )
 from magnoliagrade.http.recording import RecordedResponse, RecordingSink
+from magnoliagrade.http.response_memory import (
+    ResponseHold,
+    ResponseMemory,
+    ResponseTooLong,
+)
 from magnoliagrade.http.responses import ResponseSink, error_response, send_response
 from magnoliagrade.http.server import (
     ListenerLimits,
@@ -30,7 +35,10 @@
     "RecordedResponse",
     "RecordingSink",
     "ResponseConnector",
+    "ResponseHold",
+    "ResponseMemory",
     "ResponseSink",
+    "ResponseTooLong",
     "change_limits",
     "check_incarnation",
     "end_to_end_headers",
--- a/packages/magnoliagrade/magnoliagrade/http/client.py
+++ b/packages/magnoliagrade/magnoliagrade/http/client.py
@@ -1,7 +1,11 @@
 """HTTP requests that are sent at most once, without the resends of aiohttp."""
 
+import contextlib
+
 import aiohttp
 
+from magnoliagrade.http.response_memory import ResponseTooLong
+
 __all__ = ["CONNECT_TIMEOUT_S", "read_limited", "reject_second_send", "send_once"]
 
 CONNECT_TIMEOUT_S = 2.0
@@ -74,7 +78,7 @@
     )
 
 
-async def read_limited(response, limit_bytes):
+async def read_limited(response, limit_bytes, *, memory=None, hold=None):
     """Return the complete body of a response.
 
     Parameters
@@ -83,24 +87,47 @@
         Response whose body is still unread.
     limit_bytes : int
         Longest body.
+    memory : ResponseMemory, optional
+        Limit on all responses together, toward which the body counts while it is read.
+    hold : ResponseHold, optional
+        Used in place of `memory` if the body counts longer than that.
 
     Raises
     ------
-    aiohttp.ClientPayloadError
-        If the body is longer. The response is closed: a faulty server may go on
-        sending until it is.
+    ResponseTooLong
+        If the body is longer, or was closed to free memory for others. The response is
+        closed: a faulty server may go on sending until it is.
     aiohttp.ClientError, OSError
         If the body is cut off.
     """
-    body = bytearray()
-    async for data in response.content.iter_any():
-        body += data
-        if len(body) > limit_bytes:
-            response.close()
-            raise aiohttp.ClientPayloadError(
-                f"a body of more than {limit_bytes} bytes was not read to its end"
-            )
-    return bytes(body)
+    length = 0 if response.method == "HEAD" else response.content_length or 0
+    if length > limit_bytes:
+        response.close()
+        raise ResponseTooLong(
+            f"a body of {length} bytes exceeds the limit of {limit_bytes} bytes"
+        )
+    with contextlib.ExitStack() as stack:
+        if hold is None and memory is not None:
+            hold = stack.enter_context(memory.hold())
+        if hold is not None:
+            source = f"{response.url.host}:{response.url.port}"
+            stack.enter_context(hold.receiving(source=source, close=response.close))
+        body = bytearray()
+        try:
+            async for data in response.content.iter_any():
+                body += data
+                if len(body) > limit_bytes:
+                    response.close()
+                    raise ResponseTooLong(
+                        f"a body of {len(body)} bytes or more exceeds the limit of "
+                        f"{limit_bytes} bytes"
+                    )
+                if hold is not None:
+                    hold.resize(len(body))
+            return bytes(body)
+        finally:
+            # The traceback of an exception may keep this frame for long.
+            body.clear()
 
 
 def reject_second_send():
--- a/packages/magnoliagrade/magnoliagrade/http/connections.py
+++ b/packages/magnoliagrade/magnoliagrade/http/connections.py
@@ -1,6 +1,7 @@
 """Client connections that check responses as their bytes arrive."""
 
 import functools
+import socket
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -94,16 +95,32 @@
         Subclass of `CheckedResponseHandler`.
     source_address : str
         Local address to connect from; if empty, the system chooses it.
+    receive_buffer_bytes : int
+        What the system keeps of a response that is not read; 0 for its own choice.
     **options
         Further parameters of `aiohttp.TCPConnector`.
     """
 
     def __init__(
-        self, *, handler_class=CheckedResponseHandler, source_address="", **options
+        self,
+        *,
+        handler_class=CheckedResponseHandler,
+        source_address="",
+        receive_buffer_bytes=0,
+        **options,
     ):
         super().__init__(
             limit=0,
             local_addr=(source_address, 0) if source_address else None,
+            socket_factory=functools.partial(_open_socket, receive_buffer_bytes),
             **options,
         )
         self._factory = functools.partial(handler_class, loop=self._loop)
+
+
+def _open_socket(receive_buffer_bytes, address_info):
+    family, kind, protocol, *_ = address_info
+    opened = socket.socket(family, kind, protocol)
+    if receive_buffer_bytes:
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
+    return opened
--- a/packages/magnoliagrade/magnoliagrade/http/events.py
+++ b/packages/magnoliagrade/magnoliagrade/http/events.py
@@ -55,6 +55,11 @@
     def __init__(self):
         self._incomplete = bytearray()
 
+    @property
+    def held_bytes(self):
+        """Bytes of the event that is not complete yet."""
+        return len(self._incomplete)
+
     def feed(self, data):
         """Return the events that the next bytes of the stream complete.
 
--- a/packages/magnoliagrade/magnoliagrade/node/direct_settings.py
+++ b/packages/magnoliagrade/magnoliagrade/node/direct_settings.py
@@ -29,6 +29,15 @@
     store_address: str = setting(
         section="platform", doc="address of the platform's store", address=True
     )
+    response_memory_bytes: int = setting(
+        section="limits",
+        doc="memory for the responses of back ends in the process together; above it, "
+        "unfinished ones that hold more than 64 KiB are closed",
+        unit="bytes",
+        default=24 * 1024 * 1024,
+        low=65536,
+        high=2**40,
+    )
     log_level: str = setting(
         section="logs",
         doc="lowest level that is logged",
--- a/packages/magnoliagrade/magnoliagrade/platform/ranks.py
+++ b/packages/magnoliagrade/magnoliagrade/platform/ranks.py
@@ -20,9 +20,10 @@
 __all__ = ["OrderOutcome", "RankServer"]
 
 # Limits on the bodies of a status report or the response to an order, and of the counts
-# and the expert map: a faulty server may send one that does not end.
+# and the expert map: a faulty server may send one that does not end. Decoded JSON may
+# take 24 times the memory of its text.
 REPORT_LIMIT_BYTES = 64 * 1024
-COUNTS_LIMIT_BYTES = 4 * 1024 * 1024
+COUNTS_LIMIT_BYTES = 1024 * 1024
 _OPERATION_BY_NAME = {
     "prepare": "prepare",
     "arm": "arm",
@@ -58,11 +59,16 @@
         Time-out of a call that reads, in seconds.
     order_timeout_s : float, optional
         Time-out of an order in seconds; `timeout_s` by default.
+    memory : ResponseMemory, optional
+        Limit on the responses of all servers together; none by default.
     """
 
-    __slots__ = ("_order_timeout_s", "_session", "_timeout_s", "_url")
+    __slots__ = ("_memory", "_order_timeout_s", "_session", "_timeout_s", "_url")
 
-    def __init__(self, *, address, session, timeout_s, order_timeout_s=None):
+    def __init__(
+        self, *, address, session, timeout_s, order_timeout_s=None, memory=None
+    ):
+        self._memory = memory
         self._order_timeout_s = order_timeout_s or timeout_s
         self._url = f"http://{address}"
         self._session = session
@@ -158,7 +164,8 @@
                     headers={"Content-Type": "application/json"} if data else None,
                 ) as response,
             ):
-                return response.status, await read_limited(response, limit_bytes)
+                data = await read_limited(response, limit_bytes, memory=self._memory)
+                return response.status, data
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             raise MagnoliagradeError(
                 ErrorKind.UPSTREAM_FAILED,
