--- a/review/common-3/bed.py
+++ b/review/common-3/bed.py
@@ -70,7 +70,12 @@
     return await reader.readexactly(int(headers.get("content-length", 0)))
 
 
-def json_reply(document, status=200, era=1):
+def json_reply(document, status=200):
+    """Return an answer of the store, without its era."""
+    return document, status
+
+
+def encode_reply(document, status, era):
     """Return an answer of the store as bytes."""
     data = json.dumps(document).encode()
     head = f"HTTP/1.1 {status} -\r\nContent-Type: application/json\r\n"
@@ -90,6 +95,9 @@
         self.last_lease = 0
         self.changed = asyncio.Event()
         self.address = ""
+        self.era = 1
+        self.is_away = False
+        self.oldest_revision = 0
 
     async def start(self):
         """Start it."""
@@ -118,6 +126,26 @@
             self.revision += 1
             self._announce({"Key": key, "Revision": self.revision, "Tombstone": True})
 
+    def copy(self):
+        """Return a copy of the state, from which the store may return."""
+        leases = {lease: set(keys) for lease, keys in self.leases.items()}
+        return dict(self.items), leases, self.revision
+
+    def go_away(self):
+        """Answer 503 from now on, also the watches that wait."""
+        self.is_away = True
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def return_from(self, copied):
+        """Answer again, with the state of a copy and in the next era."""
+        items, leases, self.revision = copied
+        self.items, self.leases = dict(items), leases
+        self.events = []
+        self.oldest_revision = self.revision
+        self.era += 1
+        self.is_away = False
+
     def _announce(self, event):
         self.events.append(event)
         self.changed.set()
@@ -131,7 +159,11 @@
                 url = urllib.parse.urlsplit(target)
                 query = dict(urllib.parse.parse_qsl(url.query))
                 document = json.loads(body) if body else {}
-                writer.write(await self._reply(method, url.path, query, document))
+                if self.is_away:
+                    reply, status = json_reply({}, 503)
+                else:
+                    reply, status = await self._reply(method, url.path, query, document)
+                writer.write(encode_reply(reply, status, self.era))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
@@ -172,6 +204,10 @@
         ends_at = time.monotonic() + int(query.get("WaitMs", 0)) / 1000
         after, prefix = int(query["After"]), query.get("Prefix", "")
         while True:
+            if self.is_away:
+                return json_reply({}, 503)
+            if not self.oldest_revision <= after <= self.revision:
+                return json_reply({}, 410)
             events = [
                 e
                 for e in self.events
