--- a/review/common-3/bed.py
+++ b/review/common-3/bed.py
@@ -499,7 +499,9 @@
 
 def configuration(routes, version=7):
     """Return a configuration with one tenant."""
-    services = sorted({r["Service"] for r in routes})
+    services = set()
+    for document in routes:
+        services |= {share["Service"] for share in document.get("Split", [document])}
     return {
         "Version": version,
         "Routes": routes,
@@ -513,7 +515,7 @@
                 "ColdStartS": 0.0,
                 "ColdPerS": 0.0,
             }
-            for name in services
+            for name in sorted(services)
         ],
         "Limits": {
             "MaxHeaderBytes": 16384,
