--- a/review/common-3/bed.py
+++ b/review/common-3/bed.py
@@ -28,6 +28,8 @@
 TENANT = "hule930"
 HOST_NAME = "ficu95.example"
 START_S = 20.0
+# A server takes a body of the largest size at once.
+READ_BYTES = 8 * 1024 * 1024
 
 
 class Record:
@@ -266,7 +268,7 @@
 
     async def start(self, store):
         """Listen, and register in the store."""
-        server = await asyncio.start_server(self._serve, HOST, 0)
+        server = await asyncio.start_server(self._serve, HOST, 0, limit=READ_BYTES)
         self.address = f"{HOST}:{server.sockets[0].getsockname()[1]}"
         document = {
             "Service": self.service,
