--- a/review/common-3/large_orders.py
+++ b/review/common-3/large_orders.py
@@ -1,4 +1,4 @@
-"""Consumers that send large orders to one entry, for the cases 11 and 13."""
+"""Consumers that send large orders to one entry, for the cases 12 and 13."""
 
 import asyncio
 import contextlib
