--- a/review/common-3/large_orders.py
+++ b/review/common-3/large_orders.py
@@ -1,4 +1,4 @@
-"""Consumers that send large orders to one entry, for the cases 12 and 13."""
+"""Consumers that send large requests to one entry, for the cases 12 and 13."""
 
 import asyncio
 import contextlib
@@ -21,35 +21,47 @@
 CONSUMERS_AT_ONCE = 90
 UPLOAD_S = 4.0
 PIECE_BYTES = 64 * 1024
-DEADLINE_MS = 7500
+# Time-outs of the site's orders and streams, and the consumers' own limits.
+TIMEOUT_MS = 800
+STREAM_TIMEOUT_MS = 8000
+DEADLINE_MS = 1520
+STREAM_DEADLINE_MS = 8051
+# A small order, as on the sheet, and how long its server works on it.
+SMALL_BYTES = 600
+SMALL_S = 0.5
 KEPT_CHANNELS = 24
 KEPT_GAP_S = 0.02
-# For how long small requests are sent beside the orders.
+# For how long small orders are sent beside the large requests.
 WATCHED_S = 14.0
 
 
 async def respond(server, request):
     """Answer a request soundly."""
-    if request.path.startswith("/look/"):
-        await asyncio.sleep(1.0)
-    body = b"%d bytes" % len(request.body)
-    head = server.head(request, extra=f"Content-Length: {len(body)}\r\n")
+    if len(request.body) == SMALL_BYTES:
+        await asyncio.sleep(SMALL_S)
+    body = b"id: 1\ndata: %d bytes\n\n" % len(request.body)
+    extra = f"Content-Length: {len(body)}\r\n"
+    if request.path.startswith("/describe/"):
+        extra += "Content-Type: text/event-stream\r\n"
+    head = server.head(request, extra=extra)
     request.writer.write(head.encode() + b"\r\n" + body)
     await request.writer.drain()
 
 
 async def upload(port, number, is_at_once):
-    """Send one order with a large body; return its status, or why there is none."""
+    """Send one large request; return its status, or why there is none."""
     loop = asyncio.get_running_loop()
+    path = "/describe/1" if is_at_once else "/order/1"
+    deadline_ms = STREAM_DEADLINE_MS if is_at_once else DEADLINE_MS
     if not is_at_once:
         await asyncio.sleep(ORDER_GAP_S * number)
     try:
         reader, writer = await asyncio.open_connection(bed.HOST, port)
         head = bed.request_head(
             "POST",
-            "/order/1",
+            path,
             f"u-{number}",
-            deadline_ms=DEADLINE_MS,
+            deadline_ms=deadline_ms,
             length=BODY_BYTES,
         )
         writer.write(head)
@@ -61,7 +73,7 @@
             if is_at_once:
                 due = began + UPLOAD_S * (sent + PIECE_BYTES) / BODY_BYTES
                 await asyncio.sleep(max(0.0, due - loop.time()))
-        answer = await asyncio.wait_for(bed.read_head(reader), DEADLINE_MS / 1000)
+        answer = await asyncio.wait_for(bed.read_head(reader), deadline_ms / 1000)
         if answer is not None and not is_at_once:
             # The consumer keeps its channel for the next request.
             await bed.read_body(reader, answer[1])
@@ -74,14 +86,14 @@
 
 
 async def upload_all(port, count, is_at_once):
-    """Send the orders of all consumers; print how they ended."""
+    """Send the requests of all consumers; print how they ended."""
     answers = await asyncio.gather(*(upload(port, n, is_at_once) for n in range(count)))
     for answer in sorted(set(answers)):
-        print(f"{answers.count(answer)} orders: {answer}")
+        print(f"{answers.count(answer)} answers: {answer}")
 
 
-async def look_up(record, entry, number, until, lost):
-    """Send small requests on one kept channel; note those that get no answer."""
+async def order_on(record, entry, number, until, lost):
+    """Send small orders on one kept channel; note those that get no answer."""
     loop = asyncio.get_running_loop()
     count = 0
     # Not in step with the others.
@@ -91,9 +103,14 @@
         reader, writer = await asyncio.open_connection(bed.HOST, entry.front)
         while loop.time() < until:
             request_id = f"k-{number}-{count}"
-            writer.write(
-                bed.request_head("GET", "/look/1", request_id, deadline_ms=DEADLINE_MS)
+            head = bed.request_head(
+                "POST",
+                "/order/2",
+                request_id,
+                deadline_ms=DEADLINE_MS,
+                length=SMALL_BYTES,
             )
+            writer.write(head + bytes(SMALL_BYTES))
             answer = await asyncio.wait_for(bed.read_head(reader), DEADLINE_MS / 1000)
             if answer is None:
                 raise ConnectionResetError("the channel ended without an answer")
@@ -128,18 +145,28 @@
     """Play the case; return the broken rules."""
     store = bed.Store()
     await store.start()
-    server = bed.Server(
-        instance="i-7f3a91c2",
-        service="wuno96b",
-        zone="kamloops",
-        record=record,
-        respond=respond,
-        slots=48,
-    )
-    await server.start(store)
+    servers = [
+        bed.Server(
+            instance=f"i-7f3a91c{number}",
+            service="wuno96b",
+            zone=zone,
+            record=record,
+            respond=respond,
+            slots=16,
+        )
+        for number, zone in enumerate(["kamloops", "kelowna", "vernon"])
+    ]
+    for server in servers:
+        await server.start(store)
     routes = [
-        bed.route("/look/", "wuno96b", "safe"),
-        bed.route("/order/", "wuno96b", "unsafe"),
+        bed.route("/order/", "wuno96b", "unsafe", TimeoutMs=TIMEOUT_MS),
+        bed.route(
+            "/describe/",
+            "wuno96b",
+            "streaming",
+            TimeoutMs=STREAM_TIMEOUT_MS,
+            Resumable=True,
+        ),
     ]
     store.put("op/config", bed.configuration(routes))
     entry = bed.Entry(
@@ -154,14 +181,14 @@
     loop = asyncio.get_running_loop()
     until, lost = loop.time() + WATCHED_S, []
     kept = [
-        asyncio.create_task(look_up(record, entry, n, until, lost))
+        asyncio.create_task(order_on(record, entry, n, until, lost))
         for n in range(KEPT_CHANNELS)
     ]
     await asyncio.sleep(1.0)
     number = CONSUMERS_AT_ONCE if is_at_once else CONSUMERS
     number = number if trouble else CONSUMERS_CALM
     manner = "all at once" if is_at_once else f"one each {ORDER_GAP_S} s"
-    record.write(f"{number} consumers send an order of {BODY_BYTES} bytes, {manner}")
+    record.write(f"{number} consumers send {BODY_BYTES} bytes each, {manner}")
     # The consumers are a process of their own, so that they don't delay the stand-ins.
     uploads = await asyncio.create_subprocess_exec(
         sys.executable,
@@ -176,7 +203,8 @@
         record.write(line)
     await asyncio.gather(*kept)
     watching.cancel()
-    passed_on = [request_id for request_id in lost if request_id in server.runs]
+    runs = {request_id for server in servers for request_id in server.runs}
+    passed_on = [request_id for request_id in lost if request_id in runs]
     record.write(
         f"{len(passed_on)} requests from kept channels were passed on and not answered"
     )
